--- /dev/null
+++ b/crates/kws-admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics, readiness and status.
--- /dev/null
+++ b/crates/kws-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tables of measurements over the product and its baselines.
--- /dev/null
+++ b/crates/kws-client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' commands.
--- /dev/null
+++ b/crates/kws-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: one thread for each duty, joined by bounded rings.
--- /dev/null
+++ b/crates/kws-dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair queues, choice of backend server and retry policy.
--- /dev/null
+++ b/crates/kws-forward/src/lib.rs
@@ -0,0 +1,1 @@
+//! Caller listeners and forwarding of requests.
--- /dev/null
+++ b/crates/kws-health/src/lib.rs
@@ -0,0 +1,1 @@
+//! Gray failure judgement, ejection and the capacity floor.
--- /dev/null
+++ b/crates/kws-limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rate and burst counted over all hosts together.
--- /dev/null
+++ b/crates/kws-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Freshness lease, membership and adoption of configuration revisions.
--- /dev/null
+++ b/crates/kws-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Message exchange between daemons.
--- /dev/null
+++ b/crates/kws-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Readers of what the platform publishes.
--- /dev/null
+++ b/crates/kws-protocol/src/hash.rs
@@ -0,0 +1,26 @@
+//! Rendezvous hashing, identical on every host and in every version of the daemon.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The score of `candidate` for `subject`; the highest score wins.
+pub fn rendezvous_score(subject: &str, candidate: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(subject.len() + candidate.len() + 1);
+    bytes.extend_from_slice(subject.as_bytes());
+    // The separator keeps ("ab", "c") and ("a", "bc") apart; names never hold a NUL.
+    bytes.push(0);
+    bytes.extend_from_slice(candidate.as_bytes());
+    xxh3_64(&bytes)
+}
+
+/// The candidates in falling order of their score for `subject`; ties fall to the lesser name.
+pub fn rendezvous_order<'a, I>(subject: &str, candidates: I) -> Vec<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut scored: Vec<(u64, &str)> = candidates
+        .into_iter()
+        .map(|candidate| (rendezvous_score(subject, candidate), candidate))
+        .collect();
+    scored.sort_by(|left, right| right.0.cmp(&left.0).then(left.1.cmp(right.1)));
+    scored.into_iter().map(|(_, candidate)| candidate).collect()
+}
--- /dev/null
+++ b/crates/kws-protocol/src/lib.rs
@@ -0,0 +1,27 @@
+//! Types shared by every crate of the fleet: names, resolved settings, refusals, and the messages
+//! that daemons exchange.
+
+mod codec;
+mod hash;
+mod list;
+mod message;
+mod name;
+mod refusal;
+mod settings;
+mod snapshot;
+mod wire;
+
+pub use codec::{CodecError, MAX_FRAME_BYTES, decode_message, encode_message};
+pub use hash::{rendezvous_order, rendezvous_score};
+pub use list::{HostList, HostState, ListedHost, ListedServer};
+pub use message::{
+    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView,
+    ServerDigest,
+};
+pub use name::{CenterName, HostName, RegionName, RouteName, ServerName, ServiceName, TeamName};
+pub use refusal::{RefusalReason, RetryReason, RunState};
+pub use settings::{
+    AnswerChecks, EjectionSettings, FleetSettings, FreshnessSettings, KeyDigest, RegionSettings,
+    RouteAccess, RouteSettings, ServerSettings, ServiceSettings, TeamSettings,
+};
+pub use snapshot::{FleetSnapshot, PublishedValues, TreeRevision};
--- /dev/null
+++ b/crates/kws-protocol/src/wire/config.rs
@@ -0,0 +1,58 @@
+//! Wire types of configuration spread.
+
+use crate::{ConfigMessage, TreeRevision};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum WireConfig {
+    Fetch {
+        since: u64,
+    },
+    Delta {
+        base: u64,
+        revision: u64,
+        set: Vec<(String, Arc<str>)>,
+        removed: Vec<String>,
+    },
+}
+
+impl From<&ConfigMessage> for WireConfig {
+    fn from(message: &ConfigMessage) -> Self {
+        match message {
+            ConfigMessage::Fetch { since } => Self::Fetch { since: since.0 },
+            ConfigMessage::Delta {
+                base,
+                revision,
+                set,
+                removed,
+            } => Self::Delta {
+                base: base.0,
+                revision: revision.0,
+                set: set.clone(),
+                removed: removed.clone(),
+            },
+        }
+    }
+}
+
+impl From<WireConfig> for ConfigMessage {
+    fn from(wire: WireConfig) -> Self {
+        match wire {
+            WireConfig::Fetch { since } => Self::Fetch {
+                since: TreeRevision(since),
+            },
+            WireConfig::Delta {
+                base,
+                revision,
+                set,
+                removed,
+            } => Self::Delta {
+                base: TreeRevision(base),
+                revision: TreeRevision(revision),
+                set,
+                removed,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/kws-protocol/src/wire/envelope.rs
@@ -0,0 +1,66 @@
+//! The versioned envelope around every message.
+
+use super::{config::WireConfig, health::WireHealth, lease::WireLease, loan::WireLoan};
+use crate::PeerMessage;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The version of the wire format.
+const WIRE_VERSION: u8 = 1;
+
+/// A message that decoded but holds a value out of range.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum WireError {
+    /// The sender speaks another version.
+    #[error("unsupported version {0}, this daemon speaks {WIRE_VERSION}")]
+    Version(u8),
+    /// A number is negative, infinite or not a number.
+    #[error("{field} is out of range")]
+    OutOfRange {
+        /// The field.
+        field: &'static str,
+    },
+}
+
+/// A message with its version.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct WireEnvelope {
+    v: u8,
+    m: WireMessage,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+enum WireMessage {
+    Config(WireConfig),
+    Health(WireHealth),
+    Lease(WireLease),
+    Loan(WireLoan),
+}
+
+impl From<&PeerMessage> for WireEnvelope {
+    fn from(message: &PeerMessage) -> Self {
+        let m = match message {
+            PeerMessage::Config(config) => WireMessage::Config(config.into()),
+            PeerMessage::Health(health) => WireMessage::Health(health.into()),
+            PeerMessage::Lease(lease) => WireMessage::Lease(lease.into()),
+            PeerMessage::Loan(loan) => WireMessage::Loan(loan.into()),
+        };
+        Self { v: WIRE_VERSION, m }
+    }
+}
+
+impl TryFrom<WireEnvelope> for PeerMessage {
+    type Error = WireError;
+
+    fn try_from(envelope: WireEnvelope) -> Result<Self, WireError> {
+        if envelope.v != WIRE_VERSION {
+            return Err(WireError::Version(envelope.v));
+        }
+        Ok(match envelope.m {
+            WireMessage::Config(config) => Self::Config(config.into()),
+            WireMessage::Health(health) => Self::Health(health.into()),
+            WireMessage::Lease(lease) => Self::Lease(lease.into()),
+            WireMessage::Loan(loan) => Self::Loan(loan.try_into()?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -0,0 +1,59 @@
+//! Frames decode to what was encoded, and no frame panics.
+
+use kws_protocol::{
+    ConfigMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView, TeamName,
+    TreeRevision, decode_message, encode_message,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+#[rstest]
+#[case::fetch(PeerMessage::Config(ConfigMessage::Fetch { since: TreeRevision(7) }))]
+#[case::borrow(PeerMessage::Loan(LoanMessage::Borrow {
+    id: LoanId(9),
+    team: TeamName::new("orchard"),
+    tokens: 2.5,
+}))]
+#[case::question(PeerMessage::Lease(LeaseMessage::Question {
+    nonce: 3,
+    view: RevisionView {
+        revision: TreeRevision(4),
+        digest: 5,
+        platform_age: Duration::from_millis(6),
+    },
+}))]
+fn round_trip(#[case] message: PeerMessage) {
+    let frame = encode_message(&message).expect("encodes");
+    assert_eq!(decode_message(&frame).expect("decodes"), message);
+}
+
+#[rstest]
+#[case::negative(-1.0)]
+#[case::infinite(f64::INFINITY)]
+#[case::not_a_number(f64::NAN)]
+fn bad_tokens(#[case] tokens: f64) {
+    let message = PeerMessage::Loan(LoanMessage::Lend {
+        id: LoanId(1),
+        team: TeamName::new("orchard"),
+        tokens,
+    });
+    let frame = encode_message(&message).expect("encodes");
+    assert!(decode_message(&frame).is_err());
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_frame(frame in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = decode_message(&frame);
+    }
+
+    #[test]
+    fn flipped_byte(at in 0_usize..40, value in any::<u8>()) {
+        let message = PeerMessage::Config(ConfigMessage::Fetch { since: TreeRevision(7) });
+        let mut frame = encode_message(&message).expect("encodes");
+        let index = at % frame.len();
+        frame[index] = value;
+        let _ = decode_message(&frame);
+    }
+}
--- /dev/null
+++ b/crates/kws-replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replay of recorded traces against stated outcomes.
--- /dev/null
+++ b/crates/kws-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers.
--- /dev/null
+++ b/crates/kws-tree/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' tree of settings: parsing, inheritance and checks.
--- /dev/null
+++ b/src/bin/knapweedseamd.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry host.
+
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' client.
+
+fn main() {}
