Platform readers, watch and stand-in

Cause: daemons need the published values with few calls: one waiting read a host. Ruled out: a watch for each branch, which at 570 hosts outgrows 2,000 calls a second. Conclusion: change, confirmation and outage are seen through the published protocol.

--- /dev/null
+++ b/crates/kws-platform/src/consul.rs
@@ -0,0 +1,148 @@
+//! Reads the published values over the read side of Consul's key-value HTTP protocol.
+
+use crate::{PlatformAnswer, PlatformError, PlatformReader, ReadFuture};
+use base64::{Engine, engine::general_purpose::STANDARD};
+use kws_protocol::{PublishedValues, TreeRevision};
+use ntex::{
+    SharedCfg,
+    client::{Client, ClientResponse},
+    time::Millis,
+};
+use serde::Deserialize;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::timeout;
+
+/// The header that carries the revision of the answer.
+const INDEX_HEADER: &str = "x-consul-index";
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// What an answer may take beyond the wait that the request asks for.
+const ANSWER_ALLOWANCE: Duration = Duration::from_secs(2);
+
+/// A reader of all keys under one prefix, with one blocking query at a time.
+#[derive(Debug)]
+pub struct ConsulReader {
+    address: String,
+    prefix: String,
+    client: Option<Client>,
+}
+
+/// One key as the protocol carries it.
+#[derive(Debug, Deserialize)]
+struct WireEntry {
+    #[serde(rename = "Key")]
+    key: String,
+    #[serde(rename = "Value")]
+    value: Option<String>,
+}
+
+impl ConsulReader {
+    /// A reader of `prefix` at `address`, an `http://ip:port` base address.
+    pub fn new(address: &str, prefix: &str) -> Self {
+        Self {
+            address: address.trim_end_matches('/').to_owned(),
+            prefix: format!("{}/", prefix.trim_matches('/')),
+            client: None,
+        }
+    }
+
+    async fn wait_read(
+        &mut self,
+        known: TreeRevision,
+        wait: Duration,
+    ) -> Result<PlatformAnswer, PlatformError> {
+        let url = format!(
+            "{}/v1/kv/{}?recurse=true&index={known}&wait={}ms",
+            self.address,
+            self.prefix,
+            wait.as_millis()
+        );
+        let client = self.client().await?;
+        let call = fetch(&client, &url);
+        let limit = wait + ANSWER_ALLOWANCE;
+        let (revision, body) = timeout(limit, call)
+            .await
+            .map_err(|_| PlatformError::Unreachable("no answer in time".to_owned()))??;
+        let bytes = body.len() as u64;
+        if revision == known {
+            return Ok(PlatformAnswer::Unchanged { revision, bytes });
+        }
+        let values = parse_values(&body, &self.prefix)?;
+        Ok(PlatformAnswer::Values {
+            values: PublishedValues { revision, values },
+            bytes,
+        })
+    }
+
+    async fn client(&mut self) -> Result<Client, PlatformError> {
+        if let Some(client) = &self.client {
+            return Ok(client.clone());
+        }
+        let client = Client::builder()
+            .disable_timeout()
+            .disable_redirects()
+            .response_payload_limit(MAX_ANSWER_BYTES)
+            .response_payload_timeout(Millis::ZERO)
+            .build(SharedCfg::default())
+            .await
+            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+        self.client = Some(client.clone());
+        Ok(client)
+    }
+}
+
+impl PlatformReader for ConsulReader {
+    fn read(&mut self, known: TreeRevision, wait: Duration) -> ReadFuture<'_> {
+        Box::pin(self.wait_read(known, wait))
+    }
+}
+
+async fn fetch(client: &Client, url: &str) -> Result<(TreeRevision, Vec<u8>), PlatformError> {
+    let response = client
+        .get(url)
+        .send()
+        .await
+        .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+    if response.status().as_u16() != 200 {
+        return Err(PlatformError::Status(response.status().as_u16()));
+    }
+    let revision = parse_index(&response)?;
+    let body = response
+        .body()
+        .limit(MAX_ANSWER_BYTES)
+        .await
+        .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+    Ok((revision, body.to_vec()))
+}
+
+fn parse_index(response: &ClientResponse) -> Result<TreeRevision, PlatformError> {
+    response
+        .header(INDEX_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .map(TreeRevision)
+        .ok_or_else(|| PlatformError::Malformed(format!("no number in {INDEX_HEADER}")))
+}
+
+fn parse_values(body: &[u8], prefix: &str) -> Result<BTreeMap<String, Arc<str>>, PlatformError> {
+    let entries: Vec<WireEntry> = serde_json::from_slice(body)
+        .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+    let mut values = BTreeMap::new();
+    for entry in entries {
+        let key = entry.key.strip_prefix(prefix).ok_or_else(|| {
+            PlatformError::Malformed(format!("key {} is outside of {prefix}", entry.key))
+        })?;
+        let text = decode_value(key, entry.value.as_deref().unwrap_or(""))?;
+        values.insert(key.to_owned(), text);
+    }
+    Ok(values)
+}
+
+fn decode_value(key: &str, value: &str) -> Result<Arc<str>, PlatformError> {
+    let bytes = STANDARD
+        .decode(value)
+        .map_err(|error| PlatformError::Malformed(format!("value of {key}: {error}")))?;
+    let text = String::from_utf8(bytes)
+        .map_err(|error| PlatformError::Malformed(format!("value of {key}: {error}")))?;
+    Ok(Arc::from(text))
+}
--- /dev/null
+++ b/crates/kws-platform/src/directory.rs
@@ -0,0 +1,139 @@
+//! Reads the published values from a local directory; the embedded default.
+
+use crate::{PlatformAnswer, PlatformError, PlatformReader, ReadFuture};
+use kws_protocol::{PublishedValues, TreeRevision};
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// How often a waiting read looks at the revision.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// The file that holds the revision; operators raise it after they changed other files.
+const REVISION_FILE: &str = "revision";
+/// Directories nested deeper than this are refused.
+const MAX_DEPTH: u32 = 16;
+
+/// A reader of a directory of `.yaml` branches, `hosts.json` and `revision`.
+#[derive(Clone, Debug)]
+pub struct DirectoryReader {
+    root: PathBuf,
+}
+
+impl DirectoryReader {
+    /// A reader of the directory `root`.
+    pub fn new(root: &Path) -> Self {
+        Self {
+            root: root.to_path_buf(),
+        }
+    }
+
+    /// Reads all values at once.
+    ///
+    /// # Errors
+    /// [`PlatformError::File`] with the path that couldn't be read, and
+    /// [`PlatformError::Malformed`] when the revision isn't a number or changed meanwhile.
+    pub fn read_all(&self) -> Result<PublishedValues, PlatformError> {
+        let revision = self.read_revision()?;
+        let mut values = BTreeMap::new();
+        collect_values(&self.root, "", 0, &mut values)?;
+        // Operators raise the revision last, so an equal one before and after means no change
+        // was published in between.
+        if self.read_revision()? != revision {
+            return Err(PlatformError::Malformed(
+                "the revision changed while the values were read".to_owned(),
+            ));
+        }
+        Ok(PublishedValues { revision, values })
+    }
+
+    fn read_revision(&self) -> Result<TreeRevision, PlatformError> {
+        let path = self.root.join(REVISION_FILE);
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) if error.kind() == io::ErrorKind::NotFound && self.root.is_dir() => {
+                return Ok(TreeRevision(1));
+            }
+            Err(error) => return Err(file_error(&path, &error)),
+        };
+        let number = text.trim().parse().map_err(|_| {
+            PlatformError::Malformed(format!("{}: not a whole number", path.display()))
+        })?;
+        Ok(TreeRevision(number))
+    }
+
+    async fn wait_read(
+        &self,
+        known: TreeRevision,
+        wait: Duration,
+    ) -> Result<PlatformAnswer, PlatformError> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let revision = self.read_revision()?;
+            if revision != known {
+                return self.read_all().map(values_answer);
+            }
+            if Instant::now() >= deadline {
+                return Ok(PlatformAnswer::Unchanged { revision, bytes: 0 });
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl PlatformReader for DirectoryReader {
+    fn read(&mut self, known: TreeRevision, wait: Duration) -> ReadFuture<'_> {
+        Box::pin(self.wait_read(known, wait))
+    }
+}
+
+fn values_answer(values: PublishedValues) -> PlatformAnswer {
+    let bytes = values.values.values().map(|value| value.len() as u64).sum();
+    PlatformAnswer::Values { values, bytes }
+}
+
+fn collect_values(
+    directory: &Path,
+    prefix: &str,
+    depth: u32,
+    values: &mut BTreeMap<String, Arc<str>>,
+) -> Result<(), PlatformError> {
+    if depth > MAX_DEPTH {
+        return Err(PlatformError::File {
+            path: directory.display().to_string(),
+            message: format!("nested deeper than {MAX_DEPTH} directories"),
+        });
+    }
+    let entries = fs::read_dir(directory).map_err(|error| file_error(directory, &error))?;
+    for entry in entries {
+        let entry = entry.map_err(|error| file_error(directory, &error))?;
+        let path = entry.path();
+        let name = entry.file_name().to_string_lossy().into_owned();
+        if path.is_dir() {
+            collect_values(&path, &format!("{prefix}{name}/"), depth + 1, values)?;
+            continue;
+        }
+        if !is_value(&name) {
+            continue;
+        }
+        let text = fs::read_to_string(&path).map_err(|error| file_error(&path, &error))?;
+        values.insert(format!("{prefix}{name}"), Arc::from(text));
+    }
+    Ok(())
+}
+
+fn is_value(name: &str) -> bool {
+    let suffix = Path::new(name).extension();
+    suffix.is_some_and(|suffix| suffix == "yaml") || name == "hosts.json"
+}
+
+fn file_error(path: &Path, error: &io::Error) -> PlatformError {
+    PlatformError::File {
+        path: path.display().to_string(),
+        message: error.to_string(),
+    }
+}
--- a/crates/kws-platform/src/lib.rs
+++ b/crates/kws-platform/src/lib.rs
@@ -1,1 +1,11 @@
-//! Readers of what the platform publishes.
+//! Readers of what the platform publishes, and the watch that follows it. Nothing here can write.
+
+mod consul;
+mod directory;
+mod reader;
+mod watch;
+
+pub use consul::ConsulReader;
+pub use directory::DirectoryReader;
+pub use reader::{PlatformAnswer, PlatformError, PlatformReader, ReadFuture};
+pub use watch::{PlatformEvent, WatchSettings, run_watch};
--- /dev/null
+++ b/crates/kws-platform/tests/consul_reader.rs
@@ -0,0 +1,80 @@
+//! The watch over the platform's read protocol, against the stand-in.
+
+use kws_platform::{ConsulReader, PlatformEvent, WatchSettings, run_watch};
+use kws_protocol::TreeRevision;
+use kws_standin::{PlatformMode, PlatformService};
+use ntex::rt::{DefaultRuntime, System};
+use std::{thread, time::Duration};
+use tokio::sync::mpsc::{Receiver, channel};
+
+fn watch(service: &PlatformService) -> Receiver<PlatformEvent> {
+    let (events, received) = channel(8);
+    let url = service.url();
+    thread::spawn(move || {
+        System::new("watch", DefaultRuntime).block_on(async move {
+            let mut reader = ConsulReader::new(&url, "fleet");
+            let settings = WatchSettings {
+                wait: Duration::from_millis(200),
+                backoff_base: Duration::from_millis(10),
+                backoff_max: Duration::from_millis(50),
+            };
+            run_watch(&mut reader, &settings, &events).await;
+        });
+    });
+    received
+}
+
+/// The next event that `wanted` accepts.
+fn next<T>(events: &mut Receiver<PlatformEvent>, wanted: impl Fn(PlatformEvent) -> Option<T>) -> T {
+    loop {
+        let event = events.blocking_recv().expect("the watch goes on");
+        if let Some(found) = wanted(event) {
+            return found;
+        }
+    }
+}
+
+fn values_at(event: PlatformEvent) -> Option<(TreeRevision, usize)> {
+    match event {
+        PlatformEvent::Values { values, .. } => Some((values.revision, values.values.len())),
+        _ => None,
+    }
+}
+
+#[test]
+fn change_seen() {
+    let service = PlatformService::start();
+    service.publish("root.yaml", "a: 1");
+    let mut events = watch(&service);
+    assert_eq!(next(&mut events, values_at), (TreeRevision(1), 1));
+    service.publish_all([("farm.yaml", "b: 2"), ("hosts.json", "{}")]);
+    assert_eq!(next(&mut events, values_at), (TreeRevision(2), 3));
+    assert_eq!(service.writes(), 0);
+}
+
+#[test]
+fn unchanged_confirmed() {
+    let service = PlatformService::start();
+    service.publish("root.yaml", "a: 1");
+    let mut events = watch(&service);
+    let confirmed = next(&mut events, |event| match event {
+        PlatformEvent::Confirmed { revision, .. } => Some(revision),
+        _ => None,
+    });
+    assert_eq!(confirmed, TreeRevision(1));
+}
+
+#[test]
+fn outage_ends() {
+    let service = PlatformService::start();
+    service.publish("root.yaml", "a: 1");
+    let mut events = watch(&service);
+    next(&mut events, values_at);
+    service.set_mode(PlatformMode::Down);
+    next(&mut events, |event| {
+        matches!(event, PlatformEvent::Failed { .. }).then_some(())
+    });
+    service.set_mode(PlatformMode::Up);
+    service.publish("root.yaml", "a: 2");
+    assert_eq!(next(&mut events, values_at), (TreeRevision(2), 1));
+}
--- a/crates/kws-standin/src/lib.rs
+++ b/crates/kws-standin/src/lib.rs
@@ -1,1 +1,5 @@
-//! Stand-ins for the platform and for backend servers.
+//! Stand-ins for the platform and for backend servers, for tests and examples.
+
+mod platform;
+
+pub use platform::{PlatformMode, PlatformService};
