Peer exchange over WebSocket and CBOR

Cause: leases, loans, configuration and health travel between daemons. Links are opened on demand and prove a shared secret bound to both names, so a replacement under the same address is told apart. Ruled out: one link each way for each pair, twice the sockets for no gain.

--- a/crates/kws-peer/src/lib.rs
+++ b/crates/kws-peer/src/lib.rs
@@ -1,1 +1,13 @@
-//! Message exchange between daemons.
+//! Message exchange between daemons: WebSocket links that prove a shared secret, opened on demand,
+//! with bounded queues that drop the least urgent class first.
+
+mod exchange;
+mod handshake;
+mod link;
+mod observer;
+mod queue;
+
+pub use exchange::{ExchangeSettings, InboundPeer, OutboundPeer, run_exchange};
+pub use handshake::{HandshakeError, PeerSecret};
+pub use observer::PeerObserver;
+pub use queue::{MessageClass, PeerQueue};
--- /dev/null
+++ b/crates/kws-peer/src/link.rs
@@ -0,0 +1,203 @@
+//! One WebSocket link: its handshake, and the passing of messages until it is lost.
+
+use crate::{
+    InboundPeer, MessageClass, PeerObserver,
+    handshake::{
+        HandshakeError, PeerSecret, WireHello, WireProof, WireWelcome, decode_frame, encode_frame,
+    },
+};
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use kws_protocol::{
+    CodecError, HostName, MAX_FRAME_BYTES, PeerMessage, decode_message, encode_message,
+};
+use std::{net::SocketAddr, time::Duration};
+use thiserror::Error;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc::{Receiver, Sender},
+    time::{interval, timeout},
+};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{self, Bytes, Message, protocol::WebSocketConfig},
+};
+
+/// How long dialling, and each step of the handshake, may take.
+const STEP_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often an idle link is tested.
+const PING_INTERVAL: Duration = Duration::from_secs(2);
+/// A link from which nothing comes for this long is lost.
+const SILENCE_LIMIT: Duration = Duration::from_secs(6);
+/// A write that takes longer than this means that the link is lost.
+const WRITE_LIMIT: Duration = Duration::from_secs(3);
+/// The first size of a link's read buffer, in bytes; most messages are far smaller.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+
+pub(crate) type LinkStream = WebSocketStream<TcpStream>;
+
+/// Why a link ended.
+#[derive(Debug, Error)]
+pub(crate) enum LinkError {
+    #[error("no answer in time")]
+    Timeout,
+    #[error("closed by the peer")]
+    Closed,
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    #[error(transparent)]
+    Handshake(#[from] HandshakeError),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Socket(#[from] Box<tungstenite::Error>),
+}
+
+impl From<tungstenite::Error> for LinkError {
+    fn from(error: tungstenite::Error) -> Self {
+        Self::Socket(Box::new(error))
+    }
+}
+
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .write_buffer_size(0)
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
+}
+
+async fn step<F, T, E>(work: F) -> Result<T, LinkError>
+where
+    F: Future<Output = Result<T, E>>,
+    LinkError: From<E>,
+{
+    let done = timeout(STEP_TIMEOUT, work).await;
+    Ok(done.map_err(|_| LinkError::Timeout)??)
+}
+
+/// Dials `wanted` and proves the secret.
+pub(crate) async fn dial_link(
+    secret: &PeerSecret,
+    host: &HostName,
+    wanted: &HostName,
+    address: SocketAddr,
+) -> Result<LinkStream, LinkError> {
+    let stream = step(TcpStream::connect(address)).await?;
+    stream.set_nodelay(true)?;
+    let url = format!("ws://{address}/peer");
+    let connect = client_async_with_config(url, stream, Some(socket_config()));
+    let (mut link, _) = step(connect).await?;
+    let hello = WireHello::new(host);
+    send_frame(&mut link, encode_frame(&hello)?).await?;
+    let welcome: WireWelcome = decode_frame(&receive_frame(&mut link).await?)?;
+    let proof = welcome.confirm(secret, &hello, wanted)?;
+    send_frame(&mut link, encode_frame(&proof)?).await?;
+    Ok(link)
+}
+
+/// Accepts a link and returns it with the name of the host that dialled.
+pub(crate) async fn accept_link(
+    secret: &PeerSecret,
+    host: &HostName,
+    stream: TcpStream,
+) -> Result<(LinkStream, HostName), LinkError> {
+    stream.set_nodelay(true)?;
+    let mut link = step(accept_async_with_config(stream, Some(socket_config()))).await?;
+    let hello: WireHello = decode_frame(&receive_frame(&mut link).await?)?;
+    let welcome = WireWelcome::answer(secret, host, &hello)?;
+    send_frame(&mut link, encode_frame(&welcome)?).await?;
+    let proof: WireProof = decode_frame(&receive_frame(&mut link).await?)?;
+    welcome.check(secret, &hello, &proof)?;
+    Ok((link, hello.host))
+}
+
+async fn send_frame(link: &mut LinkStream, frame: Vec<u8>) -> Result<(), LinkError> {
+    step(link.send(Message::Binary(frame.into()))).await
+}
+
+async fn receive_frame(link: &mut LinkStream) -> Result<Bytes, LinkError> {
+    let next = timeout(STEP_TIMEOUT, link.next()).await;
+    match next.map_err(|_| LinkError::Timeout)? {
+        Some(Ok(Message::Binary(frame))) => Ok(frame),
+        Some(Ok(_)) => Err(HandshakeError::Malformed.into()),
+        Some(Err(error)) => Err(error.into()),
+        None => Err(LinkError::Closed),
+    }
+}
+
+/// Passes messages both ways until the link is lost or its queue is closed.
+pub(crate) async fn run_link(
+    link: LinkStream,
+    peer: &HostName,
+    queue: &mut Receiver<PeerMessage>,
+    inbound: &Sender<InboundPeer>,
+    observer: &dyn PeerObserver,
+) -> LinkError {
+    let (mut sink, mut stream) = link.split();
+    tokio::select! {
+        error = write_messages(&mut sink, queue, observer) => error,
+        error = read_messages(&mut stream, peer, inbound, observer) => error,
+    }
+}
+
+async fn write_messages(
+    sink: &mut SplitSink<LinkStream, Message>,
+    queue: &mut Receiver<PeerMessage>,
+    observer: &dyn PeerObserver,
+) -> LinkError {
+    let mut pings = interval(PING_INTERVAL);
+    loop {
+        let frame = tokio::select! {
+            message = queue.recv() => match message {
+                Some(message) => next_frame(&message, observer),
+                None => return LinkError::Closed,
+            },
+            _ = pings.tick() => Ok(Message::Ping(Bytes::new())),
+        };
+        let sent = match frame {
+            Ok(frame) => timeout(WRITE_LIMIT, sink.send(frame)).await,
+            Err(error) => return error,
+        };
+        match sent {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error.into(),
+            Err(_) => return LinkError::Timeout,
+        }
+    }
+}
+
+fn next_frame(message: &PeerMessage, observer: &dyn PeerObserver) -> Result<Message, LinkError> {
+    let frame = encode_message(message)?;
+    observer.sent(MessageClass::of(message), frame.len());
+    Ok(Message::Binary(frame.into()))
+}
+
+async fn read_messages(
+    stream: &mut SplitStream<LinkStream>,
+    peer: &HostName,
+    inbound: &Sender<InboundPeer>,
+    observer: &dyn PeerObserver,
+) -> LinkError {
+    loop {
+        let frame = match timeout(SILENCE_LIMIT, stream.next()).await {
+            Ok(Some(Ok(Message::Binary(frame)))) => frame,
+            Ok(Some(Ok(Message::Close(_))) | None) => return LinkError::Closed,
+            Ok(Some(Ok(_))) => continue,
+            Ok(Some(Err(error))) => return error.into(),
+            Err(_) => return LinkError::Timeout,
+        };
+        let message = match decode_message(&frame) {
+            Ok(message) => message,
+            Err(error) => return error.into(),
+        };
+        let class = MessageClass::of(&message);
+        observer.received(class, frame.len());
+        let from = peer.clone();
+        if inbound.try_send(InboundPeer { from, message }).is_err() {
+            observer.dropped(class);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kws-peer/tests/peer_exchange.rs
@@ -0,0 +1,148 @@
+//! Daemons exchange messages over real sockets, and only with those that know the secret.
+
+use kws_peer::{
+    ExchangeSettings, InboundPeer, MessageClass, OutboundPeer, PeerObserver, PeerQueue, PeerSecret,
+    run_exchange,
+};
+use kws_protocol::{
+    ConfigMessage, HealthMessage, HostName, LeaseMessage, PeerMessage, RevisionView, TreeRevision,
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    sync::mpsc::{Receiver, Sender, channel},
+    time::timeout,
+};
+
+#[derive(Default)]
+struct LossLog(Mutex<Vec<String>>);
+
+impl PeerObserver for LossLog {
+    fn sent(&self, _: MessageClass, _: usize) {}
+    fn received(&self, _: MessageClass, _: usize) {}
+    fn dropped(&self, _: MessageClass) {}
+    fn link_lost(&self, reason: &str) {
+        self.0.lock().expect("log").push(reason.to_owned());
+    }
+}
+
+struct TestPeer {
+    name: HostName,
+    address: SocketAddr,
+    outbound: Sender<OutboundPeer>,
+    inbound: Receiver<InboundPeer>,
+    losses: Arc<LossLog>,
+}
+
+impl TestPeer {
+    async fn send(&self, to: &TestPeer, message: &PeerMessage) {
+        let outbound = OutboundPeer {
+            to: to.name.clone(),
+            address: to.address,
+            message: message.clone(),
+        };
+        self.outbound.send(outbound).await.expect("exchange runs");
+    }
+
+    async fn receive(&mut self) -> Option<(HostName, PeerMessage)> {
+        let next = timeout(Duration::from_secs(2), self.inbound.recv()).await;
+        next.ok()
+            .flatten()
+            .map(|inbound| (inbound.from, inbound.message))
+    }
+}
+
+async fn start_peer(name: &str, secret: &str) -> TestPeer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let address = listener.local_addr().expect("address");
+    let (outbound, outbound_end) = channel(16);
+    let (inbound_end, inbound) = channel(16);
+    let losses = Arc::new(LossLog::default());
+    let settings = ExchangeSettings {
+        host: HostName::new(name),
+        secret: PeerSecret::new(secret.as_bytes()).expect("secret"),
+    };
+    let observer = Arc::clone(&losses);
+    tokio::spawn(run_exchange(
+        settings,
+        listener,
+        outbound_end,
+        inbound_end,
+        observer,
+    ));
+    TestPeer {
+        name: HostName::new(name),
+        address,
+        outbound,
+        inbound,
+        losses,
+    }
+}
+
+fn fetch(since: u64) -> PeerMessage {
+    PeerMessage::Config(ConfigMessage::Fetch {
+        since: TreeRevision(since),
+    })
+}
+
+#[tokio::test]
+async fn both_ways() {
+    let mut left = start_peer("left", "a secret of the fleet").await;
+    let mut right = start_peer("right", "a secret of the fleet").await;
+    left.send(&right, &fetch(1)).await;
+    assert_eq!(right.receive().await, Some((left.name.clone(), fetch(1))));
+    right.send(&left, &fetch(2)).await;
+    assert_eq!(left.receive().await, Some((right.name.clone(), fetch(2))));
+}
+
+#[tokio::test]
+async fn wrong_secret() {
+    let left = start_peer("left", "a secret of the fleet").await;
+    let mut right = start_peer("right", "another secret, not ours").await;
+    left.send(&right, &fetch(1)).await;
+    assert_eq!(right.receive().await, None);
+    let losses = left.losses.0.lock().expect("log").join("\n");
+    assert!(
+        losses.contains("doesn't know the fleet's secret"),
+        "{losses}"
+    );
+}
+
+#[tokio::test]
+async fn replaced_host() {
+    let left = start_peer("left", "a secret of the fleet").await;
+    let mut right = start_peer("right-2", "a secret of the fleet").await;
+    right.name = HostName::new("right-1");
+    left.send(&right, &fetch(1)).await;
+    assert_eq!(right.receive().await, None);
+    let losses = left.losses.0.lock().expect("log").join("\n");
+    assert!(
+        losses.contains("right-2 answers in place of right-1"),
+        "{losses}"
+    );
+}
+
+#[test]
+fn urgent_last() {
+    let (queue, receiver) = PeerQueue::new();
+    let health = PeerMessage::Health(HealthMessage::Digest(Vec::new()));
+    let lease = PeerMessage::Lease(LeaseMessage::Question {
+        nonce: 1,
+        view: RevisionView {
+            revision: TreeRevision(1),
+            digest: 0,
+            platform_age: Duration::ZERO,
+        },
+    });
+    while queue.push(health.clone()).is_ok() {}
+    assert_eq!(queue.push(health), Err(MessageClass::Health));
+    assert_eq!(queue.push(fetch(1)), Ok(()));
+    while queue.push(fetch(1)).is_ok() {}
+    assert_eq!(queue.push(lease), Ok(()));
+    drop(receiver);
+    assert!(!queue.is_open());
+}
