--- a/crates/kws-admin/src/lib.rs
+++ b/crates/kws-admin/src/lib.rs
@@ -1,1 +1,7 @@
-//! Metrics, readiness and status.
+//! Metrics, readiness and status on the admin address.
+
+mod listener;
+mod metrics;
+
+pub use listener::{AdminView, run_admin};
+pub use metrics::{FleetMetrics, PlatformResult, RequestRecord};
--- /dev/null
+++ b/crates/kws-admin/src/metrics.rs
@@ -0,0 +1,245 @@
+//! Every counter of the daemon, registered in one place.
+
+use kws_protocol::{RefusalReason, RetryReason};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, core::Collector,
+};
+use std::time::Duration;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// How one call on the platform ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlatformResult {
+    /// Values at another revision came.
+    Changed,
+    /// Nothing changed.
+    Unchanged,
+    /// The call failed.
+    Failed,
+}
+
+/// One finished request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestRecord<'a> {
+    /// The service, or `none` when no route served the request.
+    pub service: &'a str,
+    /// The HTTP status that the caller got.
+    pub status: u16,
+    /// From the request's head to the end of its answer.
+    pub latency: Duration,
+}
+
+/// The daemon's metrics.
+#[derive(Clone, Debug)]
+pub struct FleetMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    platform_calls: IntCounterVec,
+    platform_bytes: IntCounter,
+    peer_messages: IntCounterVec,
+    peer_bytes: IntCounterVec,
+    peer_dropped: IntCounterVec,
+    peer_links_lost: IntCounter,
+    trees_refused: IntCounterVec,
+    ring_full: IntCounterVec,
+    revision: IntGauge,
+    current: IntGauge,
+    ready: IntGauge,
+    servers: IntGaugeVec,
+}
+
+impl FleetMetrics {
+    /// Registers all metrics; every refusal and retry reason starts at 0.
+    ///
+    /// # Errors
+    /// When the library refuses a name, which only a change of this file can cause.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counters(
+                "requests_total",
+                "Finished requests",
+                &["service", "status"],
+            )?,
+            latency: histograms("request_seconds", "Time of a whole request", &["service"])?,
+            refusals: counters("refusals_total", "Refused requests", &["reason"])?,
+            retries: counters("retries_total", "Tries after the first", &["reason"])?,
+            platform_calls: counters("platform_calls_total", "Reads of the platform", &["result"])?,
+            platform_bytes: IntCounter::with_opts(options("platform_bytes_total", "Bytes read"))?,
+            peer_messages: counters("peer_messages_total", "Messages", &["direction", "class"])?,
+            peer_bytes: counters("peer_bytes_total", "Bytes", &["direction", "class"])?,
+            peer_dropped: counters("peer_dropped_total", "Dropped messages", &["class"])?,
+            peer_links_lost: IntCounter::with_opts(options("peer_links_lost_total", "Lost links"))?,
+            trees_refused: counters("trees_refused_total", "Refused revisions", &["reason"])?,
+            ring_full: counters("ring_full_total", "Events a full ring refused", &["ring"])?,
+            revision: IntGauge::with_opts(options("revision", "Revision in force"))?,
+            current: IntGauge::with_opts(options("current", "1 while the lease holds"))?,
+            ready: IntGauge::with_opts(options("ready", "1 while ready"))?,
+            servers: IntGaugeVec::new(
+                options("servers", "Backend servers by state"),
+                &["service", "state"],
+            )?,
+        };
+        metrics.register()?;
+        metrics.start_reasons();
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let collectors: [Box<dyn Collector>; 16] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.latency.clone()),
+            Box::new(self.refusals.clone()),
+            Box::new(self.retries.clone()),
+            Box::new(self.platform_calls.clone()),
+            Box::new(self.platform_bytes.clone()),
+            Box::new(self.peer_messages.clone()),
+            Box::new(self.peer_bytes.clone()),
+            Box::new(self.peer_dropped.clone()),
+            Box::new(self.peer_links_lost.clone()),
+            Box::new(self.trees_refused.clone()),
+            Box::new(self.ring_full.clone()),
+            Box::new(self.revision.clone()),
+            Box::new(self.current.clone()),
+            Box::new(self.ready.clone()),
+            Box::new(self.servers.clone()),
+        ];
+        for collector in collectors {
+            self.registry.register(collector)?;
+        }
+        Ok(())
+    }
+
+    fn start_reasons(&self) {
+        for reason in RefusalReason::ALL {
+            self.refusals.with_label_values(&[reason.as_str()]);
+        }
+        for reason in RetryReason::ALL {
+            self.retries.with_label_values(&[reason.as_str()]);
+        }
+    }
+
+    /// Counts a finished request.
+    pub fn request(&self, record: RequestRecord<'_>) {
+        let status = record.status.to_string();
+        self.requests
+            .with_label_values(&[record.service, &status])
+            .inc();
+        self.latency
+            .with_label_values(&[record.service])
+            .observe(record.latency.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: RefusalReason) {
+        self.refusals.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Counts a try after the first.
+    pub fn retry(&self, reason: RetryReason) {
+        self.retries.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Counts a call on the platform and the bytes that it brought.
+    pub fn platform(&self, result: PlatformResult, bytes: u64) {
+        let label = match result {
+            PlatformResult::Changed => "changed",
+            PlatformResult::Failed => "failed",
+            PlatformResult::Unchanged => "unchanged",
+        };
+        self.platform_calls.with_label_values(&[label]).inc();
+        self.platform_bytes.inc_by(bytes);
+    }
+
+    /// Counts a message sent to a peer.
+    pub fn peer_sent(&self, class: &str, bytes: usize) {
+        self.peer_message("sent", class, bytes);
+    }
+
+    /// Counts a message received from a peer.
+    pub fn peer_received(&self, class: &str, bytes: usize) {
+        self.peer_message("received", class, bytes);
+    }
+
+    fn peer_message(&self, direction: &str, class: &str, bytes: usize) {
+        let labels = [direction, class];
+        self.peer_messages.with_label_values(&labels).inc();
+        self.peer_bytes
+            .with_label_values(&labels)
+            .inc_by(bytes as u64);
+    }
+
+    /// Counts a message that was dropped.
+    pub fn peer_dropped(&self, class: &str) {
+        self.peer_dropped.with_label_values(&[class]).inc();
+    }
+
+    /// Counts a link that was refused or lost.
+    pub fn peer_link_lost(&self) {
+        self.peer_links_lost.inc();
+    }
+
+    /// Counts a revision that wasn't adopted.
+    pub fn tree_refused(&self, reason: &str) {
+        self.trees_refused.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an event that a full ring refused.
+    pub fn ring_full(&self, ring: &str) {
+        self.ring_full.with_label_values(&[ring]).inc();
+    }
+
+    /// Sets the revision in force.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Sets whether the lease holds.
+    pub fn set_current(&self, current: bool) {
+        self.current.set(i64::from(current));
+    }
+
+    /// Sets whether the host is ready.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.set(i64::from(ready));
+    }
+
+    /// Sets how many servers of a service are in a state.
+    pub fn set_servers(&self, service: &str, state: &str, count: usize) {
+        self.servers
+            .with_label_values(&[service, state])
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// All metrics in the text format.
+    ///
+    /// # Errors
+    /// When the library can't encode them.
+    pub fn render(&self) -> Result<String, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace("knapweedseam")
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(options(name, help), labels)
+}
+
+fn histograms(name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec, prometheus::Error> {
+    let options = HistogramOpts::from(options(name, help)).buckets(LATENCY_BUCKETS.to_vec());
+    HistogramVec::new(options, labels)
+}
--- a/crates/kws-protocol/src/lib.rs
+++ b/crates/kws-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod settings;
 mod snapshot;
+mod status;
 mod wire;
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, decode_message, encode_message};
@@ -25,3 +26,4 @@
     RouteAccess, RouteSettings, ServerSettings, ServiceSettings, TeamSettings,
 };
 pub use snapshot::{FleetSnapshot, PublishedValues, TreeRevision};
+pub use status::{ServerStatus, StatusReport};
