Resolve the operators' tree to checked settings

Branches inherit by path: maps merge by name, lists replace, null goes back to the built-in default. The schema is one table of fields, so that parsing, defaults, checks and the reference cannot differ. Findings are collected all together with file, line, column, path and help.

A derived deserializer was ruled out: it stops at the first fault of a file. Cross-checks are left out while a branch is unreadable, since they would report as dangling what that branch defines.

--- /dev/null
+++ b/crates/kws-tree/src/schema/route.rs
@@ -0,0 +1,109 @@
+//! Fields of routes.
+
+use super::{
+    DefaultValue::{Absent, EmptyList, Number, Required, Text},
+    FieldScope, SectionSchema, scoped, section, value,
+};
+use crate::value::ValueKind;
+
+/// One route.
+pub(crate) const ROUTE: SectionSchema = SectionSchema {
+    title: "A route",
+    fields: &[
+        value(
+            "access",
+            ValueKind::Access,
+            Text("any_team"),
+            "Who may use it: `open` for every caller, `any_team` for every key, or the teams.",
+        ),
+        section("checks", &CHECKS, "What its answers must satisfy."),
+        value(
+            "deadline",
+            ValueKind::Duration,
+            Text("10s"),
+            "The whole time a request may take.",
+        ),
+        value(
+            "hedge",
+            ValueKind::OptionalDuration,
+            Text("off"),
+            "After this long without an answer an idempotent request is sent a second time.",
+        ),
+        value(
+            "host",
+            ValueKind::HostName,
+            Absent,
+            "The host name in the request that it serves. Absent means every host name.",
+        ),
+        value(
+            "idle",
+            ValueKind::Duration,
+            Text("5s"),
+            "The longest silence of a backend server or caller within a body.",
+        ),
+        value(
+            "max_body",
+            ValueKind::Size,
+            Text("1 MB"),
+            "The largest request body.",
+        ),
+        value(
+            "max_head",
+            ValueKind::Size,
+            Text("16 KB"),
+            "The largest request head.",
+        ),
+        value(
+            "methods",
+            ValueKind::Methods,
+            EmptyList,
+            "The methods that it serves. Empty means every method.",
+        ),
+        scoped(
+            FieldScope::Own,
+            value(
+                "path",
+                ValueKind::Path,
+                Required,
+                "The path prefix that it serves, on whole segments.",
+            ),
+        ),
+        value(
+            "repeatable",
+            ValueKind::Repeatable,
+            Text("by_method"),
+            "Whether its requests are idempotent. `by_method` means by the HTTP method.",
+        ),
+        value(
+            "service",
+            ValueKind::Name,
+            Required,
+            "The service that runs its requests.",
+        ),
+        value(
+            "tries",
+            ValueKind::Count,
+            Number(3.0),
+            "Tries of one request at the most, the first one included.",
+        ),
+    ],
+};
+
+/// What answers must satisfy.
+const CHECKS: SectionSchema = SectionSchema {
+    title: "Checks of answers",
+    fields: &[
+        value(
+            "content_type",
+            ValueKind::MediaType,
+            Absent,
+            "The media type that a successful answer must have.",
+        ),
+        value(
+            "headers",
+            ValueKind::Headers,
+            EmptyList,
+            "Headers that a successful answer must carry.",
+        ),
+    ],
+};
