Read the settings of an entry host

A second small YAML file, checked by the same schema machinery: unknown fields, missing fields, listeners that share an address, a peer listener on a network without a secret, and a platform that is neither directory nor service.

--- a/crates/kws-tree/src/decode.rs
+++ b/crates/kws-tree/src/decode.rs
@@ -15,8 +15,9 @@
     ServiceName, ServiceSettings, TeamName, TeamSettings,
 };
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     time::Duration,
 };
 
@@ -134,6 +135,11 @@
         }
     }
 
+    /// The path of a file or directory.
+    pub fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from(self.text(name).unwrap_or_default())
+    }
+
     /// Text.
     pub fn text(&self, name: &str) -> Option<String> {
         match self.value(name) {
@@ -162,7 +168,7 @@
     entries: &MergedEntries,
     name: fn(&str) -> N,
     decode: fn(N, &TreeNode) -> T,
-) -> std::collections::BTreeMap<N, T> {
+) -> BTreeMap<N, T> {
     entries
         .iter()
         .map(|(text, node)| (name(text), decode(name(text), node)))
--- a/crates/kws-tree/src/directory.rs
+++ b/crates/kws-tree/src/directory.rs
@@ -92,13 +92,11 @@
     let Some(text) = values.remove(REVISION_FILE) else {
         return TreeRevision(1);
     };
-    match text.trim().parse() {
-        Ok(number) => TreeRevision(number),
-        Err(_) => {
-            findings.push(unreadable(REVISION_FILE, "it holds no whole number"));
-            TreeRevision(1)
-        }
+    if let Ok(number) = text.trim().parse() {
+        return TreeRevision(number);
     }
+    findings.push(unreadable(REVISION_FILE, "it holds no whole number"));
+    TreeRevision(1)
 }
 
 fn unreadable(key: &str, reason: &str) -> Finding {
--- a/crates/kws-tree/src/finding.rs
+++ b/crates/kws-tree/src/finding.rs
@@ -176,6 +176,20 @@
         /// The range, in words.
         range: &'static str,
     },
+    /// A host that others reach over a network has no secret shared with them.
+    #[error("`peer` is no loopback address, yet `peer_secret_file` is absent")]
+    PeerSecret,
+    /// A host has no source of settings, or two.
+    #[error("the platform is neither a directory nor a service, or both")]
+    PlatformSource,
+    /// Two listeners of a host share an address.
+    #[error("the address {address} belongs to `{first}` already")]
+    SameAddress {
+        /// The address.
+        address: String,
+        /// The field that has it first.
+        first: String,
+    },
     /// Another file or value cannot be read.
     #[error("cannot be read: {0}")]
     Unreadable(String),
@@ -234,7 +248,9 @@
             Self::OutOfRange { range, .. } => format!("write {range}"),
             Self::UnknownField(_, Some(near)) => format!("did you mean `{near}`?"),
             Self::MissingField(name) => {
-                format!("set `{name}` here or in the defaults of a branch above")
+                format!(
+                    "set `{name}` here or, where it is inherited, in the defaults of a branch above"
+                )
             }
             Self::DuplicateName { .. } => "rename or remove one of the two".to_owned(),
             other => other.fixed_help().to_owned(),
@@ -255,6 +271,9 @@
             Self::HostPlace { .. } => "such a host gets no share of the limits",
             Self::MissingRoot => "add root.yaml with `regions`",
             Self::BadName(_) => "use letters, digits, `-` and `_`, at most 63 characters",
+            Self::PeerSecret => "set `peer_secret_file`, the same secret on every host",
+            Self::PlatformSource => "set one of `directory` and `http`",
+            Self::SameAddress { .. } => "give each listener an address of its own",
             Self::NotText => "publish the value as UTF-8",
             Self::WrongType { .. } => "see docs/CONFIGURATION.md for the field",
             Self::Unreadable(_) => "check that it exists and may be read",
--- /dev/null
+++ b/crates/kws-tree/src/host.rs
@@ -0,0 +1,152 @@
+//! The settings of one entry host, a small YAML file beside the daemon.
+
+use crate::{
+    Finding, FindingSeverity, Problem, SourcePlace,
+    decode::SectionReader,
+    fields::{check_section, name_finding, value_finding},
+    node::TreeNode,
+    parse::parse_yaml,
+    references::report_missing,
+    schema::{HOST, TLS},
+};
+use kws_protocol::{CenterName, RegionName};
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Where the platform publishes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlatformSource {
+    /// A directory of files, for trials and small fleets.
+    Directory(PathBuf),
+    /// The platform's configuration service.
+    Service {
+        /// Where it listens.
+        address: SocketAddr,
+        /// What the keys of the fleet's values start with.
+        prefix: String,
+    },
+}
+
+/// The certificate shown to callers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TlsFiles {
+    /// The file with the chain of certificates, in PEM.
+    pub certificate: PathBuf,
+    /// The file with the private key, in PEM.
+    pub key: PathBuf,
+}
+
+/// The settings of one entry host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostSettings {
+    /// The prefix of the host's name.
+    pub name: Option<String>,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub center: CenterName,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where status, metrics and readiness are read.
+    pub admin: SocketAddr,
+    /// Where the other daemons connect.
+    pub peer: SocketAddr,
+    /// The file with the secret that the daemons share.
+    pub peer_secret_file: Option<PathBuf>,
+    /// Where the platform publishes.
+    pub platform: PlatformSource,
+    /// TLS towards callers.
+    pub tls: Option<TlsFiles>,
+    /// The least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
+    pub log: String,
+}
+
+/// Reads and checks the settings of one host; `file` names them in findings.
+///
+/// # Errors
+/// All findings together.
+pub fn parse_host(text: &str, file: &str) -> Result<HostSettings, Vec<Finding>> {
+    let node = parse_yaml(file, text).map_err(|finding| vec![*finding])?;
+    let mut findings = Vec::new();
+    check_section(&node, &HOST, true, &mut findings);
+    report_missing(&node, &HOST, &mut findings);
+    let reader = SectionReader::new(&node, &HOST);
+    check_addresses(&node, &reader, &mut findings);
+    check_platform(&node, &mut findings);
+    if let Some(tls) = node.member("tls") {
+        report_missing(tls, &TLS, &mut findings);
+    }
+    if findings
+        .iter()
+        .any(|finding| finding.severity() == FindingSeverity::Error)
+    {
+        findings.sort();
+        findings.dedup();
+        return Err(findings);
+    }
+    Ok(decode_host(&node, &reader))
+}
+
+fn decode_host(node: &TreeNode, reader: &SectionReader<'_>) -> HostSettings {
+    let platform = reader.section("platform");
+    let tls = reader.section("tls");
+    HostSettings {
+        name: reader.text("name"),
+        region: RegionName::new(&reader.text("region").unwrap_or_default()),
+        center: CenterName::new(&reader.text("center").unwrap_or_default()),
+        listen: reader.address("listen"),
+        admin: reader.address("admin"),
+        peer: reader.address("peer"),
+        peer_secret_file: reader.text("peer_secret_file").map(PathBuf::from),
+        platform: match platform.text("directory") {
+            Some(directory) => PlatformSource::Directory(PathBuf::from(directory)),
+            None => PlatformSource::Service {
+                address: platform.address("http"),
+                prefix: platform.text("prefix").unwrap_or_default(),
+            },
+        },
+        tls: node.member("tls").map(|_| TlsFiles {
+            certificate: tls.path("certificate"),
+            key: tls.path("key"),
+        }),
+        log: reader.text("log").unwrap_or_default(),
+    }
+}
+
+fn check_addresses(node: &TreeNode, reader: &SectionReader<'_>, findings: &mut Vec<Finding>) {
+    const NAMES: [&str; 3] = ["admin", "listen", "peer"];
+    for (index, name) in NAMES.iter().enumerate() {
+        let address = reader.address(name);
+        let first = NAMES[..index]
+            .iter()
+            .find(|first| reader.address(first) == address && address.port() != 0);
+        if let (Some(first), Some(member)) = (first, node.member(name)) {
+            let problem = Problem::SameAddress {
+                address: address.to_string(),
+                first: (*first).to_owned(),
+            };
+            findings.push(value_finding(member, problem));
+        }
+    }
+    if let Some(peer) = node.member("peer")
+        && !reader.address("peer").ip().is_loopback()
+        && node.member("peer_secret_file").is_none()
+    {
+        findings.push(value_finding(peer, Problem::PeerSecret));
+    }
+}
+
+fn check_platform(node: &TreeNode, findings: &mut Vec<Finding>) {
+    let Some(platform) = node.member("platform") else {
+        let place = SourcePlace::whole_file(&node.place.file);
+        findings.push(Finding {
+            place,
+            path: "platform".to_owned(),
+            problem: Problem::MissingField("platform".to_owned()),
+        });
+        return;
+    };
+    let sources = ["directory", "http"].map(|name| platform.member(name).is_some());
+    if sources[0] == sources[1] {
+        findings.push(name_finding(platform, Problem::PlatformSource));
+    }
+}
--- a/crates/kws-tree/src/lib.rs
+++ b/crates/kws-tree/src/lib.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod fields;
 mod finding;
+mod host;
 mod merge;
 mod node;
 mod parse;
@@ -18,6 +19,7 @@
 
 pub use directory::read_directory;
 pub use finding::{Finding, FindingSeverity, Problem};
+pub use host::{HostSettings, PlatformSource, TlsFiles, parse_host};
 pub use place::SourcePlace;
-pub use reference::tree_reference;
+pub use reference::{host_reference, tree_reference};
 pub use resolve::{check, resolve};
--- a/crates/kws-tree/src/reference.rs
+++ b/crates/kws-tree/src/reference.rs
@@ -1,6 +1,8 @@
 //! The reference of all fields, written from the schema so that it names every one.
 
-use crate::schema::{BRANCH, DefaultValue, FieldSchema, FieldScope, FieldShape, SectionSchema};
+use crate::schema::{
+    BRANCH, DefaultValue, FieldSchema, FieldScope, FieldShape, HOST, SectionSchema,
+};
 use std::fmt::Write;
 
 /// Every field of the tree as tables in Markdown.
@@ -8,8 +10,13 @@
     section_tables(&BRANCH)
 }
 
+/// Every field of the settings of an entry host as tables in Markdown.
+pub fn host_reference() -> String {
+    section_tables(&HOST)
+}
+
 /// The table of `schema`, and those of all sections in it.
-pub(crate) fn section_tables(schema: &'static SectionSchema) -> String {
+fn section_tables(schema: &'static SectionSchema) -> String {
     let mut text = String::new();
     for section in sections_of(schema) {
         // Writing to text cannot fail.
--- a/crates/kws-tree/src/references.rs
+++ b/crates/kws-tree/src/references.rs
@@ -30,24 +30,30 @@
     team::check_teams(tree, settings, findings);
 }
 
-/// Reports fields that no branch sets and that have no default.
 fn check_missing(entries: &MergedEntries, schema: &SectionSchema, findings: &mut Vec<Finding>) {
     for entry in entries.values() {
-        for field in schema.fields {
-            match field.shape {
-                FieldShape::Value(_, DefaultValue::Required)
-                    if entry.member(field.name).is_none() =>
-                {
-                    let problem = Problem::MissingField(field.name.to_owned());
-                    findings.push(name_finding(entry, problem));
-                }
-                FieldShape::Named(inner) => {
-                    if let Some(members) = entry.member(field.name).and_then(TreeNode::members) {
-                        check_missing(members, inner, findings);
-                    }
+        report_missing(entry, schema, findings);
+    }
+}
+
+/// Reports fields that nothing sets and that have no default.
+pub(crate) fn report_missing(
+    entry: &TreeNode,
+    schema: &SectionSchema,
+    findings: &mut Vec<Finding>,
+) {
+    for field in schema.fields {
+        match field.shape {
+            FieldShape::Value(_, DefaultValue::Required) if entry.member(field.name).is_none() => {
+                let problem = Problem::MissingField(field.name.to_owned());
+                findings.push(name_finding(entry, problem));
+            }
+            FieldShape::Named(inner) => {
+                if let Some(members) = entry.member(field.name).and_then(TreeNode::members) {
+                    check_missing(members, inner, findings);
                 }
-                _ => {}
             }
+            _ => {}
         }
     }
 }
--- a/crates/kws-tree/src/schema.rs
+++ b/crates/kws-tree/src/schema.rs
@@ -1,6 +1,7 @@
 //! The fields of the tree, with their kinds, defaults and meanings.
 
 mod fleet;
+mod host;
 mod route;
 mod service;
 mod team;
@@ -11,6 +12,7 @@
 };
 
 pub(crate) use fleet::{BRANCH, FRESHNESS, REGION};
+pub(crate) use host::{HOST, TLS};
 pub(crate) use route::ROUTE;
 pub(crate) use service::{SERVER, SERVICE};
 pub(crate) use team::TEAM;
--- a/crates/kws-tree/src/value.rs
+++ b/crates/kws-tree/src/value.rs
@@ -34,12 +34,18 @@
     Flag,
     /// A number of at least 1.
     Factor,
+    /// The path of a file or directory.
+    FilePath,
     /// A list of HTTP header names.
     Headers,
     /// The name of a host in a request.
     HostName,
+    /// What keys of published values start with.
+    KeyPrefix,
     /// A whole number that may be 0.
     Limit,
+    /// A level of the log.
+    LogLevel,
     /// The media type of an answer.
     MediaType,
     /// A list of HTTP methods.
@@ -108,9 +114,12 @@
             Self::DurationOrNone => "a duration",
             Self::Flag => "`true` or `false`",
             Self::Factor => "a number of at least 1",
+            Self::FilePath => "the path of a file or directory",
             Self::Headers => "a list of header names",
             Self::HostName => "the name of a host, without port",
+            Self::KeyPrefix => "a prefix of keys that ends in `/`",
             Self::Limit => "a whole number of at least 0",
+            Self::LogLevel => "`error`, `warn`, `info`, `debug` or `trace`",
             Self::MediaType => "a media type without parameters",
             Self::Methods => "a list of methods in upper case",
             Self::Name => "a name",
@@ -136,8 +145,11 @@
             Self::Duration | Self::DurationOrNone | Self::OptionalDuration => "250ms",
             Self::Flag | Self::Repeatable => "true",
             Self::Factor | Self::Weight => "1.5",
+            Self::FilePath => "/etc/knapweedseam/secret",
             Self::Headers => "[etag]",
             Self::HostName => "booking.example.org",
+            Self::KeyPrefix => "knapweedseam/",
+            Self::LogLevel => "info",
             Self::MediaType => "application/json",
             Self::Methods => "[GET, HEAD]",
             Self::Name => "till",
@@ -177,6 +189,9 @@
             Self::Headers => self.read_texts(node, is_token, str::to_ascii_lowercase),
             Self::Methods => self.read_texts(node, is_method, str::to_owned),
             Self::Names => self.read_texts(node, is_name, str::to_owned),
+            Self::FilePath => self.read_checked(node, |text| !text.is_empty(), str::to_owned),
+            Self::KeyPrefix => self.read_checked(node, |text| text.ends_with('/'), str::to_owned),
+            Self::LogLevel => self.read_checked(node, is_log_level, str::to_owned),
             Self::HostName => self.read_checked(node, is_host_name, str::to_ascii_lowercase),
             Self::MediaType => self.read_checked(node, is_media_type, str::to_ascii_lowercase),
             Self::Name => self.read_checked(node, is_name, str::to_owned),
@@ -440,6 +455,10 @@
             .all(|letter| letter.is_ascii_uppercase() || letter == b'-')
 }
 
+fn is_log_level(text: &str) -> bool {
+    matches!(text, "error" | "warn" | "info" | "debug" | "trace")
+}
+
 fn is_media_type(text: &str) -> bool {
     text.split_once('/')
         .is_some_and(|(kind, subtype)| is_token(kind) && is_token(subtype))
--- /dev/null
+++ b/crates/kws-tree/tests/host_settings.rs
@@ -0,0 +1,61 @@
+//! The settings of an entry host are read whole or refused with every finding.
+
+use kws_tree::{HostSettings, PlatformSource, TlsFiles, parse_host};
+use rstest::rstest;
+use std::path::PathBuf;
+
+const HOST: &str = r#"
+region: vidzemes
+center: turaida
+listen: "0.0.0.0:443"
+admin: "10.0.0.7:9100"
+peer: "10.0.0.7:9101"
+peer_secret_file: /run/secret
+platform: {http: "10.0.0.1:8500"}
+tls: {certificate: /run/chain.pem, key: /run/key.pem}
+log: warn
+"#;
+
+#[test]
+fn every_field() {
+    let expected = HostSettings {
+        name: None,
+        region: "vidzemes".into(),
+        center: "turaida".into(),
+        listen: "0.0.0.0:443".parse().expect("address"),
+        admin: "10.0.0.7:9100".parse().expect("address"),
+        peer: "10.0.0.7:9101".parse().expect("address"),
+        peer_secret_file: Some(PathBuf::from("/run/secret")),
+        platform: PlatformSource::Service {
+            address: "10.0.0.1:8500".parse().expect("address"),
+            prefix: "knapweedseam/".to_owned(),
+        },
+        tls: Some(TlsFiles {
+            certificate: PathBuf::from("/run/chain.pem"),
+            key: PathBuf::from("/run/key.pem"),
+        }),
+        log: "warn".to_owned(),
+    };
+    assert_eq!(parse_host(HOST, "host.yaml"), Ok(expected));
+}
+
+#[rstest]
+#[case::unknown("log: warn", "logs: warn", "no field is called `logs`")]
+#[case::missing("region: vidzemes", "", "`region` is missing")]
+#[case::half_tls(", key: /run/key.pem", "", "`key` is missing")]
+#[case::no_secret("peer_secret_file: /run/secret", "", "`peer_secret_file` is absent")]
+#[case::no_platform("platform: {http: \"10.0.0.1:8500\"}", "", "`platform` is missing")]
+#[case::two_platforms("{http:", "{directory: x, http:", "neither a directory nor a service")]
+#[case::same_address("10.0.0.7:9101", "10.0.0.7:9100", "belongs to `admin` already")]
+#[case::bad_level("warn", "loud", "`loud` is not")]
+#[case::bad_address("10.0.0.7:9100", "localhost:9100", "`localhost:9100` is not")]
+#[case::not_yaml("platform: {", "platform: {{", "malformed YAML")]
+#[case::not_a_map(HOST, "[]", "expected a map")]
+fn one_finding(#[case] part: &str, #[case] instead: &str, #[case] expected: &str) {
+    let findings = parse_host(&HOST.replace(part, instead), "host.yaml").expect_err("findings");
+    let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    assert!(
+        texts.iter().any(|text| text.contains(expected)),
+        "{texts:?}"
+    );
+}
