Health judgement with the capacity floor

Evidence of all hosts, read in each host's own light and joined by data centre; growing ejections, trials by three hosts, drains, and a floor over capacity.

--- /dev/null
+++ b/crates/kws-health/src/evidence.rs
@@ -0,0 +1,134 @@
+//! What one host saw of a service's servers within the last seconds.
+
+use kws_protocol::{CenterName, ServerName};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// How far back evidence counts.
+pub(crate) const EVIDENCE_WINDOW: Duration = Duration::from_secs(10);
+
+/// Entries kept for one server of one host.
+const MAX_ENTRIES: usize = 512;
+
+/// Some answers of one server, seen together.
+#[derive(Clone, Copy, Debug)]
+struct AnswerBatch {
+    at: Instant,
+    answers: u32,
+    bad: u32,
+    /// The latency of whole or late answers; `None` when there were only errors.
+    latency: Option<Duration>,
+}
+
+/// The answers of one server within the window.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnswerWindow {
+    batches: VecDeque<AnswerBatch>,
+}
+
+/// A window added up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct AnswerSummary {
+    pub(crate) answers: u32,
+    pub(crate) bad: u32,
+    pub(crate) median: Option<Duration>,
+}
+
+impl AnswerSummary {
+    /// The share of bad answers, between 0 and 1.
+    pub(crate) fn bad_share(&self) -> f64 {
+        f64::from(self.bad) / f64::from(self.answers.max(1))
+    }
+}
+
+impl AnswerWindow {
+    /// Adds `answers` answers, `bad` of them bad.
+    pub(crate) fn add(&mut self, answers: u32, bad: u32, latency: Option<Duration>, now: Instant) {
+        if self.batches.len() == MAX_ENTRIES {
+            self.batches.pop_front();
+        }
+        self.batches.push_back(AnswerBatch {
+            at: now,
+            answers,
+            bad: bad.min(answers),
+            latency,
+        });
+    }
+
+    /// Forgets what is older than the window.
+    pub(crate) fn prune(&mut self, now: Instant) {
+        while self
+            .batches
+            .front()
+            .is_some_and(|batch| now.duration_since(batch.at) > EVIDENCE_WINDOW)
+        {
+            self.batches.pop_front();
+        }
+    }
+
+    /// Adds up what came after `since`.
+    pub(crate) fn summary(&self, since: Option<Instant>) -> AnswerSummary {
+        let recent = || {
+            self.batches
+                .iter()
+                .filter(move |batch| since.is_none_or(|since| batch.at > since))
+        };
+        let mut latencies: Vec<(Duration, u32)> = recent()
+            .filter_map(|batch| batch.latency.map(|latency| (latency, batch.answers)))
+            .collect();
+        AnswerSummary {
+            answers: recent().map(|batch| batch.answers).sum(),
+            bad: recent().map(|batch| batch.bad).sum(),
+            median: weighted_median(&mut latencies),
+        }
+    }
+}
+
+/// The lower median, each latency counted as often as its weight.
+fn weighted_median(latencies: &mut [(Duration, u32)]) -> Option<Duration> {
+    latencies.sort_unstable();
+    let total: u32 = latencies.iter().map(|(_, weight)| weight).sum();
+    let mut passed = 0;
+    for (latency, weight) in latencies.iter() {
+        passed += weight;
+        if passed * 2 >= total {
+            return Some(*latency);
+        }
+    }
+    None
+}
+
+/// One host's evidence of the servers of one service.
+#[derive(Clone, Debug)]
+pub(crate) struct HostEvidence {
+    /// The host's data centre; `None` until the list names the host.
+    pub(crate) center: Option<CenterName>,
+    /// When the host was last heard.
+    pub(crate) heard: Instant,
+    /// Its answers by server.
+    pub(crate) windows: BTreeMap<ServerName, AnswerWindow>,
+    /// The servers that its newest digest calls ejected.
+    pub(crate) ejected: BTreeSet<ServerName>,
+}
+
+impl HostEvidence {
+    /// A host heard at `now` that said nothing yet.
+    pub(crate) fn new(center: Option<CenterName>, now: Instant) -> Self {
+        Self {
+            center,
+            heard: now,
+            windows: BTreeMap::new(),
+            ejected: BTreeSet::new(),
+        }
+    }
+
+    /// Forgets old answers.
+    pub(crate) fn prune(&mut self, now: Instant) {
+        for window in self.windows.values_mut() {
+            window.prune(now);
+        }
+    }
+}
--- a/crates/kws-health/src/judge.rs
+++ b/crates/kws-health/src/judge.rs
@@ -1,74 +1,130 @@
 //! The judge of one host.
 
-use crate::{AnswerOutcome, LoadReport, ServerStanding, StandingSource};
-use kws_protocol::{FleetSnapshot, HealthMessage, HostName, ServerDigest, ServerName, ServiceName};
-use std::time::Duration;
+use crate::{
+    AnswerOutcome, LoadReport, ServerStanding, StandingBar, StandingSource,
+    service::{ServiceJudge, center_of},
+};
+use kws_protocol::{
+    CenterName, FleetSnapshot, HealthMessage, HostName, ServerDigest, ServerName, ServiceName,
+};
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Judges the backend servers of every service as one host sees them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct HealthJudge {
     host: HostName,
+    services: BTreeMap<ServiceName, ServiceJudge>,
+    centers: BTreeMap<HostName, CenterName>,
 }
 
 impl HealthJudge {
     /// A judge for `host` that knows no servers yet.
     pub fn new(host: HostName) -> Self {
-        Self { host }
+        Self {
+            host,
+            services: BTreeMap::new(),
+            centers: BTreeMap::new(),
+        }
+    }
+
+    /// The host that judges.
+    pub fn host(&self) -> &HostName {
+        &self.host
     }
 
     /// Takes the servers, floors and ejection settings of a newer tree, and the list.
-    pub fn adopt(&mut self, _snapshot: &FleetSnapshot, _now: Instant) {}
+    pub fn adopt(&mut self, snapshot: &FleetSnapshot, now: Instant) {
+        let settings = &snapshot.settings.services;
+        self.services.retain(|name, _| settings.contains_key(name));
+        for (name, service) in settings {
+            self.services
+                .entry(name.clone())
+                .or_insert_with(|| ServiceJudge::new(&self.host, service, now))
+                .adopt(service, snapshot, now);
+        }
+        self.centers = snapshot
+            .hosts
+            .hosts
+            .iter()
+            .filter_map(|listed| Some((listed.name.clone(), center_of(snapshot, &listed.name)?)))
+            .collect();
+    }
 
     /// Takes the end of one try of this host's own.
     pub fn observe(
         &mut self,
-        _service: &ServiceName,
-        _server: &ServerName,
-        _outcome: AnswerOutcome,
-        _latency: Duration,
-        _now: Instant,
+        service: &ServiceName,
+        server: &ServerName,
+        outcome: AnswerOutcome,
+        latency: Duration,
+        now: Instant,
     ) {
+        let center = self.centers.get(&self.host).cloned();
+        if let Some(judge) = self.services.get_mut(service) {
+            judge.observe(server, outcome, latency, center, now);
+        }
     }
 
     /// Takes a server's own word, in an answer, that it drains.
-    pub fn observe_drain(&mut self, _service: &ServiceName, _server: &ServerName, _now: Instant) {}
+    pub fn observe_drain(&mut self, service: &ServiceName, server: &ServerName, now: Instant) {
+        if let Some(judge) = self.services.get_mut(service) {
+            judge.observe_drain(server, now);
+        }
+    }
 
     /// Takes what a server's health and load endpoints said.
     pub fn observe_load(
         &mut self,
-        _service: &ServiceName,
-        _server: &ServerName,
-        _report: LoadReport,
-        _now: Instant,
+        service: &ServiceName,
+        server: &ServerName,
+        report: LoadReport,
+        now: Instant,
     ) {
+        if let Some(judge) = self.services.get_mut(service) {
+            judge.observe_load(server, report, now);
+        }
     }
 
     /// Takes a peer's digest; it replaces what the peer said before of drains and ejections.
-    pub fn receive(&mut self, _from: &HostName, _message: &HealthMessage, _now: Instant) {}
+    pub fn receive(&mut self, from: &HostName, message: &HealthMessage, now: Instant) {
+        if from == &self.host {
+            return;
+        }
+        let HealthMessage::Digest(digests) = message;
+        for judge in self.services.values_mut() {
+            judge.hear(from, self.centers.get(from).cloned(), now);
+        }
+        for digest in digests {
+            if let Some(judge) = self.services.get_mut(&digest.service) {
+                judge.receive(from, digest, now);
+            }
+        }
+    }
 
     /// What this host saw since its last digest. Requests in flight are left at 0: the dispatcher
     /// fills them in.
     pub fn digest(&mut self, _now: Instant) -> Vec<ServerDigest> {
-        Vec::new()
+        self.services
+            .iter_mut()
+            .flat_map(|(name, judge)| judge.digest(name))
+            .collect()
     }
 
     /// Judges anew: ejects, ends ejections, and keeps the floor. Due every 250 ms or so.
-    pub fn tick(&mut self, _now: Instant) {}
-
-    /// The host that judges.
-    pub fn host(&self) -> &HostName {
-        &self.host
+    pub fn tick(&mut self, now: Instant) {
+        for judge in self.services.values_mut() {
+            judge.tick(now);
+        }
     }
 }
 
 impl StandingSource for HealthJudge {
-    fn standing(
-        &self,
-        _service: &ServiceName,
-        _server: &ServerName,
-        _now: Instant,
-    ) -> ServerStanding {
-        ServerStanding::FULL
+    fn standing(&self, service: &ServiceName, server: &ServerName, now: Instant) -> ServerStanding {
+        self.services
+            .get(service)
+            .map_or(ServerStanding::barred(StandingBar::Unlisted), |judge| {
+                judge.standing(server, now)
+            })
     }
 }
--- /dev/null
+++ b/crates/kws-health/src/service.rs
@@ -0,0 +1,422 @@
+//! One service at one host: its servers, and what all hosts saw of them.
+
+use crate::{
+    AnswerOutcome, LoadReport, ServerStanding, StandingBar,
+    evidence::{AnswerWindow, EVIDENCE_WINDOW, HostEvidence},
+    floor::{FloorEntry, may_eject, to_restore},
+    phase::{EjectionScope, ServerPhase},
+    server::ServerState,
+    verdict::{is_slow, sick_servers},
+};
+use kws_protocol::{
+    CenterName, FleetSnapshot, HostName, HostState, RegionName, ServerDigest, ServerName,
+    ServiceName, ServiceSettings, rendezvous_order,
+};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// A peer not heard for this long has no say on drains, ejections and trials.
+const PEER_AGE: Duration = Duration::from_secs(5);
+
+/// Hosts that try a server after an ejection, for all the others.
+const TRIAL_HOSTS: usize = 3;
+
+/// After this long without a verdict on a trial every host may try.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Peers that must report an ejection before this host counts on it.
+const REPORTING_PEERS: usize = 2;
+
+/// Judges the servers of one service.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceJudge {
+    own: HostName,
+    settings: ServiceSettings,
+    servers: BTreeMap<ServerName, ServerState>,
+    hosts: BTreeMap<HostName, HostEvidence>,
+    /// This host's own answers since its last digest.
+    pending: BTreeMap<ServerName, AnswerWindow>,
+}
+
+impl ServiceJudge {
+    /// A service whose servers are all taken to be warm.
+    pub(crate) fn new(own: &HostName, settings: &ServiceSettings, now: Instant) -> Self {
+        let servers = settings
+            .servers
+            .iter()
+            .map(|(name, server)| (name.clone(), ServerState::new(server, false, now)))
+            .collect();
+        Self {
+            own: own.clone(),
+            settings: settings.clone(),
+            servers,
+            hosts: BTreeMap::new(),
+            pending: BTreeMap::new(),
+        }
+    }
+
+    /// Takes newer settings and the list.
+    pub(crate) fn adopt(
+        &mut self,
+        settings: &ServiceSettings,
+        snapshot: &FleetSnapshot,
+        now: Instant,
+    ) {
+        self.settings = settings.clone();
+        self.servers.retain(|name, state| {
+            let kept = settings.servers.get(name);
+            kept.is_some_and(|server| server.address == state.settings.address)
+        });
+        for (name, server) in &settings.servers {
+            self.servers
+                .entry(name.clone())
+                .or_insert_with(|| ServerState::new(server, true, now))
+                .settings = server.clone();
+        }
+        for (name, state) in &mut self.servers {
+            let mut listed = snapshot.hosts.servers.iter();
+            let leaving = |state| state == HostState::Leaving;
+            state.list(
+                listed.any(|one| &one.name == name && leaving(one.state)),
+                now,
+            );
+        }
+        for (host, evidence) in &mut self.hosts {
+            evidence.center = center_of(snapshot, host);
+        }
+        self.keep_floor(now);
+    }
+
+    /// Takes the end of one try of this host's own.
+    pub(crate) fn observe(
+        &mut self,
+        server: &ServerName,
+        outcome: AnswerOutcome,
+        latency: Duration,
+        center: Option<CenterName>,
+        now: Instant,
+    ) {
+        if outcome == AnswerOutcome::Shed || !self.servers.contains_key(server) {
+            return;
+        }
+        let bad = u32::from(outcome.is_bad());
+        let timed = matches!(outcome, AnswerOutcome::Good | AnswerOutcome::Late);
+        let latency = timed.then_some(latency);
+        let pending = self.pending.entry(server.clone()).or_default();
+        pending.add(1, bad, latency, now);
+        let own = self.own.clone();
+        self.add_answers(&own, center, server, (1, bad, latency), now);
+    }
+
+    /// Takes the answers of any host, and its trials when the server is on trial.
+    fn add_answers(
+        &mut self,
+        from: &HostName,
+        center: Option<CenterName>,
+        server: &ServerName,
+        (answers, bad, latency): (u32, u32, Option<Duration>),
+        now: Instant,
+    ) {
+        let evidence = self
+            .hosts
+            .entry(from.clone())
+            .or_insert_with(|| HostEvidence::new(center, now));
+        evidence.heard = now;
+        let Some(state) = self.servers.get_mut(server) else {
+            return;
+        };
+        if answers == 0 || matches!(state.life.phase, ServerPhase::Ejected { .. }) {
+            return;
+        }
+        let window = evidence.windows.entry(server.clone()).or_default();
+        window.add(answers, bad, latency, now);
+        if matches!(state.life.phase, ServerPhase::Trial { .. }) {
+            let slow = latency.is_some_and(|latency| self.slow(from, server, latency));
+            self.add_trial(from, server, bad > 0 || slow, now);
+        }
+    }
+
+    fn slow(&self, host: &HostName, server: &ServerName, latency: Duration) -> bool {
+        let Some(evidence) = self.hosts.get(host) else {
+            return false;
+        };
+        is_slow(
+            evidence,
+            &self.regions(),
+            &self.settings.ejection,
+            server,
+            latency,
+        )
+    }
+
+    fn add_trial(&mut self, from: &HostName, server: &ServerName, bad: bool, now: Instant) {
+        let own = from == &self.own;
+        let Some(state) = self.servers.get_mut(server) else {
+            return;
+        };
+        let failed = if own {
+            state.life.own_trial(bad, now)
+        } else {
+            state.life.peer_trial(from, bad, now)
+        };
+        if failed {
+            let sickness = state.life.sickness;
+            self.eject(server, EjectionScope::Fleet, sickness, now);
+        }
+    }
+
+    /// Takes a server's own word that it drains.
+    pub(crate) fn observe_drain(&mut self, server: &ServerName, now: Instant) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.drained = Some(now);
+            self.keep_floor(now);
+        }
+    }
+
+    /// Takes what the endpoints said.
+    pub(crate) fn observe_load(&mut self, server: &ServerName, report: LoadReport, now: Instant) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.load = Some((report, now));
+        }
+    }
+
+    /// Notes that a peer was heard; its new digest replaces all it said before.
+    pub(crate) fn hear(&mut self, from: &HostName, center: Option<CenterName>, now: Instant) {
+        let evidence = self
+            .hosts
+            .entry(from.clone())
+            .or_insert_with(|| HostEvidence::new(center, now));
+        evidence.heard = now;
+        evidence.ejected.clear();
+    }
+
+    /// Takes one server's digest of a peer that was heard just now.
+    pub(crate) fn receive(&mut self, from: &HostName, digest: &ServerDigest, now: Instant) {
+        let Some(evidence) = self.hosts.get_mut(from) else {
+            return;
+        };
+        if digest.ejected {
+            evidence.ejected.insert(digest.server.clone());
+        }
+        let latency = Some(digest.median).filter(|median| !median.is_zero());
+        let answers = (digest.answers, digest.bad, latency);
+        self.add_answers(from, None, &digest.server, answers, now);
+        let Some(state) = self.servers.get_mut(&digest.server) else {
+            return;
+        };
+        if digest.draining {
+            state.drained_by_peer = Some(now);
+            self.keep_floor(now);
+        }
+    }
+
+    /// What this host saw since its last digest, of servers with anything to say.
+    pub(crate) fn digest(&mut self, service: &ServiceName) -> Vec<ServerDigest> {
+        let pending = std::mem::take(&mut self.pending);
+        self.servers
+            .iter()
+            .filter_map(|(name, state)| {
+                let summary = pending
+                    .get(name)
+                    .map(|window| window.summary(None))
+                    .unwrap_or_default();
+                let draining = state.drained.is_some();
+                let ejected = state.life.ejected();
+                let told = summary.answers > 0 || draining || ejected;
+                told.then(|| ServerDigest {
+                    service: service.clone(),
+                    server: name.clone(),
+                    answers: summary.answers,
+                    bad: summary.bad,
+                    median: summary.median.unwrap_or_default(),
+                    in_flight: 0,
+                    draining,
+                    ejected,
+                })
+            })
+            .collect()
+    }
+
+    /// Judges anew.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.hosts
+            .retain(|_, evidence| now.duration_since(evidence.heard) <= EVIDENCE_WINDOW);
+        for evidence in self.hosts.values_mut() {
+            evidence.prune(now);
+        }
+        self.advance_phases(now);
+        self.follow_peers(now);
+        self.eject_sick(now);
+        self.keep_floor(now);
+        self.choose_trials(now);
+    }
+
+    fn advance_phases(&mut self, now: Instant) {
+        let max = self.settings.ejection.max;
+        for state in self.servers.values_mut() {
+            state.expire_drain(now);
+            state.life.decay(max, now);
+            match state.life.phase {
+                ServerPhase::Ejected { until, scope } if until <= now => {
+                    if scope == EjectionScope::Followed {
+                        state.life.serve(true, now);
+                    } else {
+                        state.life.start_trial(now);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Leaves alone what enough peers have ejected and this host knows nothing of.
+    fn follow_peers(&mut self, now: Instant) {
+        let fresh = self.fresh_peers(now).count();
+        let names: Vec<ServerName> = self.servers.keys().cloned().collect();
+        for name in names {
+            let reports = self.reports(&name, now);
+            if reports < REPORTING_PEERS || reports * 2 < fresh {
+                continue;
+            }
+            let known = self
+                .hosts
+                .get(&self.own)
+                .and_then(|evidence| evidence.windows.get(&name))
+                .is_some_and(|window| window.summary(None).answers > 0);
+            let entries = self.floor_entries(now);
+            let room = may_eject(&entries, self.settings.floor, &name);
+            if let Some(state) = self.servers.get_mut(&name) {
+                match state.life.phase {
+                    ServerPhase::Ejected {
+                        scope: EjectionScope::Followed,
+                        ..
+                    } => state.life.follow(now + PEER_AGE),
+                    ServerPhase::Serving { .. } if !known && room => {
+                        state.life.follow(now + PEER_AGE);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn eject_sick(&mut self, now: Instant) {
+        let regions = self.regions();
+        let sick = sick_servers(&self.own, &self.hosts, &regions, &self.settings.ejection);
+        for state in self.servers.values_mut() {
+            state.suspect = false;
+        }
+        for found in sick {
+            let entries = self.floor_entries(now);
+            let room = may_eject(&entries, self.settings.floor, &found.server);
+            let Some(state) = self.servers.get_mut(&found.server) else {
+                continue;
+            };
+            if !state.life.serves() || !state.available() {
+                continue;
+            }
+            if room {
+                self.eject(&found.server, found.scope, found.sickness, now);
+            } else {
+                state.suspect = true;
+            }
+        }
+    }
+
+    /// Ejects a server and drops the evidence against it.
+    fn eject(&mut self, server: &ServerName, scope: EjectionScope, sickness: f64, now: Instant) {
+        let ejection = self.settings.ejection.clone();
+        if let Some(state) = self.servers.get_mut(server) {
+            state.life.eject(scope, sickness, &ejection, now);
+        }
+        for evidence in self.hosts.values_mut() {
+            evidence.windows.remove(server);
+        }
+    }
+
+    /// Brings back the least sick while capacity is below the floor.
+    fn keep_floor(&mut self, now: Instant) {
+        let entries = self.floor_entries(now);
+        for server in to_restore(&entries, self.settings.floor) {
+            if let Some(state) = self.servers.get_mut(&server) {
+                state.life.serve(false, now);
+            }
+        }
+    }
+
+    fn floor_entries(&self, now: Instant) -> Vec<FloorEntry> {
+        self.servers
+            .iter()
+            .map(|(name, state)| {
+                let slots = f64::from(state.settings.slots);
+                let weight = if state.available() {
+                    state.life.weight(self.settings.slow_start, now)
+                } else {
+                    0.0
+                };
+                let restorable = state.available() && !state.life.serves();
+                FloorEntry {
+                    server: name.clone(),
+                    slots,
+                    capacity: slots * weight,
+                    ejected_by_peers: self.reports(name, now) >= REPORTING_PEERS,
+                    restorable: restorable.then_some(state.life.sickness),
+                }
+            })
+            .collect()
+    }
+
+    fn choose_trials(&mut self, now: Instant) {
+        let mut hosts: Vec<HostName> = self
+            .fresh_peers(now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        hosts.push(self.own.clone());
+        for (name, state) in &mut self.servers {
+            let ServerPhase::Trial { since, .. } = &state.life.phase else {
+                continue;
+            };
+            let patient = now.duration_since(*since) < TRIAL_PATIENCE;
+            let order = rendezvous_order(name.as_str(), hosts.iter().map(HostName::as_str));
+            let chosen = order.iter().take(TRIAL_HOSTS);
+            state.trial_host =
+                !patient || chosen.into_iter().any(|host| *host == self.own.as_str());
+        }
+    }
+
+    /// The standing of one server.
+    pub(crate) fn standing(&self, server: &ServerName, now: Instant) -> ServerStanding {
+        let Some(state) = self.servers.get(server) else {
+            return ServerStanding::barred(StandingBar::Unlisted);
+        };
+        state.standing(self.settings.slow_start, now)
+    }
+
+    fn regions(&self) -> BTreeMap<&ServerName, &RegionName> {
+        self.servers
+            .iter()
+            .map(|(name, state)| (name, &state.settings.region))
+            .collect()
+    }
+
+    fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = (&HostName, &HostEvidence)> {
+        self.hosts.iter().filter(move |(name, evidence)| {
+            *name != &self.own && now.duration_since(evidence.heard) <= PEER_AGE
+        })
+    }
+
+    /// Peers heard lately that report `server` as ejected.
+    fn reports(&self, server: &ServerName, now: Instant) -> usize {
+        self.fresh_peers(now)
+            .filter(|(_, peer)| peer.ejected.contains(server))
+            .count()
+    }
+}
+
+/// The data centre of a listed host.
+pub(crate) fn center_of(snapshot: &FleetSnapshot, host: &HostName) -> Option<CenterName> {
+    snapshot
+        .hosts
+        .host(host)
+        .map(|listed| listed.center.clone())
+}
--- /dev/null
+++ b/crates/kws-health/src/verdict.rs
@@ -0,0 +1,261 @@
+//! Which servers of a service are sick, by the evidence of all hosts together.
+
+use crate::{
+    evidence::{AnswerSummary, HostEvidence},
+    phase::EjectionScope,
+};
+use kws_protocol::{CenterName, EjectionSettings, HostName, RegionName, ServerName};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Hosts that must accuse a server before it is ejected for the fleet.
+const ACCUSERS: usize = 2;
+
+/// Answers of a data centre, or of one host acting alone, below which it has no say.
+const MIN_ANSWERS: u32 = 5;
+
+/// Answers of one host acting alone, below which it has no say on latency.
+const MIN_SLOW_ANSWERS: u32 = 8;
+
+/// The bad share at which one host acts alone, between 0 and 1.
+const STRONG_BAD_SHARE: f64 = 0.5;
+
+/// The part of answers that must be slow, between 0 and 1.
+const SLOW_SHARE: f64 = 0.5;
+
+/// Servers that a host must have seen before it compares them.
+const MIN_COMPARED: usize = 3;
+
+/// Answers of one host on one server that count at the most, so that no host outweighs the others.
+const MAX_ANSWERS_A_HOST: f64 = 20.0;
+
+/// The distance between data centres of a region, which is no slowness.
+const LATENCY_SLACK: Duration = Duration::from_millis(5);
+
+/// Why and how much a server is sick.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct SickServer {
+    pub(crate) server: ServerName,
+    pub(crate) scope: EjectionScope,
+    /// Between 0 and 2: the bad share plus the slow share.
+    pub(crate) sickness: f64,
+}
+
+/// One host's word on one server, in the light of what it saw of the others.
+#[derive(Clone, Copy, Debug)]
+struct HostVote {
+    answers: f64,
+    bad: f64,
+    /// `None` when the host cannot compare.
+    slow: Option<bool>,
+    summary: AnswerSummary,
+}
+
+/// The words of several hosts, added up.
+#[derive(Clone, Copy, Debug, Default)]
+struct VoteSum {
+    answers: f64,
+    bad: f64,
+    compared: f64,
+    slow: f64,
+}
+
+impl VoteSum {
+    fn add(&mut self, vote: &HostVote) {
+        self.answers += vote.answers;
+        self.bad += vote.bad;
+        if let Some(slow) = vote.slow {
+            self.compared += vote.answers;
+            self.slow += if slow { vote.answers } else { 0.0 };
+        }
+    }
+
+    fn judges(&self) -> bool {
+        self.answers >= f64::from(MIN_ANSWERS)
+    }
+
+    fn bad_share(&self) -> f64 {
+        self.bad / self.answers.max(1.0)
+    }
+
+    fn slow_share(&self) -> f64 {
+        self.slow / self.compared.max(f64::from(MIN_ANSWERS))
+    }
+
+    fn sick(&self, settings: &EjectionSettings) -> bool {
+        self.bad_share() >= settings.bad_share || self.slow_share() >= SLOW_SHARE
+    }
+}
+
+/// One host's summaries, with what is typical for it.
+struct HostLight<'a> {
+    summaries: BTreeMap<&'a ServerName, AnswerSummary>,
+    references: BTreeMap<&'a RegionName, Duration>,
+    silent: bool,
+}
+
+impl<'a> HostLight<'a> {
+    fn new(
+        evidence: &'a HostEvidence,
+        regions: &BTreeMap<&'a ServerName, &'a RegionName>,
+        settings: &EjectionSettings,
+    ) -> Self {
+        let summaries: BTreeMap<&ServerName, AnswerSummary> = evidence
+            .windows
+            .iter()
+            .map(|(server, window)| (server, window.summary(None)))
+            .filter(|(server, summary)| summary.answers > 0 && regions.contains_key(server))
+            .collect();
+        let mut latencies: BTreeMap<&RegionName, Vec<Duration>> = BTreeMap::new();
+        for (server, summary) in &summaries {
+            if let Some(median) = summary.median {
+                latencies.entry(regions[server]).or_default().push(median);
+            }
+        }
+        let references = latencies
+            .into_iter()
+            .filter_map(|(region, medians)| Some((region, lower_median(medians)?)))
+            .collect();
+        let shares = summaries.values().map(|summary| Share(summary.bad_share()));
+        let typical = lower_median(shares.collect());
+        Self {
+            summaries,
+            references,
+            silent: typical.is_some_and(|share| share.0 >= settings.bad_share),
+        }
+    }
+
+    fn vote(
+        &self,
+        server: &ServerName,
+        region: &RegionName,
+        settings: &EjectionSettings,
+    ) -> Option<HostVote> {
+        let summary = *self.summaries.get(server)?;
+        if self.silent {
+            return None;
+        }
+        let scale = (MAX_ANSWERS_A_HOST / f64::from(summary.answers)).min(1.0);
+        let slow = match (summary.median, self.references.get(region)) {
+            (Some(median), Some(reference)) => Some(slower(median, *reference, settings)),
+            _ => None,
+        };
+        Some(HostVote {
+            answers: f64::from(summary.answers) * scale,
+            bad: f64::from(summary.bad) * scale,
+            slow,
+            summary,
+        })
+    }
+}
+
+/// A share that can be sorted; never NaN.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+struct Share(f64);
+
+/// The lower median of at least [`MIN_COMPARED`] values.
+fn lower_median<T: Copy + PartialOrd>(mut values: Vec<T>) -> Option<T> {
+    if values.len() < MIN_COMPARED {
+        return None;
+    }
+    values.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
+    Some(values[(values.len() - 1) / 2])
+}
+
+/// Whether one answer of `server` is slow in the light of what its host saw of the others.
+pub(crate) fn is_slow(
+    evidence: &HostEvidence,
+    regions: &BTreeMap<&ServerName, &RegionName>,
+    settings: &EjectionSettings,
+    server: &ServerName,
+    latency: Duration,
+) -> bool {
+    let light = HostLight::new(evidence, regions, settings);
+    regions
+        .get(server)
+        .and_then(|region| light.references.get(region))
+        .is_some_and(|reference| slower(latency, *reference, settings))
+}
+
+fn slower(latency: Duration, reference: Duration, settings: &EjectionSettings) -> bool {
+    latency > reference.mul_f64(settings.slow_factor) + LATENCY_SLACK
+}
+
+/// The sick servers, the sickest first.
+pub(crate) fn sick_servers(
+    own: &HostName,
+    hosts: &BTreeMap<HostName, HostEvidence>,
+    regions: &BTreeMap<&ServerName, &RegionName>,
+    settings: &EjectionSettings,
+) -> Vec<SickServer> {
+    let lights: Vec<(&HostName, Option<&CenterName>, HostLight<'_>)> = hosts
+        .iter()
+        .map(|(host, evidence)| {
+            let light = HostLight::new(evidence, regions, settings);
+            (host, evidence.center.as_ref(), light)
+        })
+        .collect();
+    let mut sick: Vec<SickServer> = regions
+        .iter()
+        .filter_map(|(server, region)| {
+            let votes: Vec<_> = lights
+                .iter()
+                .filter_map(|(host, center, light)| {
+                    Some((*host, *center, light.vote(server, region, settings)?))
+                })
+                .collect();
+            judge_server(own, server, &votes, settings)
+        })
+        .collect();
+    sick.sort_by(|left, right| {
+        right
+            .sickness
+            .total_cmp(&left.sickness)
+            .then_with(|| left.server.cmp(&right.server))
+    });
+    sick
+}
+
+fn judge_server(
+    own: &HostName,
+    server: &ServerName,
+    votes: &[(&HostName, Option<&CenterName>, HostVote)],
+    settings: &EjectionSettings,
+) -> Option<SickServer> {
+    let mut total = VoteSum::default();
+    let mut centers: BTreeMap<Option<&CenterName>, VoteSum> = BTreeMap::new();
+    for (_, center, vote) in votes {
+        total.add(vote);
+        centers.entry(*center).or_default().add(vote);
+    }
+    let accusers = votes
+        .iter()
+        .filter(|(_, _, vote)| vote.bad > 0.0 || vote.slow == Some(true))
+        .count();
+    let judging = centers.values().filter(|sum| sum.judges()).count();
+    let accusing = centers
+        .values()
+        .filter(|sum| sum.judges() && sum.sick(settings))
+        .count();
+    if accusers >= ACCUSERS && accusing * 2 > judging {
+        return Some(SickServer {
+            server: server.clone(),
+            scope: EjectionScope::Fleet,
+            sickness: total.bad_share() + total.slow_share(),
+        });
+    }
+    let (_, _, vote) = votes.iter().find(|(host, ..)| *host == own)?;
+    alone(vote, settings).map(|sickness| SickServer {
+        server: server.clone(),
+        scope: EjectionScope::Local,
+        sickness,
+    })
+}
+
+/// How sick one host finds a server by strong evidence of its own.
+fn alone(vote: &HostVote, settings: &EjectionSettings) -> Option<f64> {
+    let summary = &vote.summary;
+    let share = summary.bad_share();
+    let bad = summary.answers >= MIN_ANSWERS && share >= settings.bad_share.max(STRONG_BAD_SHARE);
+    let slow = summary.answers >= MIN_SLOW_ANSWERS && vote.slow == Some(true);
+    (bad || slow).then_some(share + if slow { 1.0 } else { 0.0 })
+}
