Limits ledger: window of revisions, buckets, loans

Loan messages gain AskRetained and Retained, by which hosts tell the oldest revision that a region may still use; the wire form of loans becomes an enum for them.

Not yet proved by random schedules.

--- /dev/null
+++ b/crates/kws-limits/src/ledger.rs
@@ -0,0 +1,257 @@
+//! The ledger of one host: what it may admit, lend and borrow.
+
+mod borrowing;
+mod gossip;
+mod lending;
+
+use crate::{
+    AdmitDecision, AdmitTicket, LedgerAction, LimitsPolicy, RefusalCause,
+    account::{AccountContext, TeamAccount, WaitingRequest},
+    lease::LeaseState,
+    window::RevisionWindow,
+};
+use gossip::RetainedGossip;
+use kws_protocol::{
+    FleetSnapshot, HostName, LoanMessage, RegionName, TeamName, TeamSettings, TreeRevision,
+};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// How often idle accounts are looked for.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// The shortest advice on when to try again.
+const MIN_RETRY: Duration = Duration::from_millis(20);
+
+/// The longest advice on when to try again.
+const MAX_RETRY: Duration = Duration::from_secs(10);
+
+/// The limits of all teams on one host. Every method is cheap and never blocks; the owner calls
+/// [`Self::tick`] every few milliseconds and carries out [`Self::take_actions`] after each call.
+#[derive(Debug)]
+pub struct LimitsLedger {
+    host: HostName,
+    region: RegionName,
+    policy: LimitsPolicy,
+    window: RevisionWindow,
+    lease: LeaseState,
+    teams: HashMap<TeamName, TeamAccount>,
+    busy: HashSet<TeamName>,
+    actions: Vec<LedgerAction>,
+    gossip: RetainedGossip,
+    next_ticket: u64,
+    next_loan: u64,
+    next_sweep: Instant,
+}
+
+impl LimitsLedger {
+    /// The ledger of a host whose daemon started at `born`; it admits nothing yet.
+    pub fn new(host: HostName, region: RegionName, born: Instant) -> Self {
+        Self::with_policy(host, region, born, LimitsPolicy::default())
+    }
+
+    /// A ledger with constants other than the default ones, which must be the same on every host.
+    pub fn with_policy(
+        host: HostName,
+        region: RegionName,
+        born: Instant,
+        policy: LimitsPolicy,
+    ) -> Self {
+        let window = RevisionWindow::new(host.clone(), region.clone(), policy.clone(), born);
+        Self {
+            host,
+            region,
+            policy,
+            window,
+            lease: LeaseState::new(),
+            teams: HashMap::new(),
+            busy: HashSet::new(),
+            actions: Vec::new(),
+            gossip: RetainedGossip::new(born),
+            next_ticket: 0,
+            next_loan: 0,
+            next_sweep: born + SWEEP_PERIOD,
+        }
+    }
+
+    /// Takes a revision into use as soon as the host holds it. An older one is ignored; skipped
+    /// ones count as unknown, so that the host's own share is 0 until no host can use them.
+    pub fn adopt(&mut self, snapshot: &Arc<FleetSnapshot>, now: Instant) {
+        self.window.adopt(snapshot, now);
+    }
+
+    /// A newer revision failed its check, so that the last good one stays in force under it.
+    pub fn refuse_revision(&mut self, revision: TreeRevision, now: Instant) {
+        self.window.refuse(revision, now);
+    }
+
+    /// Sets until when the host's lease is valid; it only counts before that instant. A lease that
+    /// had run out begins anew with empty buckets.
+    pub fn set_current(&mut self, until: Instant, now: Instant) {
+        self.lease.set(until, now);
+    }
+
+    /// A peer of the own region was heard to hold `revision`.
+    pub fn peer_revision(&mut self, peer: &HostName, revision: TreeRevision, now: Instant) {
+        self.window.peer_revision(peer, revision, now);
+    }
+
+    /// Decides on one request.
+    pub fn admit(&mut self, team: &TeamName, now: Instant) -> AdmitDecision {
+        if !self.is_current(now) {
+            return refuse(RefusalCause::NotCurrent, MIN_RETRY);
+        }
+        if self.window.team(team).is_none() {
+            return refuse(RefusalCause::UnknownTeam, MAX_RETRY);
+        }
+        self.with_account(team, now, |ledger, account| {
+            account.demand.note(now);
+            if account.waiting.is_empty() && account.spend(now) {
+                ledger.return_spent(team, account);
+                ledger.borrow_ahead(team, account, now);
+                return AdmitDecision::Admitted;
+            }
+            ledger.wait_for_loan(team, account, now)
+        })
+    }
+
+    /// Takes a message from a peer.
+    pub fn receive(&mut self, from: &HostName, message: &LoanMessage, now: Instant) {
+        match message {
+            LoanMessage::Borrow { id, team, tokens } => self.lend(from, *id, team, *tokens, now),
+            LoanMessage::Lend { id, team, tokens } => self.borrowed(from, *id, team, *tokens, now),
+            LoanMessage::Return { id, team, tokens } => {
+                self.returned(from, *id, team, *tokens, now);
+            }
+            LoanMessage::AskRetained => self.tell_retained(from),
+            LoanMessage::Retained { region, oldest } => {
+                self.learn_retained(from, region, *oldest, now);
+            }
+        }
+    }
+
+    /// Lets time pass: ends waits, returns idle loans, lets revisions leave the window.
+    pub fn tick(&mut self, now: Instant) {
+        self.window.refresh(now);
+        self.gossip_retained(now);
+        let busy: Vec<TeamName> = self.busy.iter().cloned().collect();
+        for team in &busy {
+            self.with_account(team, now, |ledger, account| {
+                ledger.tick_loans(team, account, now);
+            });
+        }
+        if now >= self.next_sweep {
+            self.sweep(now);
+        }
+    }
+
+    /// Returns all unspent loans and refuses what waits; the host is about to stop.
+    pub fn stop(&mut self, now: Instant) {
+        let busy: Vec<TeamName> = self.busy.iter().cloned().collect();
+        for team in &busy {
+            self.with_account(team, now, |ledger, account| {
+                ledger.refuse_waiting(team, account, now, |_| true);
+                ledger.return_loans(team, account, |_| true);
+            });
+        }
+    }
+
+    /// Hands over what the owner must do, in order.
+    pub fn take_actions(&mut self) -> Vec<LedgerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Teams with state on this host.
+    pub fn active_teams(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Whether the host may use its own shares, as far as revisions go.
+    pub fn is_settled(&self) -> bool {
+        !self.window.is_newborn()
+    }
+
+    fn is_current(&self, now: Instant) -> bool {
+        self.lease.is_current(now) && !self.window.is_behind()
+    }
+
+    /// Runs `work` on the team's account, filled up to `now`.
+    fn with_account<T>(
+        &mut self,
+        team: &TeamName,
+        now: Instant,
+        work: impl FnOnce(&mut Self, &mut TeamAccount) -> T,
+    ) -> T {
+        let mut account = self
+            .teams
+            .remove(team)
+            .unwrap_or_else(|| TeamAccount::new(now));
+        let context = AccountContext {
+            team,
+            window: &self.window,
+            lease: &self.lease,
+        };
+        account.advance(context, now);
+        let result = work(self, &mut account);
+        if account.is_busy() {
+            if !self.busy.contains(team) {
+                self.busy.insert(team.clone());
+            }
+        } else {
+            self.busy.remove(team);
+        }
+        self.teams.insert(team.clone(), account);
+        result
+    }
+
+    fn new_ticket(&mut self) -> AdmitTicket {
+        self.next_ticket += 1;
+        AdmitTicket(self.next_ticket)
+    }
+
+    fn send(&mut self, to: &HostName, message: LoanMessage) {
+        self.actions.push(LedgerAction::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    fn settle(&mut self, waiting: &WaitingRequest, decision: AdmitDecision) {
+        self.actions.push(LedgerAction::Settle {
+            ticket: waiting.ticket,
+            decision,
+        });
+    }
+
+    /// Forgets accounts that a new one would match or fall short of.
+    fn sweep(&mut self, now: Instant) {
+        self.next_sweep = now + SWEEP_PERIOD;
+        let policy = &self.policy;
+        let (window, lease) = (&self.window, &self.lease);
+        self.teams.retain(|team, account| {
+            let context = AccountContext {
+                team,
+                window,
+                lease,
+            };
+            account.advance(context, now);
+            !account.is_droppable(policy, now)
+        });
+    }
+}
+
+fn refuse(cause: RefusalCause, retry_after: Duration) -> AdmitDecision {
+    AdmitDecision::Refused { cause, retry_after }
+}
+
+/// Refuses for want of tokens, with the time in which the team gets one.
+fn refuse_rate(settings: Option<&TeamSettings>) -> AdmitDecision {
+    let rate = settings.map_or(0.0, |settings| settings.rate);
+    let seconds = (1.0 / rate.max(f64::MIN_POSITIVE)).min(MAX_RETRY.as_secs_f64());
+    let retry_after = Duration::from_secs_f64(seconds).max(MIN_RETRY);
+    refuse(RefusalCause::RateExceeded, retry_after)
+}
--- /dev/null
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -0,0 +1,274 @@
+//! The borrower's side of loans.
+
+use super::{LimitsLedger, MIN_RETRY, refuse, refuse_rate};
+use crate::{
+    AdmitDecision, LOAN_TERM, RefusalCause,
+    account::{LenderList, TeamAccount, WaitingRequest},
+    loan::{BorrowedLoan, PendingLoan},
+    placement::{region_holders, region_weight},
+};
+use kws_protocol::{HostName, LoanId, LoanMessage, TeamName, rendezvous_score};
+use std::{collections::VecDeque, sync::Arc};
+use tokio::time::Instant;
+
+/// How many waits long a lender that did not answer is spared.
+const SILENT_WAITS: u32 = 10;
+
+impl LimitsLedger {
+    /// Lets a request wait for tokens asked for, or refuses it when no one is left to ask.
+    pub(super) fn wait_for_loan(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        now: Instant,
+    ) -> AdmitDecision {
+        let missing = account.waiting.len() as f64 + 1.0 - account.in_hand();
+        self.borrow(team, account, missing, now);
+        if account.expected(now) < missing.min(1.0) {
+            return refuse_rate(self.window.team(team));
+        }
+        let expected = account.pending.iter().map(|loan| loan.expected).max();
+        let ticket = self.new_ticket();
+        account.waiting.push_back(WaitingRequest {
+            ticket,
+            deadline: expected.unwrap_or(now),
+        });
+        AdmitDecision::Waiting(ticket)
+    }
+
+    /// Asks for tokens before they are needed, from the demand seen.
+    pub(super) fn borrow_ahead(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        now: Instant,
+    ) {
+        let demand = account.demand.value(now) - account.allotment().rate;
+        let low = demand * self.policy.region_ahead.as_secs_f64();
+        if low >= 1.0 && account.in_hand() + account.expected(now) < low {
+            self.borrow(team, account, low, now);
+        }
+    }
+
+    /// Asks lenders, the region's first, until `missing` tokens are on their way.
+    fn borrow(&mut self, team: &TeamName, account: &mut TeamAccount, missing: f64, now: Instant) {
+        self.renew_lenders(team, account);
+        let lenders = Arc::clone(&account.lenders);
+        let demand = account.demand.value(now);
+        let local = missing.max(demand * self.policy.region_ahead.as_secs_f64());
+        let wait = now + self.policy.region_wait;
+        self.ask(team, account, &lenders.local, local, wait, now);
+        if account.expected(now) >= missing {
+            return;
+        }
+        let remote = missing.max(demand * self.policy.remote_ahead.as_secs_f64());
+        let wait = now + self.policy.remote_wait;
+        self.ask(team, account, &lenders.remote, remote, wait, now);
+    }
+
+    fn ask(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        lenders: &[HostName],
+        wanted: f64,
+        expected: Instant,
+        now: Instant,
+    ) {
+        for lender in lenders {
+            let open = wanted - account.expected(now);
+            if open <= 0.0 {
+                return;
+            }
+            if account.is_spared(lender, now) {
+                continue;
+            }
+            self.next_loan += 1;
+            let id = LoanId(self.next_loan);
+            account.pending.push(PendingLoan {
+                id,
+                lender: lender.clone(),
+                tokens: open,
+                sent: now,
+                expected,
+            });
+            let message = LoanMessage::Borrow {
+                id,
+                team: team.clone(),
+                tokens: open,
+            };
+            self.send(lender, message);
+        }
+    }
+
+    /// Takes a loan that was asked for; any other creates nothing.
+    pub(super) fn borrowed(
+        &mut self,
+        lender: &HostName,
+        id: LoanId,
+        team: &TeamName,
+        tokens: f64,
+        now: Instant,
+    ) {
+        if !self.teams.contains_key(team) {
+            return;
+        }
+        self.with_account(team, now, |ledger, account| {
+            let found = account
+                .pending
+                .iter()
+                .position(|loan| loan.id == id && &loan.lender == lender);
+            let Some(index) = found else { return };
+            let asked = account.pending.swap_remove(index);
+            ledger.take_loan(account, &asked, tokens, now);
+            ledger.serve_waiting(team, account, now);
+        });
+    }
+
+    fn take_loan(
+        &mut self,
+        account: &mut TeamAccount,
+        asked: &PendingLoan,
+        tokens: f64,
+        now: Instant,
+    ) {
+        let until = asked.sent + LOAN_TERM;
+        if tokens > 0.0 && now < until {
+            account.borrowed.push(BorrowedLoan {
+                id: asked.id,
+                lender: asked.lender.clone(),
+                tokens,
+                until,
+                used: now,
+            });
+        }
+        if tokens < asked.tokens {
+            account.mark_dry(&asked.lender, now + self.policy.dry_pause, now);
+        }
+    }
+
+    /// Admits what the tokens allow; the rest asks on, or is refused when no one is left to ask.
+    fn serve_waiting(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
+        while !account.waiting.is_empty() && account.spend(now) {
+            if let Some(waiting) = account.waiting.pop_front() {
+                self.settle(&waiting, AdmitDecision::Admitted);
+            }
+        }
+        self.return_spent(team, account);
+        let missing = account.waiting.len() as f64 - account.in_hand();
+        if account.waiting.is_empty() || account.expected(now) >= missing {
+            return;
+        }
+        self.borrow(team, account, missing, now);
+        let expected = account.pending.iter().map(|loan| loan.expected).max();
+        for waiting in &mut account.waiting {
+            waiting.deadline = waiting.deadline.max(expected.unwrap_or(now));
+        }
+        if account.expected(now) <= 0.0 {
+            self.refuse_waiting(team, account, now, |_| true);
+        }
+    }
+
+    /// Ends waits, forgets silent lenders and returns idle loans.
+    pub(super) fn tick_loans(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
+        self.spare_silent(account, now);
+        if !account.waiting.is_empty() && self.is_current(now) {
+            self.serve_waiting(team, account, now);
+        }
+        self.refuse_waiting(team, account, now, |waiting| waiting.deadline <= now);
+        let idle = self.policy.idle_return;
+        self.return_loans(team, account, |loan| now >= loan.used + idle);
+    }
+
+    /// Spares lenders whose answer is overdue; it is still taken while the term lasts.
+    fn spare_silent(&mut self, account: &mut TeamAccount, now: Instant) {
+        let pause = self.policy.region_wait * SILENT_WAITS;
+        let overdue: Vec<HostName> = account
+            .pending
+            .iter()
+            .filter(|loan| loan.expected <= now && now < loan.expected + pause)
+            .map(|loan| loan.lender.clone())
+            .collect();
+        for lender in &overdue {
+            account.mark_dry(lender, now + pause, now);
+        }
+        account.pending.retain(|loan| now < loan.sent + LOAN_TERM);
+    }
+
+    /// Refuses the requests that `is_over` picks.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        now: Instant,
+        is_over: impl Fn(&WaitingRequest) -> bool,
+    ) {
+        let decision = if self.is_current(now) {
+            refuse_rate(self.window.team(team))
+        } else {
+            refuse(RefusalCause::NotCurrent, MIN_RETRY)
+        };
+        let waiting = std::mem::take(&mut account.waiting);
+        let (over, kept): (VecDeque<_>, _) = waiting.into_iter().partition(is_over);
+        account.waiting = kept;
+        for waiting in &over {
+            self.settle(waiting, decision);
+        }
+    }
+
+    /// Tells lenders of loans spent to the end, so that they need not wait for the term's end.
+    pub(super) fn return_spent(&mut self, team: &TeamName, account: &mut TeamAccount) {
+        self.return_loans(team, account, |loan| loan.tokens <= 0.0);
+    }
+
+    /// Returns the loans that `is_over` picks; from here on they can't be spent.
+    pub(super) fn return_loans(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        is_over: impl Fn(&BorrowedLoan) -> bool,
+    ) {
+        let closed: Vec<BorrowedLoan> = account
+            .borrowed
+            .extract_if(.., |loan| is_over(loan))
+            .collect();
+        for loan in closed {
+            let message = LoanMessage::Return {
+                id: loan.id,
+                team: team.clone(),
+                tokens: loan.tokens.max(0.0),
+            };
+            self.send(&loan.lender, message);
+        }
+    }
+
+    /// Names the holders anew after a change of revision.
+    fn renew_lenders(&self, team: &TeamName, account: &mut TeamAccount) {
+        let Some(newest) = self.window.newest() else {
+            return;
+        };
+        let revision = self.window.newest_revision();
+        if account.lenders.revision == revision {
+            return;
+        }
+        let mut lenders = LenderList {
+            revision,
+            ..LenderList::default()
+        };
+        for region in newest.settings.regions.keys() {
+            if region_weight(newest, region) <= 0.0 {
+                continue;
+            }
+            let mut holders = region_holders(&self.policy, newest, region, team);
+            holders.retain(|holder| holder != &self.host);
+            // Each borrower has its own order, so that no holder is asked first by all.
+            holders.sort_by_key(|holder| rendezvous_score(self.host.as_str(), holder.as_str()));
+            if region == &self.region {
+                lenders.local = holders;
+            } else {
+                lenders.remote.append(&mut holders);
+            }
+        }
+        account.lenders = Arc::new(lenders);
+    }
+}
--- /dev/null
+++ b/crates/kws-limits/src/ledger/gossip.rs
@@ -0,0 +1,122 @@
+//! Spread of the oldest revisions in use.
+
+use super::LimitsLedger;
+use kws_protocol::{
+    FleetSnapshot, HostName, HostState, LoanMessage, RegionName, TreeRevision, rendezvous_order,
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often a host that waits for a revision to leave asks about it.
+const ASK_PERIOD: Duration = Duration::from_secs(1);
+
+/// The hosts of each region that ask and answer other regions.
+const GATEWAYS: usize = 2;
+
+/// When to ask next.
+#[derive(Debug)]
+pub(super) struct RetainedGossip {
+    next: Instant,
+    round: usize,
+}
+
+impl RetainedGossip {
+    pub(super) fn new(born: Instant) -> Self {
+        Self {
+            next: born,
+            round: 0,
+        }
+    }
+}
+
+impl LimitsLedger {
+    /// Asks a few peers, while a revision other than the newest may be in use.
+    pub(super) fn gossip_retained(&mut self, now: Instant) {
+        if now < self.gossip.next || !self.window.is_waiting() {
+            return;
+        }
+        self.gossip.next = now + ASK_PERIOD;
+        self.gossip.round += 1;
+        for peer in self.peers_to_ask() {
+            self.send(&peer, LoanMessage::AskRetained);
+        }
+    }
+
+    fn peers_to_ask(&self) -> Vec<HostName> {
+        let Some(newest) = self.window.newest() else {
+            return Vec::new();
+        };
+        let gateways = region_gateways(newest, &self.region);
+        let mut asked: Vec<HostName> = if self.window.is_newborn() {
+            self.newborn_peers(newest)
+        } else {
+            gateways.clone()
+        };
+        if gateways.contains(&self.host) {
+            let others = newest.settings.regions.keys();
+            for region in others.filter(|region| **region != self.region) {
+                asked.extend(region_gateways(newest, region));
+            }
+        }
+        asked.retain(|peer| peer != &self.host);
+        asked
+    }
+
+    /// Every peer that has not answered yet, and one of the others in turn.
+    fn newborn_peers(&self, newest: &FleetSnapshot) -> Vec<HostName> {
+        let peers: Vec<&HostName> = newest
+            .hosts
+            .in_region(&self.region)
+            .map(|listed| &listed.name)
+            .collect();
+        let turn = self.gossip.round % peers.len().max(1);
+        peers
+            .into_iter()
+            .enumerate()
+            .filter(|(index, peer)| *index == turn || !self.window.is_unsettled(peer))
+            .map(|(_, peer)| peer.clone())
+            .collect()
+    }
+
+    /// Tells a peer what is known; 0 for the own region while it is not.
+    pub(super) fn tell_retained(&mut self, to: &HostName) {
+        let own = self.window.retained().oldest(&self.region);
+        let others = self.window.retained().iter();
+        let mut known: Vec<(RegionName, TreeRevision)> = others
+            .filter(|(region, _)| **region != self.region)
+            .map(|(region, oldest)| (region.clone(), oldest))
+            .collect();
+        known.push((self.region.clone(), own));
+        for (region, oldest) in known {
+            self.send(to, LoanMessage::Retained { region, oldest });
+        }
+    }
+
+    /// Learns what a peer knows.
+    pub(super) fn learn_retained(
+        &mut self,
+        from: &HostName,
+        region: &RegionName,
+        oldest: TreeRevision,
+        now: Instant,
+    ) {
+        if region == &self.region {
+            let settled = oldest > TreeRevision(0);
+            self.window.note_settled(from, settled, now);
+        }
+        self.window.raise(region, oldest, now);
+    }
+}
+
+fn region_gateways(snapshot: &FleetSnapshot, region: &RegionName) -> Vec<HostName> {
+    let live = snapshot
+        .hosts
+        .in_region(region)
+        .filter(|listed| listed.state == HostState::Live)
+        .map(|listed| listed.name.as_str());
+    rendezvous_order(region.as_str(), live)
+        .into_iter()
+        .take(GATEWAYS)
+        .map(HostName::new)
+        .collect()
+}
--- /dev/null
+++ b/crates/kws-limits/src/ledger/lending.rs
@@ -0,0 +1,68 @@
+//! The lender's side of loans.
+
+use super::LimitsLedger;
+use crate::LOAN_TERM;
+use kws_protocol::{HostName, LoanId, LoanMessage, TeamName};
+use tokio::time::Instant;
+
+impl LimitsLedger {
+    /// Lends own tokens, debited before the answer leaves; a repeated request gets the same answer.
+    pub(super) fn lend(
+        &mut self,
+        borrower: &HostName,
+        id: LoanId,
+        team: &TeamName,
+        wanted: f64,
+        now: Instant,
+    ) {
+        let known = self.is_current(now) && self.window.team(team).is_some();
+        let tokens = if known {
+            self.lend_tokens(borrower, id, team, wanted, now)
+        } else {
+            0.0
+        };
+        let team = team.clone();
+        self.send(borrower, LoanMessage::Lend { id, team, tokens });
+    }
+
+    fn lend_tokens(
+        &mut self,
+        borrower: &HostName,
+        id: LoanId,
+        team: &TeamName,
+        wanted: f64,
+        now: Instant,
+    ) -> f64 {
+        // The borrower's term began when it sent the request, so by any clock it ends before this.
+        let until = now + self.window.stretch(LOAN_TERM);
+        self.with_account(team, now, |_, account| {
+            if let Some(tokens) = account.lent.find(borrower, id) {
+                return tokens;
+            }
+            let tokens = account.lend(wanted);
+            if tokens > 0.0 {
+                account.lent.add(borrower, id, tokens, until);
+            }
+            tokens
+        })
+    }
+
+    /// Closes a loan and takes back what was not spent, once and never more than was lent.
+    pub(super) fn returned(
+        &mut self,
+        borrower: &HostName,
+        id: LoanId,
+        team: &TeamName,
+        unspent: f64,
+        now: Instant,
+    ) {
+        if !self.teams.contains_key(team) {
+            return;
+        }
+        self.with_account(team, now, |_, account| {
+            if let Some(lent) = account.lent.close(borrower, id) {
+                account.take_back(unspent.min(lent));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/kws-limits/tests/common/fleet.rs
@@ -0,0 +1,74 @@
+//! Snapshots of small fleets.
+
+use kws_protocol::{
+    FleetSettings, FleetSnapshot, FreshnessSettings, HostList, HostName, HostState, ListedHost,
+    RegionName, RegionSettings, TeamName, TeamSettings, TreeRevision,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+pub const LEASE: Duration = Duration::from_secs(2);
+pub const LIST_LAG: Duration = Duration::from_secs(1);
+pub const STALE_REGION: Duration = Duration::from_secs(60);
+pub const DRIFT_PPM: u32 = 10_000;
+
+/// One revision: hosts as (region, name), teams as (name, rate, burst), weights by region.
+pub fn snapshot(
+    revision: u64,
+    hosts: &[(&str, &str)],
+    teams: &[(&str, f64, f64)],
+    weights: &[(&str, f64)],
+) -> Arc<FleetSnapshot> {
+    Arc::new(FleetSnapshot {
+        revision: TreeRevision(revision),
+        settings: FleetSettings {
+            freshness: FreshnessSettings {
+                lease: LEASE,
+                list_lag: LIST_LAG,
+                stale_region: STALE_REGION,
+                clock_drift_ppm: DRIFT_PPM,
+            },
+            regions: weights.iter().map(|entry| region(*entry)).collect(),
+            services: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            teams: teams.iter().map(|entry| team(*entry)).collect(),
+        },
+        hosts: HostList {
+            hosts: hosts.iter().map(|entry| host(*entry)).collect(),
+            servers: Vec::new(),
+        },
+    })
+}
+
+fn region((name, weight): (&str, f64)) -> (RegionName, RegionSettings) {
+    let settings = RegionSettings {
+        weight,
+        centers: BTreeSet::new(),
+        spill_bits: 0,
+    };
+    (name.into(), settings)
+}
+
+fn team((name, rate, burst): (&str, f64, f64)) -> (TeamName, TeamSettings) {
+    let settings = TeamSettings {
+        name: name.into(),
+        rate,
+        burst,
+        weight: 1.0,
+        keys: BTreeSet::new(),
+    };
+    (name.into(), settings)
+}
+
+fn host((region, name): (&str, &str)) -> ListedHost {
+    ListedHost {
+        name: HostName::new(name),
+        region: region.into(),
+        center: region.into(),
+        peer: ([127, 0, 0, 1], 1).into(),
+        state: HostState::Live,
+    }
+}
--- /dev/null
+++ b/crates/kws-limits/tests/own_share.rs
@@ -0,0 +1,73 @@
+//! What one host admits by itself.
+
+mod common {
+    pub mod fleet;
+}
+
+use common::fleet::{DRIFT_PPM, LEASE, LIST_LAG, snapshot};
+use kws_limits::{AdmitDecision, LOAN_TERM, LimitsLedger, RefusalCause};
+use kws_protocol::{HostName, RegionName, TeamName};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The longest time in which a superseded revision may be used.
+fn window() -> Duration {
+    (LEASE + LIST_LAG + LOAN_TERM).mul_f64(1.0 + 3.0 * f64::from(DRIFT_PPM) / 1e6)
+}
+
+fn admitted(ledger: &mut LimitsLedger, now: Instant) -> usize {
+    let team = TeamName::new("shop");
+    (0..100)
+        .filter(|_| ledger.admit(&team, now) == AdmitDecision::Admitted)
+        .count()
+}
+
+#[rstest]
+#[case::newborn(Duration::ZERO, 0)]
+#[case::still_young(window().mul_f64(0.9), 0)]
+#[case::settled_empty(window(), 0)]
+#[case::partly_filled(window() + Duration::from_millis(420), 4)]
+#[case::full(window() + Duration::from_secs(60), 10)]
+#[tokio::test(start_paused = true)]
+async fn lone_host(#[case] age: Duration, #[case] expected: usize) {
+    let born = Instant::now();
+    let mut ledger = LimitsLedger::new(HostName::new("a1"), RegionName::new("a"), born);
+    ledger.adopt(
+        &snapshot(1, &[("a", "a1")], &[("shop", 10.0, 10.0)], &[("a", 1.0)]),
+        born,
+    );
+    ledger.set_current(born + Duration::from_secs(1_000), born);
+    ledger.tick(born + window().min(age));
+    let now = born + age;
+    ledger.tick(now);
+    assert_eq!(admitted(&mut ledger, now), expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lapsed_lease() {
+    let born = Instant::now();
+    let mut ledger = LimitsLedger::new(HostName::new("a1"), RegionName::new("a"), born);
+    ledger.adopt(
+        &snapshot(1, &[("a", "a1")], &[("shop", 10.0, 10.0)], &[("a", 1.0)]),
+        born,
+    );
+    ledger.set_current(born + Duration::from_secs(30), born);
+    ledger.tick(born + window());
+    let late = born + Duration::from_secs(30);
+    let decision = ledger.admit(&TeamName::new("shop"), late);
+    assert!(matches!(
+        decision,
+        AdmitDecision::Refused {
+            cause: RefusalCause::NotCurrent,
+            ..
+        }
+    ));
+    ledger.set_current(late + Duration::from_secs(30), late);
+    assert_eq!(
+        admitted(&mut ledger, late),
+        0,
+        "tokens of the time before are lost"
+    );
+    assert_eq!(admitted(&mut ledger, late + Duration::from_secs(20)), 10);
+}
--- a/crates/kws-protocol/src/message/loan.rs
+++ b/crates/kws-protocol/src/message/loan.rs
@@ -1,12 +1,12 @@
 //! Loans of tokens between hosts.
 
-use crate::TeamName;
+use crate::{RegionName, TeamName, TreeRevision};
 
 /// One loan, named by its borrower; a repeated message carries the same identifier.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LoanId(pub u64);
 
-/// A request for tokens, its answer, and the return of unspent ones.
+/// A request for tokens, its answer, the return of unspent ones, and the oldest revisions in use.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LoanMessage {
     /// "Lend me tokens."
@@ -36,4 +36,13 @@
         /// Tokens handed back.
         tokens: f64,
     },
+    /// "Which revisions may still be in use?"
+    AskRetained,
+    /// No host of a region can use a revision older than this one any more; this stays true.
+    Retained {
+        /// The region.
+        region: RegionName,
+        /// The oldest revision that may be in use; 0 when the sender does not know.
+        oldest: TreeRevision,
+    },
 }
--- a/crates/kws-protocol/src/wire/loan.rs
+++ b/crates/kws-protocol/src/wire/loan.rs
@@ -1,36 +1,59 @@
 //! Wire types of loans.
 
 use super::WireError;
-use crate::{LoanId, LoanMessage, TeamName};
+use crate::{LoanId, LoanMessage, RegionName, TeamName, TreeRevision};
 use serde::{Deserialize, Serialize};
 
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-enum WireStep {
-    Borrow,
-    Lend,
-    Return,
-}
-
 #[derive(Debug, Deserialize, Serialize)]
-pub(crate) struct WireLoan {
-    step: WireStep,
+pub(crate) struct WireTokens {
     id: u64,
     team: TeamName,
     tokens: f64,
 }
 
-impl From<&LoanMessage> for WireLoan {
-    fn from(message: &LoanMessage) -> Self {
-        let (step, id, team, tokens) = match message {
-            LoanMessage::Borrow { id, team, tokens } => (WireStep::Borrow, id, team, tokens),
-            LoanMessage::Lend { id, team, tokens } => (WireStep::Lend, id, team, tokens),
-            LoanMessage::Return { id, team, tokens } => (WireStep::Return, id, team, tokens),
-        };
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum WireLoan {
+    Borrow(WireTokens),
+    Lend(WireTokens),
+    Return(WireTokens),
+    AskRetained,
+    Retained { region: RegionName, oldest: u64 },
+}
+
+impl WireTokens {
+    fn new(id: LoanId, team: &TeamName, tokens: f64) -> Self {
         Self {
-            step,
             id: id.0,
             team: team.clone(),
-            tokens: *tokens,
+            tokens,
+        }
+    }
+
+    fn check(self) -> Result<(LoanId, TeamName, f64), WireError> {
+        if !self.tokens.is_finite() || self.tokens < 0.0 {
+            return Err(WireError::OutOfRange { field: "tokens" });
+        }
+        Ok((LoanId(self.id), self.team, self.tokens))
+    }
+}
+
+impl From<&LoanMessage> for WireLoan {
+    fn from(message: &LoanMessage) -> Self {
+        match message {
+            LoanMessage::Borrow { id, team, tokens } => {
+                Self::Borrow(WireTokens::new(*id, team, *tokens))
+            }
+            LoanMessage::Lend { id, team, tokens } => {
+                Self::Lend(WireTokens::new(*id, team, *tokens))
+            }
+            LoanMessage::Return { id, team, tokens } => {
+                Self::Return(WireTokens::new(*id, team, *tokens))
+            }
+            LoanMessage::AskRetained => Self::AskRetained,
+            LoanMessage::Retained { region, oldest } => Self::Retained {
+                region: region.clone(),
+                oldest: oldest.0,
+            },
         }
     }
 }
@@ -39,16 +62,24 @@
     type Error = WireError;
 
     fn try_from(wire: WireLoan) -> Result<Self, WireError> {
-        if !wire.tokens.is_finite() || wire.tokens < 0.0 {
-            return Err(WireError::OutOfRange { field: "tokens" });
-        }
-        let id = LoanId(wire.id);
-        let team = wire.team;
-        let tokens = wire.tokens;
-        Ok(match wire.step {
-            WireStep::Borrow => Self::Borrow { id, team, tokens },
-            WireStep::Lend => Self::Lend { id, team, tokens },
-            WireStep::Return => Self::Return { id, team, tokens },
+        Ok(match wire {
+            WireLoan::Borrow(borrow) => {
+                let (id, team, tokens) = borrow.check()?;
+                Self::Borrow { id, team, tokens }
+            }
+            WireLoan::Lend(lend) => {
+                let (id, team, tokens) = lend.check()?;
+                Self::Lend { id, team, tokens }
+            }
+            WireLoan::Return(unspent) => {
+                let (id, team, tokens) = unspent.check()?;
+                Self::Return { id, team, tokens }
+            }
+            WireLoan::AskRetained => Self::AskRetained,
+            WireLoan::Retained { region, oldest } => Self::Retained {
+                region,
+                oldest: TreeRevision(oldest),
+            },
         })
     }
 }
