--- /dev/null
+++ b/crates/kws-membership/src/checker.rs
@@ -0,0 +1,27 @@
+//! The check of published values, passed in so that this crate knows no file format.
+
+use kws_protocol::{FleetSettings, HostList, PublishedValues};
+use thiserror::Error;
+
+/// The settings and the host list that published values resolve to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CheckedTree {
+    /// The operators' tree, resolved.
+    pub settings: FleetSettings,
+    /// The platform's list.
+    pub hosts: HostList,
+}
+
+/// Why published values are refused whole.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0}")]
+pub struct TreeRejection(pub String);
+
+/// Resolves published values, or refuses them; the same values give the same verdict on every host.
+pub trait TreeChecker: Send {
+    /// Checks `values` whole.
+    ///
+    /// # Errors
+    /// [`TreeRejection`] with all findings as one text.
+    fn check(&self, values: &PublishedValues) -> Result<CheckedTree, TreeRejection>;
+}
--- /dev/null
+++ b/crates/kws-membership/src/questions.rs
@@ -0,0 +1,50 @@
+//! Open questions to peers, by nonce.
+
+use std::{collections::VecDeque, time::Duration};
+use tokio::time::Instant;
+
+/// Spreads the nonces of two hosts with neighbouring seeds (the 64-bit golden ratio).
+const NONCE_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+#[derive(Clone, Copy, Debug)]
+struct QuestionRound {
+    nonce: u64,
+    sent: Instant,
+}
+
+/// The rounds of questions whose answers may still renew the lease.
+#[derive(Clone, Debug)]
+pub(crate) struct QuestionRounds {
+    rounds: VecDeque<QuestionRound>,
+    next_nonce: u64,
+}
+
+impl QuestionRounds {
+    /// Starts with nonces that depend on `seed`.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            rounds: VecDeque::new(),
+            next_nonce: seed.wrapping_mul(NONCE_STEP),
+        }
+    }
+
+    /// Opens a round at `now`, before its questions leave, and returns their nonce.
+    pub(crate) fn open(&mut self, now: Instant, lease: Duration) -> u64 {
+        self.rounds
+            .retain(|round| now.saturating_duration_since(round.sent) < lease);
+        self.next_nonce = self.next_nonce.wrapping_add(NONCE_STEP);
+        self.rounds.push_back(QuestionRound {
+            nonce: self.next_nonce,
+            sent: now,
+        });
+        self.next_nonce
+    }
+
+    /// When the questions with `nonce` were sent, if they are still open.
+    pub(crate) fn sent(&self, nonce: u64) -> Option<Instant> {
+        self.rounds
+            .iter()
+            .find(|round| round.nonce == nonce)
+            .map(|round| round.sent)
+    }
+}
--- /dev/null
+++ b/crates/kws-membership/src/store.rs
@@ -0,0 +1,238 @@
+//! Adoption of revisions: only upward, and whole or not at all.
+
+mod history;
+
+use crate::{CheckedTree, TreeChecker, TreeRejection};
+use history::ChangeHistory;
+use kws_protocol::{ConfigMessage, FleetSnapshot, PublishedValues, TreeRevision};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// Refused revisions that are remembered.
+const MAX_REFUSED: usize = 16;
+
+/// What became of offered values.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreOutcome {
+    /// In force from now on.
+    Adopted(Arc<FleetSnapshot>),
+    /// Already known, in force or refused earlier.
+    Known,
+    /// Older than what is in force.
+    Older,
+    /// The revision is known with another digest; the first one stays.
+    Conflict,
+    /// The check failed; the last good tree stays in force.
+    Refused(TreeRejection),
+}
+
+/// What became of a delta.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DeltaOutcome {
+    /// It gave whole values, which were offered.
+    Offered(StoreOutcome),
+    /// Its base is not held.
+    MissingBase,
+    /// Its result has another digest than it states.
+    BadDigest,
+}
+
+/// The fields of [`ConfigMessage::Delta`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TreeDelta {
+    /// The revision to apply the change to; 0 for a whole copy.
+    pub base: TreeRevision,
+    /// The revision after the change.
+    pub revision: TreeRevision,
+    /// The digest after the change.
+    pub digest: u64,
+    /// Values set, by key.
+    pub set: Vec<(String, Arc<str>)>,
+    /// Keys removed.
+    pub removed: Vec<String>,
+}
+
+/// The tree in force with the values that it came from.
+struct HeldTree {
+    values: PublishedValues,
+    digest: u64,
+    snapshot: Arc<FleetSnapshot>,
+}
+
+/// The newest good tree, and what is known of newer ones.
+pub struct ConfigStore {
+    checker: Box<dyn TreeChecker>,
+    held: Option<HeldTree>,
+    refused: BTreeMap<TreeRevision, u64>,
+    history: ChangeHistory,
+}
+
+impl ConfigStore {
+    /// An empty store.
+    pub fn new(checker: Box<dyn TreeChecker>) -> Self {
+        Self {
+            checker,
+            held: None,
+            refused: BTreeMap::new(),
+            history: ChangeHistory::default(),
+        }
+    }
+
+    /// The snapshot in force.
+    pub fn snapshot(&self) -> Option<&Arc<FleetSnapshot>> {
+        self.held.as_ref().map(|held| &held.snapshot)
+    }
+
+    /// The revision in force; 0 when there is none.
+    pub fn held(&self) -> TreeRevision {
+        self.held
+            .as_ref()
+            .map_or(TreeRevision::default(), |held| held.values.revision)
+    }
+
+    /// The digest of the values in force; 0 when there are none.
+    pub fn digest(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.digest)
+    }
+
+    /// The highest revision judged, in force or refused.
+    pub fn seen(&self) -> TreeRevision {
+        let refused = self.refused.last_key_value().map(|(revision, _)| *revision);
+        self.held().max(refused.unwrap_or_default())
+    }
+
+    /// Whether a host that holds `revision` has values that this one should have and has not.
+    pub fn lacks(&self, revision: TreeRevision) -> bool {
+        revision > self.held() && !self.refused.contains_key(&revision)
+    }
+
+    /// Whether `revision` is known with another digest than `digest`.
+    pub fn conflicts(&self, revision: TreeRevision, digest: u64) -> bool {
+        self.known_digest(revision)
+            .is_some_and(|known| known != digest)
+    }
+
+    /// Judges whole values read at one revision.
+    pub fn offer(&mut self, values: PublishedValues) -> StoreOutcome {
+        let digest = values.digest();
+        if let Some(known) = self.known_digest(values.revision) {
+            return if known == digest {
+                StoreOutcome::Known
+            } else {
+                StoreOutcome::Conflict
+            };
+        }
+        if values.revision <= self.held() {
+            return StoreOutcome::Older;
+        }
+        match self.checker.check(&values) {
+            Ok(tree) => StoreOutcome::Adopted(self.adopt(values, digest, tree)),
+            Err(rejection) => {
+                self.refuse(values.revision, digest);
+                StoreOutcome::Refused(rejection)
+            }
+        }
+    }
+
+    /// Applies a delta to the values in force and judges the result.
+    pub fn apply(&mut self, delta: &TreeDelta) -> DeltaOutcome {
+        if !self.lacks(delta.revision) {
+            return DeltaOutcome::Offered(StoreOutcome::Older);
+        }
+        let Some(mut values) = self.base_values(delta.base) else {
+            return DeltaOutcome::MissingBase;
+        };
+        for key in &delta.removed {
+            values.values.remove(key);
+        }
+        values.values.extend(delta.set.iter().cloned());
+        values.revision = delta.revision;
+        if values.digest() != delta.digest {
+            return DeltaOutcome::BadDigest;
+        }
+        DeltaOutcome::Offered(self.offer(values))
+    }
+
+    /// What changed after `since`, or a whole copy when that is not remembered; none when nothing
+    /// newer is held.
+    pub fn delta_since(&self, since: TreeRevision) -> Option<ConfigMessage> {
+        let held = self.held.as_ref()?;
+        if since >= held.values.revision {
+            return None;
+        }
+        let changed = self.history.changed_since(since);
+        let base = if changed.is_some() {
+            since
+        } else {
+            TreeRevision::default()
+        };
+        let keys = changed.unwrap_or_else(|| held.values.values.keys().cloned().collect());
+        Some(held.delta(base, keys))
+    }
+
+    fn known_digest(&self, revision: TreeRevision) -> Option<u64> {
+        let held = self.held.as_ref();
+        held.filter(|held| held.values.revision == revision)
+            .map(|held| held.digest)
+            .or_else(|| self.refused.get(&revision).copied())
+    }
+
+    fn base_values(&self, base: TreeRevision) -> Option<PublishedValues> {
+        if base == TreeRevision::default() {
+            return Some(PublishedValues::default());
+        }
+        let held = self.held.as_ref()?;
+        (held.values.revision == base).then(|| held.values.clone())
+    }
+
+    fn adopt(
+        &mut self,
+        values: PublishedValues,
+        digest: u64,
+        tree: CheckedTree,
+    ) -> Arc<FleetSnapshot> {
+        if let Some(held) = &self.held {
+            self.history.record(&held.values, &values);
+        }
+        let snapshot = Arc::new(FleetSnapshot {
+            revision: values.revision,
+            settings: tree.settings,
+            hosts: tree.hosts,
+        });
+        self.held = Some(HeldTree {
+            values,
+            digest,
+            snapshot: Arc::clone(&snapshot),
+        });
+        snapshot
+    }
+
+    fn refuse(&mut self, revision: TreeRevision, digest: u64) {
+        self.refused.insert(revision, digest);
+        if self.refused.len() > MAX_REFUSED {
+            self.refused.pop_first();
+        }
+    }
+}
+
+impl HeldTree {
+    fn delta(&self, base: TreeRevision, keys: BTreeSet<String>) -> ConfigMessage {
+        let mut set = Vec::new();
+        let mut removed = Vec::new();
+        for key in keys {
+            match self.values.values.get(&key) {
+                Some(value) => set.push((key, Arc::clone(value))),
+                None => removed.push(key),
+            }
+        }
+        ConfigMessage::Delta {
+            base,
+            revision: self.values.revision,
+            digest: self.digest,
+            set,
+            removed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kws-membership/src/view.rs
@@ -0,0 +1,393 @@
+//! The one state machine of freshness: lease, membership and configuration of this host.
+
+mod spread;
+
+use crate::{
+    ConfigStore, FleetAction, FleetCounters, FleetMembers, FreshnessLease, HostIdentity,
+    LeaseTerms, Readiness, StoreOutcome, TreeChecker, UnreadyReason, members::PeerWord,
+    questions::QuestionRounds,
+};
+use kws_protocol::{
+    FleetSnapshot, HostName, LeaseMessage, PeerMessage, PublishedValues, RevisionView, TreeRevision,
+};
+use spread::SpreadState;
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Rounds of questions, and waits of the platform watch, in one lease.
+const ROUNDS_PER_LEASE: u32 = 3;
+
+/// With less than this part of the lease left, the platform counts as silent.
+const SILENT_PART: u32 = 4;
+
+/// A watch that is this part of the lease late, or failed, is asked again.
+const RETRY_PART: u32 = 12;
+
+/// What the platform last said.
+#[derive(Clone, Copy, Debug)]
+struct PlatformWord {
+    revision: TreeRevision,
+    sent: Instant,
+}
+
+/// Freshness of this host. Each event takes `now` and returns what to do, in order.
+pub struct FleetView {
+    store: ConfigStore,
+    members: FleetMembers,
+    lease: FreshnessLease,
+    terms: LeaseTerms,
+    questions: QuestionRounds,
+    spread: SpreadState,
+    counters: FleetCounters,
+    platform: Option<PlatformWord>,
+    platform_failed: bool,
+    born: Instant,
+    round: u64,
+    next_round: Instant,
+    join_deadline: Option<Instant>,
+    joined: bool,
+    readiness: Readiness,
+}
+
+impl FleetView {
+    /// A host that holds nothing yet. `seed` must differ between hosts and lives.
+    pub fn new(
+        identity: HostIdentity,
+        checker: Box<dyn TreeChecker>,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        Self {
+            store: ConfigStore::new(checker),
+            members: FleetMembers::new(identity),
+            lease: FreshnessLease::default(),
+            terms: LeaseTerms::default(),
+            questions: QuestionRounds::new(seed),
+            spread: SpreadState::default(),
+            counters: FleetCounters::default(),
+            platform: None,
+            platform_failed: false,
+            born: now,
+            round: 0,
+            next_round: now,
+            join_deadline: None,
+            joined: false,
+            readiness: Readiness::Unready(UnreadyReason::NoTree),
+        }
+    }
+
+    /// Names a peer from this host's own settings, asked until a list is held.
+    pub fn add_seed(&mut self, name: HostName) {
+        self.members.add_seed(name);
+    }
+
+    /// Whether this host may act on the snapshot. Ask at the moment of each decision, with the time
+    /// read for that decision.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.joined && self.lease.is_current(now)
+    }
+
+    /// The end of the lease, to be shared with threads that decide; none while not joined. Read it
+    /// again after each event: it moves forward, and back when a new tree shortens the lease.
+    pub fn current_until(&self) -> Option<Instant> {
+        self.lease.until().filter(|_| self.joined)
+    }
+
+    /// The readiness as last decided.
+    pub fn readiness(&self) -> Readiness {
+        self.readiness
+    }
+
+    /// The snapshot in force.
+    pub fn snapshot(&self) -> Option<&Arc<FleetSnapshot>> {
+        self.store.snapshot()
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> &FleetCounters {
+        &self.counters
+    }
+
+    /// What is known of other hosts.
+    pub fn members(&self) -> &FleetMembers {
+        &self.members
+    }
+
+    /// The lease and its bounds in force.
+    pub fn terms(&self) -> &LeaseTerms {
+        &self.terms
+    }
+
+    /// What this host says of itself.
+    pub fn revision_view(&self, now: Instant) -> RevisionView {
+        RevisionView {
+            revision: self.store.held(),
+            digest: self.store.digest(),
+            platform_age: self.lease.platform_age(now, &self.terms),
+        }
+    }
+
+    /// How long the daemon's platform watch may wait: short enough that a wait which returns
+    /// unchanged renews the lease, and that one lost wait does not end it.
+    pub fn watch_wait(&self) -> Duration {
+        self.terms.lease / ROUNDS_PER_LEASE
+    }
+
+    /// How late a watch may be before it counts as failed, and the pause before the next try.
+    pub fn watch_grace(&self) -> Duration {
+        self.terms.lease / RETRY_PART
+    }
+
+    /// The platform answered with whole values, to a question sent at `sent`.
+    pub fn platform_answer(
+        &mut self,
+        values: PublishedValues,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        let revision = values.revision;
+        self.platform_failed = false;
+        let outcome = self.store.offer(values);
+        let conflict = outcome == StoreOutcome::Conflict;
+        self.settle(outcome, now, &mut actions);
+        if !conflict {
+            self.note_platform(revision, sent);
+        }
+        self.drive(now, actions)
+    }
+
+    /// A watch sent at `sent` returned unchanged at `revision`.
+    pub fn platform_confirmed(
+        &mut self,
+        revision: TreeRevision,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        self.platform_failed = false;
+        self.note_platform(revision, sent);
+        self.drive(now, Vec::new())
+    }
+
+    /// A call to the platform failed or timed out.
+    pub fn platform_failed(&mut self, now: Instant) -> Vec<FleetAction> {
+        self.counters.failed_platform += 1;
+        if !self.platform_failed {
+            self.platform_failed = true;
+            self.next_round = now;
+        }
+        self.drive(now, Vec::new())
+    }
+
+    /// A peer's message came; messages of other features are ignored.
+    pub fn receive(
+        &mut self,
+        from: &HostName,
+        message: PeerMessage,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        match message {
+            PeerMessage::Lease(LeaseMessage::Question { nonce, view }) => {
+                self.note_view(from, view, now);
+                actions.push(self.answer(from, nonce, now));
+            }
+            PeerMessage::Lease(LeaseMessage::Answer {
+                nonce,
+                view,
+                counts,
+            }) => self.take_answer(from, nonce, view, counts, now),
+            PeerMessage::Config(message) => self.take_config(from, message, now, &mut actions),
+            PeerMessage::Health(_) | PeerMessage::Loan(_) => return actions,
+        }
+        self.drive(now, actions)
+    }
+
+    /// Time passed; call several times within a round (a twelfth of the lease is enough).
+    pub fn tick(&mut self, now: Instant) -> Vec<FleetAction> {
+        self.members.prune(now, self.terms.lease);
+        self.drive(now, Vec::new())
+    }
+
+    /// Does what the state asks for at `now`.
+    fn drive(&mut self, now: Instant, mut actions: Vec<FleetAction>) -> Vec<FleetAction> {
+        self.renew(now);
+        self.ask(now, &mut actions);
+        self.fetch(now, &mut actions);
+        self.push(now, &mut actions);
+        self.join(now);
+        self.decide_readiness(now, &mut actions);
+        actions
+    }
+
+    fn renew(&mut self, now: Instant) {
+        if self.is_behind(now) {
+            return;
+        }
+        let newest = self.store.seen();
+        if let Some(word) = self.platform.filter(|word| word.revision == newest) {
+            self.lease.confirm_platform(word.sent, &self.terms);
+        }
+        let store = &self.store;
+        let agrees = |view: &RevisionView| {
+            !store.lacks(view.revision) && !store.conflicts(view.revision, view.digest)
+        };
+        if let Some(sent) = self.members.majority_sent(now, agrees) {
+            self.lease.confirm_majority(sent, &self.terms);
+        }
+    }
+
+    /// Whether a host heard within the lease holds values that are missing here.
+    fn is_behind(&self, now: Instant) -> bool {
+        let lacks = |revision| self.store.lacks(revision);
+        let holders = self.members.holders(now, self.terms.lease, lacks);
+        !holders.is_empty()
+    }
+
+    fn ask(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let silent = self.platform_silent(now);
+        if now < self.next_round {
+            return;
+        }
+        self.round += 1;
+        self.next_round = now + self.terms.lease / ROUNDS_PER_LEASE;
+        let mut targets = self.members.region_targets(self.round, silent);
+        let cross = self
+            .members
+            .cross_targets(self.round, now, self.terms.lease);
+        targets.extend(cross);
+        let nonce = self.questions.open(now, self.terms.lease);
+        let view = self.revision_view(now);
+        for to in targets {
+            self.members.note_asked(&to, now);
+            let message = PeerMessage::Lease(LeaseMessage::Question { nonce, view });
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    fn platform_silent(&self, now: Instant) -> bool {
+        let needed = now + self.terms.lease / SILENT_PART;
+        self.platform_failed
+            || self
+                .lease
+                .platform_until()
+                .is_none_or(|until| until < needed)
+    }
+
+    fn answer(&self, to: &HostName, nonce: u64, now: Instant) -> FleetAction {
+        let old_enough = now.saturating_duration_since(self.born) >= self.terms.restart_wait;
+        FleetAction::Send {
+            to: to.clone(),
+            message: PeerMessage::Lease(LeaseMessage::Answer {
+                nonce,
+                view: self.revision_view(now),
+                counts: self.joined && old_enough,
+            }),
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        from: &HostName,
+        nonce: u64,
+        view: RevisionView,
+        counts: bool,
+        now: Instant,
+    ) {
+        self.note_view(from, view, now);
+        let Some(sent) = self.questions.sent(nonce) else {
+            self.counters.late_answers += 1;
+            return;
+        };
+        let word = PeerWord { sent, view, counts };
+        self.members.note_word(from, word, now);
+        // Only a peer that is not behind can vouch for the platform's word on the newest revision.
+        if view.revision >= self.store.held() && !self.store.lacks(view.revision) {
+            let age = self.terms.enlarged(view.platform_age);
+            if let Some(heard) = sent.checked_sub(age) {
+                self.lease.hear_platform(heard);
+            }
+        }
+    }
+
+    fn note_view(&mut self, from: &HostName, view: RevisionView, now: Instant) {
+        if self.store.conflicts(view.revision, view.digest) {
+            self.counters.conflicts += 1;
+        }
+        self.members.note_news(from, view.revision, now);
+    }
+
+    fn note_platform(&mut self, revision: TreeRevision, sent: Instant) {
+        if revision < self.store.seen() {
+            self.counters.stale_platform += 1;
+            return;
+        }
+        let newer = self.platform.is_none_or(|word| word.sent <= sent);
+        if newer {
+            self.platform = Some(PlatformWord { revision, sent });
+        }
+    }
+
+    /// Counts an outcome and puts an adopted snapshot in force.
+    fn settle(&mut self, outcome: StoreOutcome, now: Instant, actions: &mut Vec<FleetAction>) {
+        match outcome {
+            StoreOutcome::Adopted(snapshot) => self.publish(&snapshot, now, actions),
+            StoreOutcome::Conflict => self.counters.conflicts += 1,
+            StoreOutcome::Refused(_) => self.counters.refused_trees += 1,
+            StoreOutcome::Known | StoreOutcome::Older => {}
+        }
+    }
+
+    fn publish(
+        &mut self,
+        snapshot: &Arc<FleetSnapshot>,
+        now: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        self.counters.adopted += 1;
+        self.terms = LeaseTerms::new(&snapshot.settings.freshness);
+        self.lease.change_terms(&self.terms, now);
+        self.members.set_list(snapshot);
+        self.spread.adopted(now, self.terms.lease);
+        if self.join_deadline.is_none() {
+            // The peers of the first list are asked at once.
+            self.join_deadline = Some(now + self.terms.lease);
+            self.next_round = now;
+        }
+        actions.push(FleetAction::Publish(Arc::clone(snapshot)));
+    }
+
+    fn join(&mut self, now: Instant) {
+        let Some(deadline) = self.join_deadline else {
+            return;
+        };
+        let asked = self.members.majority_answered() || now >= deadline;
+        if asked && !self.is_behind(now) {
+            self.joined = true;
+        }
+    }
+
+    fn decide_readiness(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let readiness = self.judge_readiness(now);
+        if readiness != self.readiness {
+            self.readiness = readiness;
+            actions.push(FleetAction::Readiness(readiness));
+        }
+    }
+
+    fn judge_readiness(&self, now: Instant) -> Readiness {
+        if self.store.snapshot().is_none() {
+            return Readiness::Unready(UnreadyReason::NoTree);
+        }
+        if !self.joined {
+            return Readiness::Unready(UnreadyReason::Joining);
+        }
+        if self.members.leaving() {
+            return Readiness::Unready(UnreadyReason::Leaving);
+        }
+        if !self.is_current(now) {
+            return Readiness::Unready(UnreadyReason::NotCurrent);
+        }
+        Readiness::Ready
+    }
+}
--- a/crates/kws-protocol/src/message/config.rs
+++ b/crates/kws-protocol/src/message/config.rs
@@ -17,6 +17,8 @@
         base: TreeRevision,
         /// The revision after the change.
         revision: TreeRevision,
+        /// The digest of all values after the change, as [`crate::PublishedValues::digest`] gives it.
+        digest: u64,
         /// Values set, by key.
         set: Vec<(String, Arc<str>)>,
         /// Keys removed.
--- a/crates/kws-protocol/src/snapshot.rs
+++ b/crates/kws-protocol/src/snapshot.rs
@@ -3,6 +3,7 @@
 use crate::{FleetSettings, HostList};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, fmt, sync::Arc};
+use xxhash_rust::xxh3::Xxh3;
 
 /// The platform's revision of everything it publishes for the fleet; a higher one is newer.
 #[derive(
@@ -26,6 +27,25 @@
     pub values: BTreeMap<String, Arc<str>>,
 }
 
+impl PublishedValues {
+    /// The xxh3 digest of the sorted keys and values, the same on every host; the revision is no
+    /// part of it.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for (key, value) in &self.values {
+            update_text(&mut hasher, key);
+            update_text(&mut hasher, value);
+        }
+        hasher.digest()
+    }
+}
+
+/// Adds a text with its length, so that neighbouring texts cannot trade bytes unseen.
+fn update_text(hasher: &mut Xxh3, text: &str) {
+    hasher.update(&(text.len() as u64).to_le_bytes());
+    hasher.update(text.as_bytes());
+}
+
 /// The checked settings and the host list of one revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSnapshot {
--- a/crates/kws-protocol/src/wire/config.rs
+++ b/crates/kws-protocol/src/wire/config.rs
@@ -12,6 +12,7 @@
     Delta {
         base: u64,
         revision: u64,
+        digest: u64,
         set: Vec<(String, Arc<str>)>,
         removed: Vec<String>,
     },
@@ -24,11 +25,13 @@
             ConfigMessage::Delta {
                 base,
                 revision,
+                digest,
                 set,
                 removed,
             } => Self::Delta {
                 base: base.0,
                 revision: revision.0,
+                digest: *digest,
                 set: set.clone(),
                 removed: removed.clone(),
             },
@@ -45,11 +48,13 @@
             WireConfig::Delta {
                 base,
                 revision,
+                digest,
                 set,
                 removed,
             } => Self::Delta {
                 base: TreeRevision(base),
                 revision: TreeRevision(revision),
+                digest,
                 set,
                 removed,
             },
