--- a/crates/kws-membership/tests/key_index.rs
+++ b/crates/kws-membership/tests/key_index.rs
@@ -27,7 +27,7 @@
         freshness: FreshnessSettings {
             lease: Duration::from_secs(3),
             list_lag: Duration::from_secs(3),
-            stale_region: Duration::from_secs(60),
+            stale_region: Duration::from_mins(1),
             clock_drift_ppm: 0,
         },
         regions: [].into(),
