--- /dev/null
+++ b/crates/kws-forward/src/answer.rs
@@ -0,0 +1,198 @@
+//! The head of a backend server's answer: what is believed, and what is passed on.
+
+use crate::{
+    answer_body::{AnswerBody, AnswerLength, AnswerTimes, HeadBody},
+    control::TryClass,
+    head::strip_answer,
+    single_try::{TryContext, TryFailure},
+    try_guard::TryGuard,
+};
+use kws_protocol::{AnswerChecks, RefusalReason, RetryReason};
+use ntex::{
+    client::ClientResponse,
+    http::{
+        HeaderMap, Method, Response, StatusCode, Version,
+        body::{Body, BodySize},
+        header,
+    },
+};
+
+/// The header by which a server tells whether it ran a request.
+const RUN_HEADER: &str = "knapweedseam-run";
+/// The header by which a server tells that it drains.
+const DRAIN_HEADER: &str = "knapweedseam-drain";
+
+/// Turns a server's answer into the caller's, or into a failed try.
+pub(crate) fn read_answer(
+    context: TryContext<'_>,
+    answer: &ClientResponse,
+    times: AnswerTimes,
+    mut guard: TryGuard,
+) -> Result<Response, TryFailure> {
+    guard.head_came(is_draining(answer.headers()));
+    if says_not_run(answer) {
+        guard.finish(TryClass::NotRun);
+        return Err(TryFailure::not_run(
+            RefusalReason::NoServer,
+            RetryReason::ServerNotRun,
+        ));
+    }
+    let Ok((headers, framing)) = passed_answer(context, answer) else {
+        guard.finish(TryClass::Bad);
+        return Err(TryFailure::unknown(
+            RefusalReason::BadAnswer,
+            RetryReason::BadAnswer,
+        ));
+    };
+    Ok(build_response(
+        context, answer, headers, framing, times, guard,
+    ))
+}
+
+/// The headers and the framing of an answer that keeps every rule.
+fn passed_answer(
+    context: TryContext<'_>,
+    answer: &ClientResponse,
+) -> Result<(HeaderMap, AnswerFraming), RefusalReason> {
+    let headers = answer.headers();
+    if answer.status().as_u16() < 200 || is_crossed(headers, context.request_id) {
+        return Err(RefusalReason::BadAnswer);
+    }
+    if answer.status().is_success() && !satisfies(&context.route.checks, headers) {
+        return Err(RefusalReason::BadAnswer);
+    }
+    let framing = answer_framing(&context.parts.method, answer)?;
+    let mut headers = headers.clone();
+    strip_answer(&mut headers)?;
+    Ok((headers, framing))
+}
+
+/// How an answer ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AnswerFraming {
+    /// It has no body; a length may be stated all the same.
+    Bodiless(Option<AnswerLength>),
+    /// It has a body.
+    Body(AnswerLength),
+}
+
+/// Only a length or chunks show that a body is whole; an answer that ends with its connection
+/// cannot be told from one that was cut.
+fn answer_framing(
+    method: &Method,
+    answer: &ClientResponse,
+) -> Result<AnswerFraming, RefusalReason> {
+    let length = stated_length(answer)?;
+    let status = answer.status();
+    if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        return Ok(AnswerFraming::Bodiless(None));
+    }
+    if method == Method::HEAD {
+        return Ok(AnswerFraming::Bodiless(length));
+    }
+    length
+        .map(AnswerFraming::Body)
+        .ok_or(RefusalReason::BadAnswer)
+}
+
+fn stated_length(answer: &ClientResponse) -> Result<Option<AnswerLength>, RefusalReason> {
+    let headers = answer.headers();
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING);
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH);
+    match (codings.next(), lengths.next()) {
+        (None, None) => Ok(None),
+        (Some(coding), None) => {
+            let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+                && codings.next().is_none()
+                && answer.version() == Version::HTTP_11;
+            chunked
+                .then_some(Some(AnswerLength::Chunked))
+                .ok_or(RefusalReason::BadAnswer)
+        }
+        (None, Some(length)) if lengths.next().is_none() => {
+            let bytes = length
+                .to_str()
+                .ok()
+                .and_then(|text| text.trim().parse().ok());
+            let bytes = bytes.ok_or(RefusalReason::BadAnswer)?;
+            Ok(Some(AnswerLength::Sized(bytes)))
+        }
+        _ => Err(RefusalReason::BadAnswer),
+    }
+}
+
+fn says_not_run(answer: &ClientResponse) -> bool {
+    answer.status() == StatusCode::SERVICE_UNAVAILABLE
+        && answer
+            .headers()
+            .get(RUN_HEADER)
+            .is_some_and(|value| value.as_bytes() == b"not run")
+}
+
+fn is_draining(headers: &HeaderMap) -> bool {
+    headers
+        .get(DRAIN_HEADER)
+        .is_some_and(|value| value.as_bytes() == b"1")
+}
+
+/// Whether the answer names another request than the one it came for.
+fn is_crossed(headers: &HeaderMap, request_id: &str) -> bool {
+    headers
+        .get_all("x-request-id")
+        .any(|echo| echo.as_bytes() != request_id.as_bytes())
+}
+
+fn satisfies(checks: &AnswerChecks, headers: &HeaderMap) -> bool {
+    let present = checks
+        .headers
+        .iter()
+        .all(|name| headers.contains_key(name.as_str()));
+    let typed = checks.content_type.as_ref().is_none_or(|wanted| {
+        let value = headers
+            .get(header::CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok());
+        let media = value.and_then(|value| value.split(';').next());
+        media.is_some_and(|media| media.trim().eq_ignore_ascii_case(wanted))
+    });
+    present && typed
+}
+
+fn build_response(
+    context: TryContext<'_>,
+    answer: &ClientResponse,
+    headers: HeaderMap,
+    framing: AnswerFraming,
+    times: AnswerTimes,
+    mut guard: TryGuard,
+) -> Response {
+    let class = if answer.status().is_server_error() {
+        TryClass::Bad
+    } else {
+        TryClass::Good
+    };
+    let body = match framing {
+        AnswerFraming::Bodiless(length) => {
+            guard.finish(class);
+            bodiless(length)
+        }
+        AnswerFraming::Body(length) => Body::from_message(AnswerBody::new(
+            answer.take_payload(),
+            length,
+            times,
+            context.caller.clone(),
+            guard,
+            class,
+        )),
+    };
+    let mut response = Response::with_body(answer.status(), body);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn bodiless(length: Option<AnswerLength>) -> Body {
+    match length {
+        None => Body::None,
+        Some(AnswerLength::Sized(bytes)) => Body::from_message(HeadBody(BodySize::Sized(bytes))),
+        Some(AnswerLength::Chunked) => Body::from_message(HeadBody(BodySize::Stream)),
+    }
+}
--- /dev/null
+++ b/crates/kws-forward/src/control.rs
@@ -0,0 +1,177 @@
+//! The border between forwarding and the decisions that steer it.
+
+use futures_util::future::BoxFuture;
+use kws_protocol::{
+    FleetSnapshot, RefusalReason, RetryReason, RouteName, RunState, ServerName, ServiceName,
+    TeamName,
+};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// A refusal and when another attempt may succeed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why the request is refused.
+    pub reason: RefusalReason,
+    /// The value of `retry-after`, when it is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<RefusalReason> for Refusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+}
+
+/// A request for a slot of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerRequest {
+    /// The service that runs the request.
+    pub service: ServiceName,
+    /// The team; absent on routes open to all.
+    pub team: Option<TeamName>,
+    /// When the request must have ended.
+    pub deadline: Instant,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Servers that earlier tries of this request used.
+    pub excluded: BTreeSet<ServerName>,
+}
+
+/// Names one granted slot until [`ForwardControl::finish`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GrantTicket(pub u64);
+
+/// A granted slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerGrant {
+    /// The server.
+    pub server: ServerName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The slot.
+    pub ticket: GrantTicket,
+}
+
+/// How one try ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TryClass {
+    /// A whole answer that satisfies the route's checks and is no server error.
+    Good,
+    /// A server error, a broken or wrong answer, or a lost connection.
+    Bad,
+    /// No whole answer in time.
+    Late,
+    /// The connection could not be made.
+    ConnectFailed,
+    /// The server said that it did not run the request.
+    NotRun,
+    /// The caller went away, or the daemon gave up the try for a reason of its own.
+    Cancelled,
+}
+
+/// The report of one try.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TryOutcome {
+    /// From the start of the try to the head of the answer, or to its end without one.
+    pub latency: Duration,
+    /// How it ended.
+    pub class: TryClass,
+    /// Whether the server said that it drains.
+    pub draining: bool,
+}
+
+/// A failed try that could be followed by another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TryReport {
+    /// The route.
+    pub route: RouteName,
+    /// The service.
+    pub service: ServiceName,
+    /// Why the try failed.
+    pub reason: RetryReason,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether the failed try may have run.
+    pub run: RunState,
+    /// Tries made so far.
+    pub tries: u32,
+    /// Time left until the deadline.
+    pub remaining: Duration,
+}
+
+/// Whether another try is allowed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryVerdict {
+    /// Try again.
+    Retry,
+    /// Answer the caller.
+    Stop,
+}
+
+/// One served request, for the access log; it never holds a key, a query or a cookie.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AccessRecord {
+    /// The daemon's identifier of the request.
+    pub request_id: String,
+    /// The caller's address.
+    pub caller: Option<SocketAddr>,
+    /// The method.
+    pub method: String,
+    /// The path without its query.
+    pub path: String,
+    /// The route, when one was found.
+    pub route: Option<RouteName>,
+    /// The team, when one was authenticated.
+    pub team: Option<TeamName>,
+    /// The server of the last try.
+    pub server: Option<ServerName>,
+    /// The status sent to the caller.
+    pub status: u16,
+    /// Why the daemon answered by itself.
+    pub refusal: Option<RefusalReason>,
+    /// Tries made.
+    pub tries: u32,
+    /// From the request's head to the answer's head.
+    pub latency: Duration,
+}
+
+/// Decides over requests; every call of the listener's workers goes through it.
+///
+/// Futures may be dropped at any await: an implementation releases what a dropped call had reserved.
+pub trait ForwardControl: Send + Sync {
+    /// The settings in force; absent until the first tree is known.
+    fn snapshot(&self) -> Option<Arc<FleetSnapshot>>;
+
+    /// Whether this host's lease holds at this moment.
+    fn is_current(&self) -> bool;
+
+    /// Takes one token of the team.
+    fn admit(&self, team: &TeamName) -> BoxFuture<'static, Result<(), Refusal>>;
+
+    /// Waits for a slot of a backend server.
+    fn acquire(
+        &self,
+        request: ServerRequest,
+    ) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>>;
+
+    /// Whether a failed try may be followed by another.
+    ///
+    /// The listener asks only when the route's tries and the at-most-once rule allow one.
+    fn retry(&self, report: &TryReport) -> RetryVerdict;
+
+    /// Ends a grant; called exactly once for each.
+    fn finish(&self, ticket: GrantTicket, outcome: TryOutcome);
+
+    /// Counts a refusal.
+    fn count_refusal(&self, reason: RefusalReason);
+
+    /// Counts a retry.
+    fn count_retry(&self, reason: RetryReason);
+
+    /// Records a request.
+    fn access_log(&self, record: AccessRecord);
+}
--- /dev/null
+++ b/crates/kws-forward/src/exchange.rs
@@ -0,0 +1,318 @@
+//! The way of one request: route, key, limits, backend server, answer.
+
+use crate::{
+    control::{AccessRecord, RetryVerdict, ServerGrant, ServerRequest, TryReport},
+    head::{BodyLength, RequestParts, read_head},
+    reply::{Refused, refusal_response, set_header},
+    request_body::{BodyLimits, RequestBody},
+    route::{find_route, is_repeatable},
+    single_try::{TryContext, TryFailure, run_try},
+    try_guard::TryGuard,
+    worker::WorkerState,
+};
+use kws_protocol::{
+    FleetSnapshot, RefusalReason, RouteAccess, RouteSettings, RunState, ServerName, TeamName,
+};
+use ntex::{
+    http::{ConnectionType, Payload, Request, Response},
+    io::IoRef,
+};
+use std::{collections::BTreeSet, rc::Rc, sync::Arc};
+use tokio::time::Instant;
+
+/// What is known of a request for its record.
+#[derive(Debug, Default)]
+struct ExchangeLog {
+    route: Option<kws_protocol::RouteName>,
+    team: Option<TeamName>,
+    server: Option<ServerName>,
+    tries: u32,
+}
+
+/// Serves one request; a caller that goes away ends it.
+pub(crate) async fn serve(worker: Rc<WorkerState>, request: Request) -> Response {
+    let Some(caller) = request.io().cloned() else {
+        return Response::InternalServerError().finish();
+    };
+    let gone = caller.on_disconnect();
+    tokio::select! {
+        biased;
+        () = gone => Response::BadRequest().force_close().finish(),
+        response = serve_connected(&worker, request, caller) => response,
+    }
+}
+
+async fn serve_connected(worker: &WorkerState, mut request: Request, caller: IoRef) -> Response {
+    let started = Instant::now();
+    let request_id = worker.ids.next_id();
+    let payload = request.take_payload();
+    let mut log = ExchangeLog::default();
+    let result = match read_head(&request) {
+        Ok(parts) => {
+            let mut exchange = Exchange {
+                worker,
+                parts: &parts,
+                request_id: &request_id,
+                caller,
+                started,
+                may_have_run: false,
+                log: &mut log,
+            };
+            let result = exchange.run(payload).await;
+            result.map_err(|refused| exchange.with_history(refused))
+        }
+        Err(reason) => Err(Refused::not_run(reason)),
+    };
+    let refusal = result.as_ref().err().map(|refused| refused.reason);
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refused) => {
+            worker.control.count_refusal(refused.reason);
+            refusal_response(refused, &request_id)
+        }
+    };
+    set_header(response.headers_mut(), "x-request-id", &request_id);
+    if worker.is_draining() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    worker.control.access_log(AccessRecord {
+        request_id,
+        caller: request.peer_addr(),
+        method: request.method().to_string(),
+        path: request.uri().path().to_owned(),
+        route: log.route,
+        team: log.team,
+        server: log.server,
+        status: response.status().as_u16(),
+        refusal,
+        tries: log.tries,
+        latency: started.elapsed(),
+    });
+    response
+}
+
+struct Exchange<'a> {
+    worker: &'a WorkerState,
+    parts: &'a RequestParts,
+    request_id: &'a str,
+    caller: IoRef,
+    started: Instant,
+    may_have_run: bool,
+    log: &'a mut ExchangeLog,
+}
+
+impl Exchange<'_> {
+    async fn run(&mut self, payload: Payload) -> Result<Response, Refused> {
+        let snapshot = self.current_snapshot()?;
+        let route = self.route(&snapshot)?;
+        self.log.route = Some(route.name.clone());
+        self.check_size(route)?;
+        let team = self.authenticate(&snapshot, route)?;
+        self.log.team.clone_from(&team);
+        if let Some(team) = &team {
+            self.admit(team).await?;
+            self.recheck(route, Some(team))?;
+        }
+        self.forward(route, team, payload).await
+    }
+
+    /// The settings, when this host may believe them.
+    fn current_snapshot(&self) -> Result<Arc<FleetSnapshot>, Refused> {
+        let not_current = Refused::not_run(RefusalReason::NotCurrent);
+        if !self.worker.control.is_current() {
+            return Err(not_current);
+        }
+        self.worker.control.snapshot().ok_or(not_current)
+    }
+
+    fn route<'s>(&self, snapshot: &'s FleetSnapshot) -> Result<&'s RouteSettings, Refused> {
+        let method = self.parts.method.as_str();
+        find_route(
+            &snapshot.settings,
+            &self.parts.host,
+            &self.parts.path,
+            method,
+        )
+        .ok_or(Refused::not_run(RefusalReason::RouteUnknown))
+    }
+
+    fn check_size(&self, route: &RouteSettings) -> Result<(), Refused> {
+        if self.parts.size > route.max_head {
+            return Err(Refused::not_run(RefusalReason::HeadTooLarge));
+        }
+        match self.parts.length {
+            BodyLength::Sized(bytes) if bytes > route.max_body => {
+                Err(Refused::not_run(RefusalReason::BodyTooLarge))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The team that the request runs for; absent on a route open to all.
+    fn authenticate(
+        &self,
+        snapshot: &Arc<FleetSnapshot>,
+        route: &RouteSettings,
+    ) -> Result<Option<TeamName>, Refused> {
+        if route.access == RouteAccess::Open {
+            return Ok(None);
+        }
+        let digest = self
+            .parts
+            .key
+            .ok_or(Refused::not_run(RefusalReason::KeyMissing))?;
+        let team = self.worker.keys.team(snapshot, digest);
+        let team = team.ok_or(Refused::not_run(RefusalReason::KeyUnknown))?;
+        match &route.access {
+            RouteAccess::Teams(teams) if !teams.contains(&team) => {
+                Err(Refused::not_run(RefusalReason::TeamForbidden))
+            }
+            _ => Ok(Some(team)),
+        }
+    }
+
+    async fn admit(&self, team: &TeamName) -> Result<(), Refused> {
+        let admitted = self.worker.control.admit(team).await;
+        admitted.map_err(|refusal| Refused {
+            retry_after: refusal.retry_after,
+            ..Refused::not_run(refusal.reason)
+        })
+    }
+
+    /// Judges the request again after a wait: the key may have been withdrawn, the route changed,
+    /// or the lease run out.
+    fn recheck(&self, route: &RouteSettings, team: Option<&TeamName>) -> Result<(), Refused> {
+        let snapshot = self.current_snapshot()?;
+        let now = self.route(&snapshot)?;
+        if now.name != route.name || now.service != route.service {
+            return Err(Refused::not_run(RefusalReason::RouteUnknown));
+        }
+        if self.authenticate(&snapshot, now)?.as_ref() != team {
+            return Err(Refused::not_run(RefusalReason::KeyUnknown));
+        }
+        Ok(())
+    }
+
+    /// As [`Self::recheck`]; the grant of a refused request is handed back.
+    fn recheck_granted(
+        &self,
+        route: &RouteSettings,
+        team: Option<&TeamName>,
+        grant: &ServerGrant,
+    ) -> Result<(), Refused> {
+        let checked = self.recheck(route, team);
+        if checked.is_err() {
+            drop(TryGuard::new(
+                Arc::clone(&self.worker.control),
+                grant.ticket,
+            ));
+        }
+        checked
+    }
+
+    /// A refusal says "not run" only when no earlier try may have run.
+    fn with_history(&self, refused: Refused) -> Refused {
+        if self.may_have_run {
+            return Refused {
+                run: RunState::Unknown,
+                ..refused
+            };
+        }
+        refused
+    }
+
+    async fn forward(
+        &mut self,
+        route: &RouteSettings,
+        team: Option<TeamName>,
+        payload: Payload,
+    ) -> Result<Response, Refused> {
+        let limits = BodyLimits {
+            max_bytes: route.max_body,
+            idle: route.idle,
+        };
+        let body = RequestBody::new(payload, self.parts.length, limits);
+        let mut excluded = BTreeSet::new();
+        loop {
+            let grant = self.acquire(route, team.as_ref(), &excluded).await?;
+            self.recheck_granted(route, team.as_ref(), &grant)?;
+            self.log.server = Some(grant.server.clone());
+            self.log.tries += 1;
+            excluded.insert(grant.server.clone());
+            let context = self.try_context(route, team.as_ref(), &grant);
+            let failure = match run_try(context, body.clone()).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            self.may_have_run |= failure.refused.run == RunState::Unknown;
+            if !self.may_retry(route, &body, failure) {
+                return Err(failure.refused);
+            }
+        }
+    }
+
+    async fn acquire(
+        &self,
+        route: &RouteSettings,
+        team: Option<&TeamName>,
+        excluded: &BTreeSet<ServerName>,
+    ) -> Result<ServerGrant, Refused> {
+        let request = ServerRequest {
+            service: route.service.clone(),
+            team: team.cloned(),
+            deadline: self.started + route.deadline,
+            repeatable: is_repeatable(route, self.parts.method.as_str()),
+            excluded: excluded.clone(),
+        };
+        let granted = self.worker.control.acquire(request).await;
+        granted.map_err(Refused::not_run)
+    }
+
+    fn try_context<'t>(
+        &'t self,
+        route: &'t RouteSettings,
+        team: Option<&'t TeamName>,
+        grant: &'t ServerGrant,
+    ) -> TryContext<'t> {
+        TryContext {
+            worker: self.worker,
+            parts: self.parts,
+            route,
+            team,
+            grant,
+            request_id: self.request_id,
+            deadline: self.started + route.deadline,
+            caller: &self.caller,
+        }
+    }
+
+    /// At most once: a request that may have run is sent again only when it may be repeated.
+    fn may_retry(&self, route: &RouteSettings, body: &RequestBody, failure: TryFailure) -> bool {
+        let Some(reason) = failure.retry else {
+            return false;
+        };
+        let repeatable = is_repeatable(route, self.parts.method.as_str());
+        let safe = repeatable || failure.refused.run == RunState::NotRun;
+        let deadline = self.started + route.deadline;
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if !safe || !body.is_whole() || self.log.tries >= route.tries || remaining.is_zero() {
+            return false;
+        }
+        let report = TryReport {
+            route: route.name.clone(),
+            service: route.service.clone(),
+            reason,
+            repeatable,
+            run: failure.refused.run,
+            tries: self.log.tries,
+            remaining,
+        };
+        let retried = self.worker.control.retry(&report) == RetryVerdict::Retry;
+        if retried {
+            self.worker.control.count_retry(reason);
+        }
+        retried
+    }
+}
--- /dev/null
+++ b/crates/kws-forward/src/head.rs
@@ -0,0 +1,254 @@
+//! Checks of a request's head, and the headers that pass in each direction.
+
+use crate::{credential::take_key, target::check_path};
+use kws_protocol::{KeyDigest, RefusalReason};
+use ntex::http::{HeaderMap, Method, Request, Version, header};
+use std::{collections::BTreeSet, net::SocketAddr};
+
+/// Prefix of the headers that only daemons set.
+const OWN_PREFIX: &str = "x-knapweedseam-";
+/// Prefix of the headers by which the daemon and backend servers talk.
+const RUN_PREFIX: &str = "knapweedseam-";
+/// Prefix of the headers by which proxies tell whom they serve.
+const FORWARDED_PREFIX: &str = "x-forwarded-";
+
+/// Headers of one connection, never passed on.
+const HOP_HEADERS: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "http2-settings",
+];
+/// Request headers that the daemon sets or answers itself.
+const REPLACED_HEADERS: [&str; 7] = [
+    "expect",
+    "forwarded",
+    "host",
+    "content-length",
+    "traceparent",
+    "x-real-ip",
+    "x-request-id",
+];
+/// Headers that a `Connection` header must not name: dropping them would change the request.
+const PROTECTED_HEADERS: [&str; 7] = [
+    "authorization",
+    "content-length",
+    "content-type",
+    "cookie",
+    "host",
+    "transfer-encoding",
+    "x-api-key",
+];
+
+/// How a request's body is framed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyLength {
+    /// No body.
+    None,
+    /// A body of this many bytes.
+    Sized(u64),
+    /// A chunked body.
+    Chunked,
+}
+
+/// A request's head after its checks, without keys.
+#[derive(Debug)]
+pub(crate) struct RequestParts {
+    /// The method.
+    pub(crate) method: Method,
+    /// The host name without its port, in lower case.
+    pub(crate) host: String,
+    /// The `host` header.
+    pub(crate) authority: String,
+    /// The path.
+    pub(crate) path: String,
+    /// The query without keys.
+    pub(crate) query: Option<String>,
+    /// The headers to pass on.
+    pub(crate) headers: HeaderMap,
+    /// The caller's `traceparent`.
+    pub(crate) trace: Option<String>,
+    /// The digest of the caller's key.
+    pub(crate) key: Option<KeyDigest>,
+    /// The framing of the body.
+    pub(crate) length: BodyLength,
+    /// Bytes of the head, without its line ends.
+    pub(crate) size: u64,
+    /// The caller's address.
+    pub(crate) caller: Option<SocketAddr>,
+}
+
+impl RequestParts {
+    /// The path and query to ask a backend server for.
+    pub(crate) fn target(&self) -> String {
+        match &self.query {
+            Some(query) => format!("{}?{query}", self.path),
+            None => self.path.clone(),
+        }
+    }
+}
+
+/// Checks a request's head and takes it apart.
+///
+/// # Errors
+/// [`RefusalReason::BadRequest`] or [`RefusalReason::KeyTwice`].
+pub(crate) fn read_head(request: &Request) -> Result<RequestParts, RefusalReason> {
+    check_method(request)?;
+    check_path(request.uri().path())?;
+    let authority = single_host(request)?;
+    let length = body_length(request.headers())?;
+    let size = head_size(request);
+    let mut headers = request.headers().clone();
+    let mut query = request.uri().query().map(str::to_owned);
+    let key = take_key(&mut headers, &mut query)?;
+    let trace = single_text(&headers, "traceparent");
+    strip_hop(&mut headers)?;
+    strip_identity(&mut headers);
+    Ok(RequestParts {
+        method: request.method().clone(),
+        host: host_name(&authority),
+        authority,
+        path: request.uri().path().to_owned(),
+        query,
+        headers,
+        trace,
+        key,
+        length,
+        size,
+        caller: request.peer_addr(),
+    })
+}
+
+/// Takes the headers out that must not reach the caller.
+///
+/// # Errors
+/// [`RefusalReason::BadAnswer`] for a `connection` header that is not text or names a header of
+/// the message.
+pub(crate) fn strip_answer(headers: &mut HeaderMap) -> Result<(), RefusalReason> {
+    strip_hop(headers).map_err(|_| RefusalReason::BadAnswer)?;
+    remove_where(headers, |name| {
+        name.starts_with(OWN_PREFIX) || name.starts_with(RUN_PREFIX) || name == "x-request-id"
+    });
+    Ok(())
+}
+
+fn check_method(request: &Request) -> Result<(), RefusalReason> {
+    let refused = matches!(*request.method(), Method::CONNECT | Method::TRACE)
+        || request.version() != Version::HTTP_11
+        || request.headers().contains_key(header::UPGRADE)
+        || request.uri().scheme().is_some()
+        || request.uri().authority().is_some();
+    refuse_if(refused)
+}
+
+fn single_host(request: &Request) -> Result<String, RefusalReason> {
+    let text = single_text(request.headers(), "host").ok_or(RefusalReason::BadRequest)?;
+    let valid = !text.is_empty()
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-._:[]".contains(&b));
+    refuse_if(!valid)?;
+    Ok(text)
+}
+
+/// The text of a header that came exactly once.
+fn single_text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let mut values = headers.get_all(name);
+    let text = values.next()?.to_str().ok()?.to_owned();
+    values.next().is_none().then_some(text)
+}
+
+/// The host name of an authority without its port.
+fn host_name(authority: &str) -> String {
+    let name = match authority.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => authority,
+    };
+    name.trim_end_matches('.').to_ascii_lowercase()
+}
+
+fn body_length(headers: &HeaderMap) -> Result<BodyLength, RefusalReason> {
+    let coded = headers.contains_key(header::TRANSFER_ENCODING);
+    let sized = headers.contains_key(header::CONTENT_LENGTH);
+    refuse_if(coded && sized)?;
+    if coded {
+        let coding = single_text(headers, "transfer-encoding");
+        let chunked = coding.is_some_and(|text| text.eq_ignore_ascii_case("chunked"));
+        refuse_if(!chunked)?;
+        return Ok(BodyLength::Chunked);
+    }
+    if !sized {
+        return Ok(BodyLength::None);
+    }
+    let digits = single_text(headers, "content-length").ok_or(RefusalReason::BadRequest)?;
+    refuse_if(!digits.bytes().all(|b| b.is_ascii_digit()))?;
+    let bytes = digits.parse().map_err(|_| RefusalReason::BadRequest)?;
+    Ok(BodyLength::Sized(bytes))
+}
+
+fn head_size(request: &Request) -> u64 {
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    let headers: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    (request.method().as_str().len() + target + headers) as u64
+}
+
+/// Takes out the headers of the connection, and those that `connection` names.
+fn strip_hop(headers: &mut HeaderMap) -> Result<(), RefusalReason> {
+    let mut named = BTreeSet::new();
+    for value in headers.get_all(header::CONNECTION) {
+        let text = value.to_str().map_err(|_| RefusalReason::BadRequest)?;
+        named.extend(text.split(',').map(|name| name.trim().to_ascii_lowercase()));
+    }
+    refuse_if(named.iter().any(|name| is_protected(name)))?;
+    remove_where(headers, |name| {
+        HOP_HEADERS.contains(&name) || named.contains(name)
+    });
+    Ok(())
+}
+
+fn is_protected(name: &str) -> bool {
+    PROTECTED_HEADERS.contains(&name) || is_identity(name)
+}
+
+fn is_identity(name: &str) -> bool {
+    name.starts_with(OWN_PREFIX)
+        || name.starts_with(RUN_PREFIX)
+        || name.starts_with(FORWARDED_PREFIX)
+}
+
+fn strip_identity(headers: &mut HeaderMap) {
+    remove_where(headers, |name| {
+        is_identity(name) || REPLACED_HEADERS.contains(&name) || name.contains('_')
+    });
+}
+
+fn remove_where(headers: &mut HeaderMap, drops: impl Fn(&str) -> bool) {
+    let dropped: Vec<_> = headers
+        .keys()
+        .filter(|name| drops(name.as_str()))
+        .cloned()
+        .collect();
+    for name in dropped {
+        headers.remove(name);
+    }
+}
+
+fn refuse_if(refused: bool) -> Result<(), RefusalReason> {
+    if refused {
+        return Err(RefusalReason::BadRequest);
+    }
+    Ok(())
+}
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -1,1 +1,26 @@
 //! Caller listeners and forwarding of requests.
+
+mod answer;
+mod answer_body;
+mod control;
+mod credential;
+mod exchange;
+mod head;
+mod listener;
+mod reply;
+mod request_body;
+mod request_id;
+mod route;
+mod silence;
+mod single_try;
+mod target;
+mod try_guard;
+mod upstream;
+mod worker;
+
+pub use control::{
+    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
+    TryClass, TryOutcome, TryReport,
+};
+pub use listener::{ListenerHandle, ListenerSettings, run_listener};
+pub use route::{find_route, is_repeatable};
--- /dev/null
+++ b/crates/kws-forward/src/request_body.rs
@@ -0,0 +1,150 @@
+//! The caller's body on its way to the backend server.
+
+use crate::{head::BodyLength, silence::SilenceTimer};
+use kws_protocol::RefusalReason;
+use ntex::{
+    http::{
+        Payload,
+        body::{BodySize, MessageBody},
+    },
+    util::Bytes,
+};
+use std::{
+    cell::RefCell,
+    error::Error,
+    fmt,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+/// The limits of a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// The largest size, in bytes.
+    pub(crate) max_bytes: u64,
+    /// The longest silence.
+    pub(crate) idle: Duration,
+}
+
+/// A body that is read from the caller at most once, whatever the number of tries.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestBody(Rc<RefCell<BodySource>>);
+
+struct BodySource {
+    payload: Payload,
+    length: BodyLength,
+    limits: BodyLimits,
+    received: u64,
+    started: bool,
+    failure: Option<RefusalReason>,
+    silence: SilenceTimer,
+}
+
+impl fmt::Debug for BodySource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("BodySource")
+            .field("length", &self.length)
+            .field("received", &self.received)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The caller's body broke off or broke a rule.
+#[derive(Debug, thiserror::Error)]
+#[error("request body failed")]
+struct BodyError;
+
+impl RequestBody {
+    /// A body that nothing was read of.
+    pub(crate) fn new(payload: Payload, length: BodyLength, limits: BodyLimits) -> Self {
+        Self(Rc::new(RefCell::new(BodySource {
+            payload,
+            length,
+            limits,
+            received: 0,
+            started: false,
+            failure: None,
+            silence: SilenceTimer::new(limits.idle),
+        })))
+    }
+
+    /// Whether a try may still send the whole body.
+    pub(crate) fn is_whole(&self) -> bool {
+        let source = self.0.borrow();
+        !source.started || source.is_empty()
+    }
+
+    /// Why the body failed, if it did.
+    pub(crate) fn failure(&self) -> Option<RefusalReason> {
+        self.0.borrow().failure
+    }
+
+    /// Whether the request states no body at all.
+    pub(crate) fn is_absent(&self) -> bool {
+        self.0.borrow().length == BodyLength::None
+    }
+}
+
+impl BodySource {
+    fn is_empty(&self) -> bool {
+        matches!(self.length, BodyLength::None | BodyLength::Sized(0))
+    }
+
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        self.started = true;
+        match self.payload.poll_recv(context) {
+            Poll::Ready(Some(Ok(chunk))) => Poll::Ready(Some(self.take_chunk(chunk))),
+            Poll::Ready(Some(Err(_))) => Poll::Ready(Some(self.fail(RefusalReason::BadRequest))),
+            Poll::Ready(None) => Poll::Ready(self.end()),
+            Poll::Pending => {
+                std::task::ready!(self.silence.poll_silent(context));
+                Poll::Ready(Some(self.fail(RefusalReason::DeadlinePassed)))
+            }
+        }
+    }
+
+    fn take_chunk(&mut self, chunk: Bytes) -> Result<Bytes, BodyError> {
+        self.received += chunk.len() as u64;
+        if self.received > self.limits.max_bytes {
+            return self.fail(RefusalReason::BodyTooLarge);
+        }
+        self.silence.heard();
+        Ok(chunk)
+    }
+
+    /// A body that ends short must not end clean towards the server either.
+    fn end(&mut self) -> Option<Result<Bytes, BodyError>> {
+        match self.length {
+            BodyLength::Sized(bytes) if bytes != self.received => {
+                Some(self.fail(RefusalReason::BadRequest))
+            }
+            _ => None,
+        }
+    }
+
+    fn fail(&mut self, reason: RefusalReason) -> Result<Bytes, BodyError> {
+        self.failure = Some(reason);
+        Err(BodyError)
+    }
+}
+
+impl MessageBody for RequestBody {
+    fn size(&self) -> BodySize {
+        match self.0.borrow().length {
+            BodyLength::None => BodySize::None,
+            BodyLength::Sized(0) => BodySize::Empty,
+            BodyLength::Sized(bytes) => BodySize::Sized(bytes),
+            BodyLength::Chunked => BodySize::Stream,
+        }
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
+        let chunk = std::task::ready!(self.0.borrow_mut().poll_chunk(context));
+        Poll::Ready(chunk.map(|chunk| chunk.map_err(|error| Rc::new(error) as Rc<dyn Error>)))
+    }
+}
--- /dev/null
+++ b/crates/kws-forward/src/single_try.rs
@@ -0,0 +1,164 @@
+//! One try of a request on one backend server.
+
+use crate::{
+    answer::read_answer,
+    answer_body::AnswerTimes,
+    control::{ServerGrant, TryClass},
+    head::RequestParts,
+    reply::{Refused, set_header},
+    request_body::RequestBody,
+    request_id::trace_parent,
+    try_guard::TryGuard,
+    upstream::SendError,
+    worker::WorkerState,
+};
+use kws_protocol::{RefusalReason, RetryReason, RouteSettings, TeamName};
+use ntex::{
+    client::{Client, ClientRequest, ClientResponse},
+    http::{Response, body::Body},
+    io::IoRef,
+};
+use std::sync::Arc;
+use tokio::time::{Instant, timeout_at};
+
+/// What a try needs.
+#[derive(Clone, Copy)]
+pub(crate) struct TryContext<'a> {
+    /// The worker.
+    pub(crate) worker: &'a WorkerState,
+    /// The request.
+    pub(crate) parts: &'a RequestParts,
+    /// Its route.
+    pub(crate) route: &'a RouteSettings,
+    /// Its team.
+    pub(crate) team: Option<&'a TeamName>,
+    /// The server.
+    pub(crate) grant: &'a ServerGrant,
+    /// Its identifier.
+    pub(crate) request_id: &'a str,
+    /// When it must have ended.
+    pub(crate) deadline: Instant,
+    /// The caller's connection.
+    pub(crate) caller: &'a IoRef,
+}
+
+/// A try without an answer for the caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct TryFailure {
+    /// The answer if no other try follows.
+    pub(crate) refused: Refused,
+    /// The reason for another try; absent when none can help.
+    pub(crate) retry: Option<RetryReason>,
+}
+
+impl TryFailure {
+    /// A failure after which the request may have run.
+    pub(crate) fn unknown(reason: RefusalReason, retry: RetryReason) -> Self {
+        Self {
+            refused: Refused::unknown(reason),
+            retry: Some(retry),
+        }
+    }
+
+    /// A failure after which the request certainly did not run.
+    pub(crate) fn not_run(reason: RefusalReason, retry: RetryReason) -> Self {
+        Self {
+            refused: Refused::not_run(reason),
+            retry: Some(retry),
+        }
+    }
+}
+
+/// Sends the request and reads the head of the answer.
+pub(crate) async fn run_try(
+    context: TryContext<'_>,
+    body: RequestBody,
+) -> Result<Response, TryFailure> {
+    let mut guard = TryGuard::new(Arc::clone(&context.worker.control), context.grant.ticket);
+    let sent = timeout_at(context.deadline, send(context, body.clone())).await;
+    match sent {
+        Ok(Ok(answer)) => {
+            let times = AnswerTimes {
+                deadline: context.deadline,
+                idle: context.route.idle,
+            };
+            read_answer(context, &answer, times, guard)
+        }
+        Ok(Err(error)) => Err(send_failure(error, &body, &mut guard)),
+        Err(_) => {
+            context.worker.pool.doubt(context.grant.address);
+            guard.finish(TryClass::Late);
+            Err(TryFailure {
+                refused: Refused::unknown(RefusalReason::DeadlinePassed),
+                retry: None,
+            })
+        }
+    }
+}
+
+fn send_failure(error: SendError, body: &RequestBody, guard: &mut TryGuard) -> TryFailure {
+    if let Some(reason) = body.failure() {
+        guard.finish(TryClass::Cancelled);
+        return TryFailure {
+            refused: Refused::unknown(reason),
+            retry: None,
+        };
+    }
+    match error {
+        SendError::Connect => {
+            guard.finish(TryClass::ConnectFailed);
+            TryFailure::not_run(RefusalReason::NoServer, RetryReason::ConnectFailed)
+        }
+        SendError::Lost => {
+            guard.finish(TryClass::Bad);
+            TryFailure::unknown(RefusalReason::ConnectionLost, RetryReason::ConnectionLost)
+        }
+        SendError::Malformed => {
+            guard.finish(TryClass::Bad);
+            TryFailure::unknown(RefusalReason::BadAnswer, RetryReason::BadAnswer)
+        }
+    }
+}
+
+async fn send(context: TryContext<'_>, body: RequestBody) -> Result<ClientResponse, SendError> {
+    let address = context.grant.address;
+    let repeatable = crate::route::is_repeatable(context.route, context.parts.method.as_str());
+    let client = context.worker.pool.client(address, repeatable).await;
+    let request = build_request(context, &client.ok_or(SendError::Connect)?);
+    let body = if body.is_absent() {
+        Body::None
+    } else {
+        Body::from_message(body)
+    };
+    let answer = request.send_body(body).await;
+    answer.map_err(|error| SendError::classify(&error))
+}
+
+fn build_request(context: TryContext<'_>, client: &Client) -> ClientRequest {
+    let parts = context.parts;
+    let url = format!("http://{}{}", context.grant.address, parts.target());
+    let mut request = client
+        .request(parts.method.clone(), url.as_str())
+        .no_decompress();
+    let headers = request.headers_mut();
+    for (name, value) in &parts.headers {
+        headers.append(name.clone(), value.clone());
+    }
+    set_header(headers, "host", &parts.authority);
+    set_header(headers, "x-request-id", context.request_id);
+    let trace = trace_parent(parts.trace.as_deref(), context.request_id);
+    set_header(headers, "traceparent", &trace);
+    if let Some(team) = context.team {
+        set_header(headers, "x-knapweedseam-team", team.as_str());
+    }
+    if let Some(caller) = parts.caller {
+        set_header(headers, "x-forwarded-for", &caller.ip().to_string());
+    }
+    let left = context.deadline.saturating_duration_since(Instant::now());
+    set_header(
+        headers,
+        "x-knapweedseam-deadline-ms",
+        &left.as_millis().to_string(),
+    );
+    request
+}
--- /dev/null
+++ b/crates/kws-forward/src/upstream.rs
@@ -0,0 +1,121 @@
+//! Connections to backend servers.
+
+use ntex::{
+    SharedCfg,
+    client::{
+        Client, Connector,
+        error::{ClientError, ConnectError as ClientConnectError},
+    },
+    connect::{Connect, ConnectError, Connector as TcpConnector},
+    http::Uri,
+    io::Io,
+    service::apply_fn_factory,
+    time::Seconds,
+};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::timeout;
+
+/// The longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection may be reused for a repeatable request.
+const REPEATABLE_IDLE: Seconds = Seconds(10);
+/// How long an idle connection may be reused for any other request.
+const FRESH_IDLE: Seconds = Seconds(1);
+/// How old a connection may grow.
+const CONNECTION_LIFETIME: Seconds = Seconds(60);
+/// Connections of one worker to one server; the slots of the server bound their use.
+const CONNECTION_LIMIT: usize = 1024;
+
+/// Why a try got no answer's head.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SendError {
+    /// No connection could be made, so nothing was sent.
+    Connect,
+    /// The connection was lost; the request may have arrived.
+    Lost,
+    /// What came is no answer.
+    Malformed,
+}
+
+impl SendError {
+    /// Reads the client's error.
+    ///
+    /// Only the connector of this module fails with [`ClientConnectError::Unresolved`]; every other
+    /// error may follow bytes that were sent.
+    pub(crate) fn classify(error: &ClientError) -> Self {
+        match error {
+            ClientError::Connect(ClientConnectError::Unresolved) => Self::Connect,
+            ClientError::Response(_) => Self::Malformed,
+            _ => Self::Lost,
+        }
+    }
+}
+
+/// The clients of one server: idle connections are shared by requests of one kind only.
+#[derive(Debug)]
+struct ServerClients {
+    repeatable: Client,
+    fresh: Client,
+}
+
+/// The connections of one worker.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamPool {
+    clients: RefCell<HashMap<SocketAddr, Rc<ServerClients>>>,
+}
+
+impl UpstreamPool {
+    /// The client for a request to `address`.
+    pub(crate) async fn client(&self, address: SocketAddr, repeatable: bool) -> Option<Client> {
+        let known = self.clients.borrow().get(&address).map(Rc::clone);
+        let clients = match known {
+            Some(clients) => clients,
+            None => self.add_server(address).await?,
+        };
+        Some(if repeatable {
+            clients.repeatable.clone()
+        } else {
+            clients.fresh.clone()
+        })
+    }
+
+    /// Forgets the idle connections to `address`, after one of them went silent.
+    pub(crate) fn doubt(&self, address: SocketAddr) {
+        self.clients.borrow_mut().remove(&address);
+    }
+
+    async fn add_server(&self, address: SocketAddr) -> Option<Rc<ServerClients>> {
+        let clients = Rc::new(ServerClients {
+            repeatable: build_client(REPEATABLE_IDLE).await?,
+            fresh: build_client(FRESH_IDLE).await?,
+        });
+        let mut known = self.clients.borrow_mut();
+        // Another request may have added the server during the wait; its connections are kept.
+        Some(Rc::clone(known.entry(address).or_insert(clients)))
+    }
+}
+
+/// A client that sends each request once, unchanged, and without timeouts of its own.
+async fn build_client(idle: Seconds) -> Option<Client> {
+    let connector = Connector::new()
+        .connector(apply_fn_factory(
+            TcpConnector::<Uri>::new(),
+            async |request: Connect<Uri>, service| -> Result<Io, ConnectError> {
+                match timeout(CONNECT_TIMEOUT, service.call(request)).await {
+                    Ok(Ok(io)) => Ok(io),
+                    Ok(Err(_)) | Err(_) => Err(ConnectError::Unresolved),
+                }
+            },
+        ))
+        .limit(CONNECTION_LIMIT)
+        .keep_alive(idle)
+        .lifetime(CONNECTION_LIFETIME);
+    Client::builder()
+        .connector::<()>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .build(SharedCfg::default())
+        .await
+        .ok()
+}
--- /dev/null
+++ b/crates/kws-standin/src/backend/answer.rs
@@ -0,0 +1,153 @@
+//! Answers, whole or broken.
+
+use super::script::{BackendFault, BackendScript, BodyFraming};
+use std::{fmt::Write, future::pending, io};
+use tokio::{
+    io::{AsyncWrite, AsyncWriteExt},
+    time::sleep,
+};
+
+/// The name of the request that answers are for.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerSubject {
+    /// The identifier of the request.
+    pub(crate) id: String,
+    /// Whether the request asked for the head only.
+    pub(crate) head_only: bool,
+}
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AfterAnswer {
+    /// It takes another request.
+    Reuse,
+    /// It ends.
+    Close,
+}
+
+/// Writes the answer of `script` for `subject`.
+pub(crate) async fn write_answer<W>(
+    writer: &mut W,
+    script: &BackendScript,
+    subject: &AnswerSubject,
+) -> io::Result<AfterAnswer>
+where
+    W: AsyncWrite + Unpin,
+{
+    sleep(script.delay()).await;
+    match script.fault {
+        BackendFault::CutHead => return Ok(AfterAnswer::Close),
+        BackendFault::SilentHead => return pending().await,
+        BackendFault::NotRun => return write_shed(writer).await,
+        _ => {}
+    }
+    writer.write_all(head(script, subject).as_bytes()).await?;
+    if subject.head_only {
+        return Ok(AfterAnswer::Reuse);
+    }
+    write_body(writer, script, subject).await
+}
+
+async fn write_shed<W: AsyncWrite + Unpin>(writer: &mut W) -> io::Result<AfterAnswer> {
+    let answer = "HTTP/1.1 503 Service Unavailable\r\nknapweedseam-run: not run\r\n\
+                  content-length: 0\r\n\r\n";
+    writer.write_all(answer.as_bytes()).await?;
+    Ok(AfterAnswer::Reuse)
+}
+
+fn head(script: &BackendScript, subject: &AnswerSubject) -> String {
+    let mut head = format!("HTTP/1.1 {} Scripted\r\n", script.status);
+    let mut add = |name: &str, value: &str| {
+        let _ = write!(head, "{name}: {value}\r\n");
+    };
+    match script.framing {
+        BodyFraming::Length => add("content-length", &script.body_bytes.to_string()),
+        BodyFraming::Chunked => add("transfer-encoding", "chunked"),
+        BodyFraming::Close => add("connection", "close"),
+    }
+    if script.echo_id {
+        add("x-request-id", &subject.id);
+    }
+    if script.draining {
+        add("connection", "close");
+        add("knapweedseam-drain", "1");
+    }
+    for (name, value) in &script.headers {
+        add(name, value);
+    }
+    head.push_str("\r\n");
+    head
+}
+
+/// The body repeats the identifier of the request; a wrong one repeats another.
+fn pattern(script: &BackendScript, subject: &AnswerSubject) -> Vec<u8> {
+    if script.fault == BackendFault::Wrong {
+        return b"wrong;".to_vec();
+    }
+    format!("{};", subject.id).into_bytes()
+}
+
+async fn write_body<W>(
+    writer: &mut W,
+    script: &BackendScript,
+    subject: &AnswerSubject,
+) -> io::Result<AfterAnswer>
+where
+    W: AsyncWrite + Unpin,
+{
+    let pattern = pattern(script, subject);
+    let stop = match script.fault {
+        BackendFault::CutBody(bytes) | BackendFault::SilentBody(bytes) => bytes,
+        _ => script.body_bytes,
+    };
+    let mut written = 0;
+    while written < stop {
+        let size = script.piece_bytes.clamp(1, stop - written);
+        let piece: Vec<u8> = (written..written + size)
+            .map(|at| pattern[at as usize % pattern.len()])
+            .collect();
+        write_piece(writer, script.framing, &piece).await?;
+        written += size;
+        sleep(script.piece_delay()).await;
+    }
+    end_body(writer, script).await
+}
+
+async fn write_piece<W>(writer: &mut W, framing: BodyFraming, piece: &[u8]) -> io::Result<()>
+where
+    W: AsyncWrite + Unpin,
+{
+    if framing != BodyFraming::Chunked {
+        return writer.write_all(piece).await;
+    }
+    let mut chunk = format!("{:x}\r\n", piece.len()).into_bytes();
+    chunk.extend_from_slice(piece);
+    chunk.extend_from_slice(b"\r\n");
+    writer.write_all(&chunk).await
+}
+
+async fn end_body<W>(writer: &mut W, script: &BackendScript) -> io::Result<AfterAnswer>
+where
+    W: AsyncWrite + Unpin,
+{
+    match script.fault {
+        BackendFault::CutBody(_) => return Ok(AfterAnswer::Close),
+        BackendFault::SilentBody(_) => return pending().await,
+        _ => {}
+    }
+    if script.framing == BodyFraming::Chunked {
+        writer.write_all(b"0\r\n\r\n").await?;
+    }
+    if script.fault == BackendFault::ExtraBytes {
+        let extra = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra";
+        writer.write_all(extra.as_bytes()).await?;
+    }
+    let closes = script.framing == BodyFraming::Close
+        || script.draining
+        || script.fault == BackendFault::Early;
+    Ok(if closes {
+        AfterAnswer::Close
+    } else {
+        AfterAnswer::Reuse
+    })
+}
--- /dev/null
+++ b/crates/kws-standin/src/backend/script.rs
@@ -0,0 +1,130 @@
+//! What a backend server does with its requests.
+
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, time::Duration};
+
+/// A script that cannot be read.
+#[derive(Debug)]
+pub struct ScriptError(String);
+
+impl std::fmt::Display for ScriptError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "unreadable script: {}", self.0)
+    }
+}
+
+impl std::error::Error for ScriptError {}
+
+/// How answers tell where their body ends.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BodyFraming {
+    /// By `content-length`.
+    #[default]
+    Length,
+    /// By chunks.
+    Chunked,
+    /// By the end of the connection.
+    Close,
+}
+
+/// How answers are broken.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendFault {
+    /// They are not.
+    #[default]
+    None,
+    /// The connection ends instead of an answer.
+    CutHead,
+    /// The connection ends after this many bytes of the body.
+    CutBody(u64),
+    /// Nothing follows the request, and the connection stays open.
+    SilentHead,
+    /// Nothing follows this many bytes of the body, and the connection stays open.
+    SilentBody(u64),
+    /// Bytes that belong to no answer follow each one.
+    ExtraBytes,
+    /// Two requests get each other's answers.
+    Swapped,
+    /// The body stops being what was asked for, though its framing is right.
+    Wrong,
+    /// Requests are shed, with the promise that they did not run.
+    NotRun,
+    /// The answer comes before the request's body is read, and the connection ends.
+    Early,
+}
+
+/// What a backend server does with its requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BackendScript {
+    /// The status of answers.
+    pub status: u16,
+    /// The size of their bodies.
+    pub body_bytes: u64,
+    /// The wait before an answer, in milliseconds.
+    pub delay_ms: u64,
+    /// The size of the pieces in which a body is written, in bytes.
+    pub piece_bytes: u64,
+    /// The wait between pieces, in milliseconds.
+    pub piece_delay_ms: u64,
+    /// How answers tell where they end.
+    pub framing: BodyFraming,
+    /// How they are broken.
+    pub fault: BackendFault,
+    /// Whether answers say that the server drains.
+    pub draining: bool,
+    /// Whether answers name the request that they answer.
+    pub echo_id: bool,
+    /// Whether `/health` says that all is well.
+    pub healthy: bool,
+    /// Further headers of answers.
+    pub headers: BTreeMap<String, String>,
+}
+
+impl Default for BackendScript {
+    fn default() -> Self {
+        Self {
+            status: 200,
+            body_bytes: 64,
+            delay_ms: 0,
+            piece_bytes: 16 * 1024,
+            piece_delay_ms: 0,
+            framing: BodyFraming::Length,
+            fault: BackendFault::None,
+            draining: false,
+            echo_id: true,
+            healthy: true,
+            headers: BTreeMap::new(),
+        }
+    }
+}
+
+impl BackendScript {
+    /// A script that differs from the default by a fault.
+    pub fn with_fault(fault: BackendFault) -> Self {
+        Self {
+            fault,
+            ..Self::default()
+        }
+    }
+
+    /// Reads a script.
+    ///
+    /// # Errors
+    /// [`ScriptError`] when the text is no script.
+    pub fn from_yaml(text: &str) -> Result<Self, ScriptError> {
+        serde_saphyr::from_str(text).map_err(|error| ScriptError(error.to_string()))
+    }
+
+    /// The wait before an answer.
+    pub(crate) fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+
+    /// The wait between pieces.
+    pub(crate) fn piece_delay(&self) -> Duration {
+        Duration::from_millis(self.piece_delay_ms)
+    }
+}
--- /dev/null
+++ b/crates/kws-standin/src/backend/server.rs
@@ -0,0 +1,180 @@
+//! The listener of a backend server.
+
+use super::{
+    answer::{AfterAnswer, AnswerSubject, write_answer},
+    request::{SeenRequest, read_body, read_head},
+    script::{BackendFault, BackendScript},
+};
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+use tokio::{
+    io::{AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+    task::{AbortHandle, JoinSet, spawn},
+};
+
+/// Starts backend servers.
+#[derive(Debug)]
+pub struct BackendServer;
+
+/// A running backend server; dropping it stops it.
+#[derive(Debug)]
+pub struct BackendHandle {
+    address: SocketAddr,
+    state: Arc<ServerState>,
+    task: AbortHandle,
+}
+
+/// A request that waits for another to swap answers with.
+#[derive(Debug)]
+struct SwapPartner {
+    id: String,
+    reply: oneshot::Sender<String>,
+}
+
+#[derive(Debug)]
+struct ServerState {
+    script: Mutex<BackendScript>,
+    seen: Mutex<Vec<SeenRequest>>,
+    partner: Mutex<Option<SwapPartner>>,
+}
+
+impl BackendServer {
+    /// Starts a server on a free port of the loopback address.
+    ///
+    /// # Errors
+    /// When no port can be had.
+    pub async fn start(script: BackendScript) -> io::Result<BackendHandle> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ServerState {
+            script: Mutex::new(script),
+            seen: Mutex::default(),
+            partner: Mutex::default(),
+        });
+        let task = spawn(accept(listener, Arc::clone(&state))).abort_handle();
+        Ok(BackendHandle {
+            address,
+            state,
+            task,
+        })
+    }
+}
+
+impl BackendHandle {
+    /// Where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The requests that arrived, in the order of their heads.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        lock(&self.state.seen).clone()
+    }
+
+    /// Changes what the server does with the requests to come.
+    pub fn set_script(&self, script: BackendScript) {
+        *lock(&self.state.script) = script;
+    }
+
+    /// Ends the listener and every connection.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for BackendHandle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The connections live in the set, and end with this task.
+async fn accept(listener: TcpListener, state: Arc<ServerState>) {
+    let mut connections = JoinSet::new();
+    let mut number = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = Arc::clone(&state);
+        connections.spawn(async move {
+            let _ = serve(stream, number, &state).await;
+        });
+        number += 1;
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(mut stream: TcpStream, connection: u64, state: &ServerState) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (reader, mut writer) = stream.split();
+    let mut reader = BufReader::new(reader);
+    while let Some(mut request) = read_head(&mut reader).await? {
+        request.connection = connection;
+        let index = state.note(request.clone());
+        let script = lock(&state.script).clone();
+        if script.fault != BackendFault::Early {
+            let read = read_body(&mut reader, &mut request).await;
+            lock(&state.seen)[index] = request.clone();
+            read?;
+        }
+        if request.line().starts_with("GET /health ") {
+            writer.write_all(health(script.healthy)).await?;
+            continue;
+        }
+        let subject = state.subject(&script, &request).await;
+        if write_answer(&mut writer, &script, &subject).await? == AfterAnswer::Close {
+            return writer.shutdown().await;
+        }
+    }
+    Ok(())
+}
+
+fn health(healthy: bool) -> &'static [u8] {
+    if healthy {
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+    } else {
+        b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n"
+    }
+}
+
+impl ServerState {
+    fn note(&self, request: SeenRequest) -> usize {
+        let mut seen = lock(&self.seen);
+        seen.push(request);
+        seen.len() - 1
+    }
+
+    async fn subject(&self, script: &BackendScript, request: &SeenRequest) -> AnswerSubject {
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let id = match script.fault {
+            BackendFault::Swapped => self.swap(id).await,
+            _ => id,
+        };
+        AnswerSubject {
+            id,
+            head_only: request.line().starts_with("HEAD "),
+        }
+    }
+
+    /// The identifier of the next request that comes here.
+    async fn swap(&self, id: String) -> String {
+        let waiting = lock(&self.partner).take();
+        if let Some(partner) = waiting {
+            let _ = partner.reply.send(id);
+            return partner.id;
+        }
+        let (reply, other) = oneshot::channel();
+        *lock(&self.partner) = Some(SwapPartner { id, reply });
+        other.await.unwrap_or_default()
+    }
+}
