Read the fleet's own revision from the platform

Cause: the platform's index rises with other users' writes, so a jump in it can't be told from a skipped revision, and the limits count a skipped revision as zero. Ruled out: the index itself. Conclusion: a value of the fleet's own carries the revision; the stand-in's index now has steps.

--- a/crates/kws-platform/src/consul.rs
+++ b/crates/kws-platform/src/consul.rs
@@ -12,8 +12,11 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
-/// The header that carries the revision of the answer.
+/// The header that carries the index of the answer, which a blocking query names.
 const INDEX_HEADER: &str = "x-consul-index";
+/// The key that holds the fleet's revision. The index rises with other users' writes too, so only
+/// a number of the fleet's own tells a skipped revision from none.
+const REVISION_KEY: &str = "revision";
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// What an answer may take beyond the wait that the request asks for.
@@ -25,6 +28,8 @@
     address: String,
     prefix: String,
     client: Option<Client>,
+    index: u64,
+    revision: TreeRevision,
 }
 
 /// One key as the protocol carries it.
@@ -43,6 +48,8 @@
             address: address.trim_end_matches('/').to_owned(),
             prefix: format!("{}/", prefix.trim_matches('/')),
             client: None,
+            index: 0,
+            revision: TreeRevision::default(),
         }
     }
 
@@ -51,8 +58,14 @@
         known: TreeRevision,
         wait: Duration,
     ) -> Result<PlatformAnswer, PlatformError> {
+        // A question about another revision than the last one is answered at once.
+        let index = if known == self.revision {
+            self.index
+        } else {
+            0
+        };
         let url = format!(
-            "{}/v1/kv/{}?recurse=true&index={known}&wait={}ms",
+            "{}/v1/kv/{}?recurse=true&index={index}&wait={}ms",
             self.address,
             self.prefix,
             wait.as_millis()
@@ -60,14 +73,21 @@
         let client = self.client().await?;
         let call = fetch(&client, &url);
         let limit = wait + ANSWER_ALLOWANCE;
-        let (revision, body) = timeout(limit, call)
+        let (answered, body) = timeout(limit, call)
             .await
             .map_err(|_| PlatformError::Unreachable("no answer in time".to_owned()))??;
         let bytes = body.len() as u64;
+        if answered == index && index != 0 {
+            let revision = known;
+            return Ok(PlatformAnswer::Unchanged { revision, bytes });
+        }
+        let mut values = parse_values(&body, &self.prefix)?;
+        let revision = take_revision(&mut values)?;
+        self.index = answered;
+        self.revision = revision;
         if revision == known {
             return Ok(PlatformAnswer::Unchanged { revision, bytes });
         }
-        let values = parse_values(&body, &self.prefix)?;
         Ok(PlatformAnswer::Values {
             values: PublishedValues { revision, values },
             bytes,
@@ -97,7 +117,7 @@
     }
 }
 
-async fn fetch(client: &Client, url: &str) -> Result<(TreeRevision, Vec<u8>), PlatformError> {
+async fn fetch(client: &Client, url: &str) -> Result<(u64, Vec<u8>), PlatformError> {
     let response = client
         .get(url)
         .send()
@@ -106,24 +126,34 @@
     if response.status().as_u16() != 200 {
         return Err(PlatformError::Status(response.status().as_u16()));
     }
-    let revision = parse_index(&response)?;
+    let index = parse_index(&response)?;
     let body = response
         .body()
         .limit(MAX_ANSWER_BYTES)
         .await
         .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-    Ok((revision, body.to_vec()))
+    Ok((index, body.to_vec()))
 }
 
-fn parse_index(response: &ClientResponse) -> Result<TreeRevision, PlatformError> {
+fn parse_index(response: &ClientResponse) -> Result<u64, PlatformError> {
     response
         .header(INDEX_HEADER)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok())
-        .map(TreeRevision)
         .ok_or_else(|| PlatformError::Malformed(format!("no number in {INDEX_HEADER}")))
 }
 
+fn take_revision(values: &mut BTreeMap<String, Arc<str>>) -> Result<TreeRevision, PlatformError> {
+    let text = values
+        .remove(REVISION_KEY)
+        .ok_or_else(|| PlatformError::Malformed(format!("no value {REVISION_KEY}")))?;
+    let number = text
+        .trim()
+        .parse()
+        .map_err(|_| PlatformError::Malformed(format!("{REVISION_KEY}: not a whole number")))?;
+    Ok(TreeRevision(number))
+}
+
 fn parse_values(body: &[u8], prefix: &str) -> Result<BTreeMap<String, Arc<str>>, PlatformError> {
     let entries: Vec<WireEntry> = serde_json::from_slice(body)
         .map_err(|error| PlatformError::Malformed(error.to_string()))?;
--- a/crates/kws-platform/src/watch.rs
+++ b/crates/kws-platform/src/watch.rs
@@ -3,17 +3,17 @@
 use crate::{PlatformAnswer, PlatformError, PlatformReader};
 use kws_protocol::{PublishedValues, TreeRevision};
 use rand::RngExt;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::Sender,
     time::{Instant, sleep},
 };
 
 /// How the watch waits and backs off.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct WatchSettings {
-    /// How long the platform may hold one read; shorter than the lease.
-    pub wait: Duration,
+    /// How long the platform may hold one read; shorter than the lease, which a tree may change.
+    pub wait: Arc<dyn Fn() -> Duration + Send + Sync>,
     /// The pause after the first failure.
     pub backoff_base: Duration,
     /// The longest pause between failures.
@@ -58,7 +58,7 @@
     let mut failures = 0;
     while !events.is_closed() {
         let sent = Instant::now();
-        let event = match reader.read(known, settings.wait).await {
+        let event = match reader.read(known, (settings.wait)()).await {
             Ok(answer) => {
                 failures = 0;
                 known = answer_revision(&answer);
--- a/crates/kws-platform/tests/consul_reader.rs
+++ b/crates/kws-platform/tests/consul_reader.rs
@@ -4,7 +4,7 @@
 use kws_protocol::TreeRevision;
 use kws_standin::{PlatformMode, PlatformService};
 use ntex::rt::{DefaultRuntime, System};
-use std::{thread, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 use tokio::sync::mpsc::{Receiver, channel};
 
 fn watch(service: &PlatformService) -> Receiver<PlatformEvent> {
@@ -14,7 +14,7 @@
         System::new("watch", DefaultRuntime).block_on(async move {
             let mut reader = ConsulReader::new(&url, "fleet");
             let settings = WatchSettings {
-                wait: Duration::from_millis(200),
+                wait: Arc::new(|| Duration::from_millis(200)),
                 backoff_base: Duration::from_millis(10),
                 backoff_max: Duration::from_millis(50),
             };
--- a/crates/kws-standin/src/platform.rs
+++ b/crates/kws-standin/src/platform.rs
@@ -182,8 +182,10 @@
     loop {
         let differs = match &*lock(&shared.mode) {
             PlatformMode::Down => true,
-            PlatformMode::Stale(values) => values.revision.0 != known,
-            PlatformMode::Slow(_) | PlatformMode::Up => lock(&shared.values).revision.0 != known,
+            PlatformMode::Stale(values) => index_of(values.revision.0) != known,
+            PlatformMode::Slow(_) | PlatformMode::Up => {
+                index_of(lock(&shared.values).revision.0) != known
+            }
         };
         if differs || changed.changed().await.is_err() {
             return;
@@ -207,17 +209,25 @@
 
 fn answer(path: &str, published: &PublishedValues) -> HttpResponse {
     let prefix = path.trim_start_matches("/v1/kv/");
-    let entries: Vec<BTreeMap<&str, String>> = published
+    let mut entries: Vec<BTreeMap<&str, String>> = published
         .values
         .iter()
-        .map(|(key, text)| {
-            BTreeMap::from([
-                ("Key", format!("{prefix}{key}")),
-                ("Value", STANDARD.encode(text.as_bytes())),
-            ])
-        })
+        .map(|(key, text)| entry(prefix, key, text))
         .collect();
+    entries.push(entry(prefix, "revision", &published.revision.to_string()));
     HttpResponse::Ok()
-        .header("x-consul-index", published.revision.0)
+        .header("x-consul-index", index_of(published.revision.0))
         .json(&entries)
 }
+
+fn entry(prefix: &str, key: &str, text: &str) -> BTreeMap<&'static str, String> {
+    BTreeMap::from([
+        ("Key", format!("{prefix}{key}")),
+        ("Value", STANDARD.encode(text.as_bytes())),
+    ])
+}
+
+/// The index of a revision; it rises in larger steps, as other users of the service write too.
+fn index_of(revision: u64) -> u64 {
+    revision * 10 + 3
+}
