The daemon: duties, rings and the control of requests

Cause: the decision crates need a place. A thread for each duty; the end of every ticket has its place in the ring kept from the start, so that a full ring can't lose it and leak a slot. Ruled out: handing peers' messages through the fleet duty, which resolves whole trees meanwhile.

--- /dev/null
+++ b/crates/kws-daemon/src/admin.rs
@@ -0,0 +1,63 @@
+//! What the admin listener shows of this daemon.
+
+use crate::{duty::start_thread, fleet::listed_hosts, shared::DaemonShared};
+use eyre::Result;
+use kws_admin::{AdminView, FleetMetrics, run_admin};
+use kws_protocol::StatusReport;
+use std::{net::TcpListener, sync::Arc};
+use tokio::time::Instant;
+
+struct DaemonView(Arc<DaemonShared>);
+
+impl AdminView for DaemonView {
+    fn ready(&self) -> Result<(), String> {
+        if self.0.is_stopping() {
+            return Err("stopping".to_owned());
+        }
+        let readiness = self.0.readiness();
+        if !readiness.is_ready() {
+            return Err(readiness.to_string());
+        }
+        if !self.0.is_current() {
+            return Err("not_current".to_owned());
+        }
+        Ok(())
+    }
+
+    fn status(&self) -> StatusReport {
+        let shared = &self.0;
+        let snapshot = shared.snapshot();
+        let ready = self.ready();
+        StatusReport {
+            host: shared.identity.host.clone(),
+            region: shared.identity.region.clone(),
+            center: shared.identity.center.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            uptime_seconds: Instant::now().duration_since(shared.born).as_secs(),
+            revision: snapshot
+                .as_ref()
+                .map(|snapshot| snapshot.revision)
+                .unwrap_or_default(),
+            current: shared.is_current(),
+            ready: ready.is_ok(),
+            reason: ready.err().unwrap_or_default(),
+            listed_hosts: snapshot
+                .as_ref()
+                .map_or(0, |snapshot| listed_hosts(snapshot, shared)),
+            servers: shared.servers(),
+        }
+    }
+
+    fn metrics(&self) -> &FleetMetrics {
+        &self.0.metrics
+    }
+}
+
+/// Starts the admin listener.
+pub(crate) fn start_admin(shared: Arc<DaemonShared>, listener: TcpListener) -> Result<()> {
+    start_thread("admin", move || {
+        if let Err(error) = run_admin(listener, Arc::new(DaemonView(shared))) {
+            panic!("the admin listener can't be served: {error}");
+        }
+    })
+}
--- /dev/null
+++ b/crates/kws-daemon/src/checker.rs
@@ -0,0 +1,33 @@
+//! The check of published values by the tree's own rules.
+
+use kws_membership::{CheckedTree, TreeChecker, TreeRejection};
+use kws_protocol::PublishedValues;
+use kws_tree::{Finding, resolve};
+
+/// Findings of a refused tree that are kept; the client's `check` shows all of them.
+const MAX_FINDINGS: usize = 20;
+
+/// Resolves trees for the configuration store.
+#[derive(Debug)]
+pub(crate) struct ResolveChecker;
+
+impl TreeChecker for ResolveChecker {
+    fn check(&self, values: &PublishedValues) -> Result<CheckedTree, TreeRejection> {
+        match resolve(values) {
+            Ok(snapshot) => Ok(CheckedTree {
+                settings: snapshot.settings,
+                hosts: snapshot.hosts,
+            }),
+            Err(findings) => Err(TreeRejection(findings_text(&findings))),
+        }
+    }
+}
+
+fn findings_text(findings: &[Finding]) -> String {
+    let lines: Vec<String> = findings
+        .iter()
+        .take(MAX_FINDINGS)
+        .map(ToString::to_string)
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/kws-daemon/src/control.rs
@@ -0,0 +1,244 @@
+//! Decides over requests by asking the duties over their rings.
+
+use crate::{
+    access::write_access,
+    dispatch::DispatchEvent,
+    ledger::LedgerEvent,
+    shared::{DaemonShared, lock},
+};
+use futures_util::future::BoxFuture;
+use kws_admin::RequestRecord;
+use kws_dispatch::{DispatchRequest, RetryBudget, TicketId};
+use kws_forward::{
+    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
+    TryOutcome, TryReport,
+};
+use kws_protocol::{FleetSnapshot, RefusalReason, RetryReason, ServiceName, TeamName};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+use tokio::sync::{
+    mpsc::{OwnedPermit, Sender},
+    oneshot,
+};
+
+/// The team under which requests without a key queue.
+const OPEN_TEAM: &str = "";
+/// What one request is taken to move between regions, in bytes, before its answer is known.
+const EXPECTED_BYTES: u64 = 16 * 1024;
+
+/// The way from the caller listeners to the duties.
+pub(crate) struct RingControl {
+    shared: Arc<DaemonShared>,
+    ledger: Sender<LedgerEvent>,
+    dispatch: Sender<DispatchEvent>,
+    places: Arc<TicketPlaces>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+}
+
+/// Places in the dispatch ring, kept from the start for the end of each ticket, so that a full ring
+/// can't lose one and leak its slot.
+#[derive(Default)]
+struct TicketPlaces {
+    next: AtomicU64,
+    kept: Mutex<HashMap<u64, OwnedPermit<DispatchEvent>>>,
+}
+
+impl TicketPlaces {
+    fn keep(&self, permit: OwnedPermit<DispatchEvent>) -> TicketId {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        lock(&self.kept).insert(number, permit);
+        TicketId(number)
+    }
+
+    fn take(&self, ticket: TicketId) -> Option<OwnedPermit<DispatchEvent>> {
+        lock(&self.kept).remove(&ticket.0)
+    }
+}
+
+/// Cancels its ticket unless the grant reached the listener.
+struct TicketGuard {
+    places: Arc<TicketPlaces>,
+    ticket: Option<TicketId>,
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket
+            && let Some(permit) = self.places.take(ticket)
+        {
+            permit.send(DispatchEvent::Cancel(ticket));
+        }
+    }
+}
+
+impl RingControl {
+    pub(crate) fn new(
+        shared: Arc<DaemonShared>,
+        ledger: Sender<LedgerEvent>,
+        dispatch: Sender<DispatchEvent>,
+    ) -> Self {
+        Self {
+            shared,
+            ledger,
+            dispatch,
+            places: Arc::default(),
+            budgets: Mutex::default(),
+        }
+    }
+
+    fn ring_full(&self, ring: &str) -> RefusalReason {
+        self.shared.metrics.ring_full(ring);
+        RefusalReason::QueueFull
+    }
+
+    fn enqueue(
+        &self,
+        request: ServerRequest,
+    ) -> Result<(TicketGuard, oneshot::Receiver<GrantResult>), RefusalReason> {
+        let permit = Arc::new(self.dispatch.clone());
+        let permit = Sender::clone(&permit)
+            .try_reserve_owned()
+            .map_err(|_| self.ring_full("dispatch"))?;
+        let ticket = self.places.keep(permit);
+        let mut guard = TicketGuard {
+            places: Arc::clone(&self.places),
+            ticket: Some(ticket),
+        };
+        let (reply, granted) = oneshot::channel();
+        let request = self.dispatch_request(ticket, request);
+        let event = DispatchEvent::Enqueue { request, reply };
+        if self.dispatch.try_send(event).is_err() {
+            guard.ticket = None;
+            self.places.take(ticket);
+            return Err(self.ring_full("dispatch"));
+        }
+        Ok((guard, granted))
+    }
+
+    fn dispatch_request(&self, ticket: TicketId, request: ServerRequest) -> DispatchRequest {
+        let team = request.team.unwrap_or_else(|| TeamName::new(OPEN_TEAM));
+        let weight = self.shared.snapshot().map_or(1.0, |snapshot| {
+            let settings = snapshot.settings.teams.get(&team);
+            settings.map_or(1.0, |team| team.weight)
+        });
+        DispatchRequest {
+            ticket,
+            service: request.service,
+            team,
+            weight,
+            deadline: request.deadline,
+            repeatable: request.repeatable,
+            bytes: EXPECTED_BYTES,
+            excluded: request.excluded.into_iter().collect(),
+        }
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let share = self.shared.snapshot().map_or(0.0, |snapshot| {
+            let settings = snapshot.settings.services.get(service);
+            settings.map_or(0.0, |service| service.retry_budget)
+        });
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(share));
+        budget.set_share(share);
+        work(budget)
+    }
+}
+
+type GrantResult = Result<kws_dispatch::ServerGrant, RefusalReason>;
+
+impl ForwardControl for RingControl {
+    fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
+        self.shared.snapshot()
+    }
+
+    fn is_current(&self) -> bool {
+        self.shared.is_current()
+    }
+
+    fn admit(&self, team: &TeamName) -> BoxFuture<'static, Result<(), Refusal>> {
+        let (reply, settled) = oneshot::channel();
+        let team = team.clone();
+        if self
+            .ledger
+            .try_send(LedgerEvent::Admit { team, reply })
+            .is_err()
+        {
+            let refusal = self.ring_full("ledger").into();
+            return Box::pin(async move { Err(refusal) });
+        }
+        Box::pin(async move {
+            let refusal = Err(RefusalReason::Stopping.into());
+            settled.await.unwrap_or(refusal)
+        })
+    }
+
+    fn acquire(
+        &self,
+        request: ServerRequest,
+    ) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>> {
+        if request.excluded.is_empty() {
+            self.with_budget(&request.service, RetryBudget::earn);
+        }
+        let queued = self.enqueue(request);
+        Box::pin(async move {
+            let (mut guard, granted) = queued?;
+            let result = granted.await.unwrap_or(Err(RefusalReason::Stopping));
+            let ticket = guard.ticket.take();
+            match (result, ticket) {
+                (Ok(grant), _) => Ok(ServerGrant {
+                    server: grant.server,
+                    address: grant.address,
+                    ticket: GrantTicket(grant.ticket.0),
+                }),
+                (Err(reason), ticket) => {
+                    ticket.and_then(|ticket| guard.places.take(ticket));
+                    Err(reason)
+                }
+            }
+        })
+    }
+
+    fn retry(&self, report: &TryReport) -> RetryVerdict {
+        if self.with_budget(&report.service, RetryBudget::spend) {
+            return RetryVerdict::Retry;
+        }
+        RetryVerdict::Stop
+    }
+
+    fn finish(&self, ticket: GrantTicket, outcome: TryOutcome) {
+        let ticket = TicketId(ticket.0);
+        if let Some(permit) = self.places.take(ticket) {
+            permit.send(DispatchEvent::Finish { ticket, outcome });
+        }
+    }
+
+    fn count_refusal(&self, reason: RefusalReason) {
+        self.shared.metrics.refusal(reason);
+    }
+
+    fn count_retry(&self, reason: RetryReason) {
+        self.shared.metrics.retry(reason);
+    }
+
+    fn access_log(&self, record: AccessRecord) {
+        let snapshot = self.shared.snapshot();
+        let route = record.route.as_ref().zip(snapshot.as_ref());
+        let service = route
+            .and_then(|(route, snapshot)| snapshot.settings.routes.get(route))
+            .map_or("none", |route| route.service.as_str());
+        self.shared.metrics.request(RequestRecord {
+            service,
+            status: record.status,
+            latency: record.latency,
+        });
+        write_access(&record);
+    }
+}
--- /dev/null
+++ b/crates/kws-daemon/src/daemon.rs
@@ -0,0 +1,158 @@
+//! Starts the duties and joins them; stops them in order.
+
+use crate::{
+    DaemonOptions,
+    admin::start_admin,
+    control::RingControl,
+    dispatch::start_dispatch,
+    fleet::{FleetOutlets, FleetRings, start_fleet},
+    ledger::{LedgerEvent, start_ledger},
+    peers::{PeerOutlets, start_peers},
+    platform::start_watch,
+    shared::{DaemonIdentity, DaemonShared, PeerSender},
+};
+use eyre::{Result, WrapErr};
+use kws_admin::FleetMetrics;
+use kws_forward::{ListenerHandle, ListenerSettings, run_listener};
+use kws_protocol::HostName;
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::{
+    sync::mpsc::{Sender, channel},
+    time::sleep,
+};
+
+/// Events of the platform watch that wait.
+const PLATFORM_RING: usize = 8;
+/// Messages that wait for the fleet duty.
+const FLEET_RING: usize = 1024;
+/// Events that wait for the ledger.
+const LEDGER_RING: usize = 16 * 1024;
+/// Events that wait for the dispatcher, with a place kept for the end of each ticket.
+const DISPATCH_RING: usize = 32 * 1024;
+/// Messages that wait for the exchange.
+const OUTBOUND_RING: usize = 4096;
+/// The platform's first waits, before a tree names the lease.
+const FIRST_WAIT: Duration = Duration::from_secs(1);
+
+/// A daemon that runs.
+pub struct RunningDaemon {
+    shared: Arc<DaemonShared>,
+    listener: ListenerHandle,
+    ledger: Sender<LedgerEvent>,
+    drain_lag: Duration,
+    admin: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl RunningDaemon {
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Where metrics and status are read.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Where peers connect.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether the balancer should send requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.readiness().is_ready() && self.shared.is_current() && !self.shared.is_stopping()
+    }
+
+    /// Stops in order: readiness off, serving on while the balancer learns of it, loans returned,
+    /// every request in flight finished.
+    pub async fn stop(self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        log::info!("stopping");
+        sleep(self.drain_lag).await;
+        self.listener.drain();
+        let _ = self.ledger.send(LedgerEvent::Stop).await;
+        self.listener.stop().await;
+        log::info!("stopped");
+    }
+}
+
+/// Starts all duties.
+///
+/// # Errors
+/// When an address can't be bound or a thread can't be started.
+pub fn start_daemon(options: DaemonOptions) -> Result<RunningDaemon> {
+    let settings = options.settings;
+    let admin = bind("admin", settings.admin)?;
+    let peer = bind("peer", settings.peer)?;
+    let (admin_address, peer_address) = (admin.local_addr()?, peer.local_addr()?);
+    let identity = DaemonIdentity {
+        host: host_name(settings.name.as_deref(), peer_address),
+        region: settings.region,
+        center: settings.center,
+    };
+    let metrics = FleetMetrics::new().wrap_err("the metrics can't be registered")?;
+    let shared = Arc::new(DaemonShared::new(identity, metrics, FIRST_WAIT));
+
+    let (platform_sender, platform) = channel(PLATFORM_RING);
+    let (fleet_sender, fleet) = channel(FLEET_RING);
+    let (ledger, ledger_events) = channel(LEDGER_RING);
+    let (dispatch, dispatch_events) = channel(DISPATCH_RING);
+    let (outbound, outbound_messages) = channel(OUTBOUND_RING);
+    let peers = PeerSender::new(Arc::clone(&shared), outbound);
+
+    start_ledger(Arc::clone(&shared), ledger_events, peers.clone())?;
+    start_dispatch(Arc::clone(&shared), dispatch_events, peers.clone())?;
+    start_peers(
+        Arc::clone(&shared),
+        peer,
+        options.secret,
+        outbound_messages,
+        PeerOutlets {
+            fleet: fleet_sender,
+            ledger: ledger.clone(),
+            dispatch: dispatch.clone(),
+        },
+    )?;
+    start_fleet(
+        Arc::clone(&shared),
+        FleetRings {
+            platform,
+            peers: fleet,
+        },
+        FleetOutlets {
+            peers,
+            ledger: ledger.clone(),
+            dispatch: dispatch.clone(),
+        },
+    )?;
+    start_watch(settings.platform, Arc::clone(&shared), platform_sender)?;
+    start_admin(Arc::clone(&shared), admin)?;
+
+    let control = RingControl::new(Arc::clone(&shared), ledger.clone(), dispatch);
+    let listener_settings = ListenerSettings::new(settings.listen, options.workers);
+    let listener = run_listener(listener_settings, Arc::new(control))
+        .wrap_err_with(|| format!("callers can't be served on {}", settings.listen))?;
+    Ok(RunningDaemon {
+        shared,
+        listener,
+        ledger,
+        drain_lag: options.drain_lag,
+        admin: admin_address,
+        peer: peer_address,
+    })
+}
+
+fn bind(duty: &str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| format!("{duty} can't listen on {address}"))
+}
+
+/// The name from the settings, which is new for each life, or the peer address.
+fn host_name(name: Option<&str>, peer: SocketAddr) -> HostName {
+    name.map_or_else(|| HostName::new(&peer.to_string()), HostName::new)
+}
--- /dev/null
+++ b/crates/kws-daemon/src/dispatch.rs
@@ -0,0 +1,280 @@
+//! The duty that judges backend servers and hands out their slots.
+
+use crate::{
+    duty::start_duty,
+    shared::{DaemonShared, PeerSender},
+};
+use eyre::Result;
+use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, ServerGrant, TicketEnd, TicketId};
+use kws_forward::{TryClass, TryOutcome};
+use kws_health::{AnswerOutcome, HealthJudge, StandingBar, StandingSource};
+use kws_protocol::{
+    FleetSnapshot, HealthMessage, HostName, PeerMessage, RefusalReason, ServerName, ServerStatus,
+    ServiceName,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc::Receiver, oneshot},
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+/// How often queues are looked at.
+const QUEUE_TICK: Duration = Duration::from_millis(10);
+/// Queue ticks between two judgements.
+const JUDGE_TICKS: u64 = 25;
+/// Queue ticks between two digests to peers.
+const DIGEST_TICKS: u64 = 100;
+
+/// Where the grant of one request goes.
+pub(crate) type GrantReply = oneshot::Sender<Result<ServerGrant, RefusalReason>>;
+
+/// What the duty is told.
+pub(crate) enum DispatchEvent {
+    Adopt(Arc<FleetSnapshot>),
+    Cancel(TicketId),
+    Enqueue {
+        request: DispatchRequest,
+        reply: GrantReply,
+    },
+    Finish {
+        ticket: TicketId,
+        outcome: TryOutcome,
+    },
+    Peer {
+        from: HostName,
+        message: HealthMessage,
+    },
+}
+
+/// Starts the duty.
+pub(crate) fn start_dispatch(
+    shared: Arc<DaemonShared>,
+    events: Receiver<DispatchEvent>,
+    peers: PeerSender,
+) -> Result<()> {
+    start_duty("dispatch", move || run_dispatch(shared, events, peers))
+}
+
+struct GrantRecord {
+    service: ServiceName,
+    server: ServerName,
+}
+
+struct DispatchDuty {
+    shared: Arc<DaemonShared>,
+    peers: PeerSender,
+    judge: HealthJudge,
+    dispatcher: Dispatcher,
+    snapshot: Option<Arc<FleetSnapshot>>,
+    waiting: HashMap<TicketId, (ServiceName, GrantReply)>,
+    granted: HashMap<TicketId, GrantRecord>,
+}
+
+async fn run_dispatch(
+    shared: Arc<DaemonShared>,
+    mut events: Receiver<DispatchEvent>,
+    peers: PeerSender,
+) {
+    let identity = shared.identity.clone();
+    let mut duty = DispatchDuty {
+        shared,
+        peers,
+        judge: HealthJudge::new(identity.host.clone()),
+        dispatcher: Dispatcher::new(identity.host, identity.region, identity.center),
+        snapshot: None,
+        waiting: HashMap::new(),
+        granted: HashMap::new(),
+    };
+    let mut ticks = interval(QUEUE_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut tick = 0_u64;
+    loop {
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => duty.take_event(event, Instant::now()),
+                None => return,
+            },
+            _ = ticks.tick() => {
+                tick += 1;
+                duty.pass_time(tick, Instant::now());
+            }
+        }
+    }
+}
+
+impl DispatchDuty {
+    fn take_event(&mut self, event: DispatchEvent, now: Instant) {
+        match event {
+            DispatchEvent::Adopt(snapshot) => self.adopt(snapshot, now),
+            DispatchEvent::Cancel(ticket) => {
+                self.waiting.remove(&ticket);
+                self.granted.remove(&ticket);
+                let actions = self.dispatcher.cancel(ticket, &self.judge, now);
+                self.carry_out(actions, now);
+            }
+            DispatchEvent::Enqueue { request, reply } => {
+                let service = request.service.clone();
+                self.waiting.insert(request.ticket, (service, reply));
+                let actions = self.dispatcher.enqueue(request, &self.judge, now);
+                self.carry_out(actions, now);
+            }
+            DispatchEvent::Finish { ticket, outcome } => self.finish(ticket, outcome, now),
+            DispatchEvent::Peer { from, message } => {
+                self.judge.receive(&from, &message, now);
+                self.dispatcher.receive(&from, &message, now);
+            }
+        }
+    }
+
+    fn adopt(&mut self, snapshot: Arc<FleetSnapshot>, now: Instant) {
+        self.judge.adopt(&snapshot, now);
+        self.dispatcher.adopt(&snapshot, now);
+        self.snapshot = Some(snapshot);
+        self.report(now);
+    }
+
+    fn finish(&mut self, ticket: TicketId, outcome: TryOutcome, now: Instant) {
+        if let Some(record) = self.granted.remove(&ticket) {
+            self.observe(&record, outcome, now);
+        }
+        let end = ticket_end(outcome.class);
+        let actions = self.dispatcher.complete(ticket, end, &self.judge, now);
+        self.carry_out(actions, now);
+    }
+
+    fn observe(&mut self, record: &GrantRecord, outcome: TryOutcome, now: Instant) {
+        let GrantRecord { service, server } = record;
+        if let Some(answer) = answer_outcome(outcome.class) {
+            self.judge
+                .observe(service, server, answer, outcome.latency, now);
+        }
+        if outcome.draining {
+            self.judge.observe_drain(service, server, now);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<DispatchAction>, now: Instant) {
+        for action in actions {
+            match action {
+                DispatchAction::Grant(grant) => self.grant(grant, now),
+                DispatchAction::Refuse { ticket, reason } => {
+                    if let Some((_, reply)) = self.waiting.remove(&ticket) {
+                        let _ = reply.send(Err(reason));
+                    }
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, grant: ServerGrant, now: Instant) {
+        let ticket = grant.ticket;
+        let Some((service, reply)) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let record = GrantRecord {
+            service,
+            server: grant.server.clone(),
+        };
+        self.granted.insert(ticket, record);
+        if reply.send(Ok(grant)).is_err() {
+            self.take_event(DispatchEvent::Cancel(ticket), now);
+        }
+    }
+
+    fn pass_time(&mut self, tick: u64, now: Instant) {
+        if tick.is_multiple_of(JUDGE_TICKS) {
+            self.judge.tick(now);
+        }
+        let actions = self.dispatcher.tick(&self.judge, now);
+        self.carry_out(actions, now);
+        if tick.is_multiple_of(DIGEST_TICKS) {
+            self.send_digests(now);
+            self.report(now);
+        }
+    }
+
+    fn send_digests(&mut self, now: Instant) {
+        let mut digests = self.judge.digest(now);
+        self.dispatcher.fill_digest(&mut digests);
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        if digests.is_empty() {
+            return;
+        }
+        let identity = &self.shared.identity;
+        let message = PeerMessage::Health(HealthMessage::Digest(digests));
+        for peer in snapshot.hosts.in_region(&identity.region) {
+            if peer.name != identity.host {
+                self.peers.send(&peer.name, message.clone());
+            }
+        }
+    }
+
+    /// Shows the standing of every server on the admin address.
+    fn report(&self, now: Instant) {
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        let mut statuses = Vec::new();
+        for (service, settings) in &snapshot.settings.services {
+            for server in settings.servers.keys() {
+                let standing = self.judge.standing(service, server, now);
+                statuses.push(ServerStatus {
+                    service: service.clone(),
+                    server: server.clone(),
+                    weight: standing.weight,
+                    state: state_text(standing.bar).to_owned(),
+                });
+            }
+        }
+        self.count_states(&statuses);
+        self.shared.set_servers(statuses);
+    }
+
+    fn count_states(&self, statuses: &[ServerStatus]) {
+        let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for status in statuses {
+            for state in ["serving", "draining", "ejected", "leaving", "unlisted"] {
+                let count = counts.entry((status.service.as_str(), state)).or_default();
+                *count += usize::from(status.state == state);
+            }
+        }
+        for ((service, state), count) in counts {
+            self.shared.metrics.set_servers(service, state, count);
+        }
+    }
+}
+
+fn state_text(bar: Option<StandingBar>) -> &'static str {
+    match bar {
+        None => "serving",
+        Some(StandingBar::Draining) => "draining",
+        Some(StandingBar::Ejected) => "ejected",
+        Some(StandingBar::Leaving) => "leaving",
+        Some(StandingBar::Unlisted) => "unlisted",
+    }
+}
+
+fn ticket_end(class: TryClass) -> TicketEnd {
+    match class {
+        TryClass::Good | TryClass::Bad => TicketEnd::Answered,
+        TryClass::NotRun => TicketEnd::Shed,
+        TryClass::Cancelled | TryClass::ConnectFailed | TryClass::Late => TicketEnd::Failed,
+    }
+}
+
+fn answer_outcome(class: TryClass) -> Option<AnswerOutcome> {
+    match class {
+        TryClass::Good => Some(AnswerOutcome::Good),
+        TryClass::Bad => Some(AnswerOutcome::Error),
+        TryClass::Late => Some(AnswerOutcome::Late),
+        TryClass::ConnectFailed => Some(AnswerOutcome::Broken),
+        TryClass::NotRun => Some(AnswerOutcome::Shed),
+        TryClass::Cancelled => None,
+    }
+}
--- /dev/null
+++ b/crates/kws-daemon/src/ledger.rs
@@ -0,0 +1,140 @@
+//! The duty that counts every team's rate and burst.
+
+use crate::{
+    duty::start_duty,
+    shared::{DaemonShared, PeerSender},
+};
+use eyre::Result;
+use kws_forward::Refusal;
+use kws_limits::{AdmitDecision, AdmitTicket, LedgerAction, LimitsLedger, RefusalCause};
+use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RefusalReason, TeamName, TreeRevision};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc::Receiver, oneshot},
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+/// How often the ledger is told that time passed; bounds how late a wait for a loan ends.
+const TICK: Duration = Duration::from_millis(1);
+
+/// Where the decision on one request goes.
+pub(crate) type AdmitReply = oneshot::Sender<Result<(), Refusal>>;
+
+/// What the duty is told.
+pub(crate) enum LedgerEvent {
+    Admit {
+        team: TeamName,
+        reply: AdmitReply,
+    },
+    Adopt(Arc<FleetSnapshot>),
+    Lease(Option<Instant>),
+    Loan {
+        from: HostName,
+        message: LoanMessage,
+    },
+    PeerRevision {
+        peer: HostName,
+        revision: TreeRevision,
+    },
+    RefuseRevision(TreeRevision),
+    Stop,
+}
+
+/// Starts the duty.
+pub(crate) fn start_ledger(
+    shared: Arc<DaemonShared>,
+    events: Receiver<LedgerEvent>,
+    peers: PeerSender,
+) -> Result<()> {
+    start_duty("ledger", move || run_ledger(shared, events, peers))
+}
+
+struct LedgerDuty {
+    ledger: LimitsLedger,
+    waiting: HashMap<AdmitTicket, AdmitReply>,
+    peers: PeerSender,
+}
+
+async fn run_ledger(
+    shared: Arc<DaemonShared>,
+    mut events: Receiver<LedgerEvent>,
+    peers: PeerSender,
+) {
+    let identity = &shared.identity;
+    let mut duty = LedgerDuty {
+        ledger: LimitsLedger::new(identity.host.clone(), identity.region.clone(), shared.born),
+        waiting: HashMap::new(),
+        peers,
+    };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => duty.take_event(event, Instant::now()),
+                None => return,
+            },
+            _ = ticks.tick() => duty.ledger.tick(Instant::now()),
+        }
+        duty.carry_out();
+    }
+}
+
+impl LedgerDuty {
+    fn take_event(&mut self, event: LedgerEvent, now: Instant) {
+        match event {
+            LedgerEvent::Admit { team, reply } => self.admit(&team, reply, now),
+            LedgerEvent::Adopt(snapshot) => self.ledger.adopt(&snapshot, now),
+            LedgerEvent::Lease(until) => self.ledger.set_current(until.unwrap_or(now), now),
+            LedgerEvent::Loan { from, message } => self.ledger.receive(&from, &message, now),
+            LedgerEvent::PeerRevision { peer, revision } => {
+                self.ledger.peer_revision(&peer, revision, now);
+            }
+            LedgerEvent::RefuseRevision(revision) => self.ledger.refuse_revision(revision, now),
+            LedgerEvent::Stop => self.ledger.stop(now),
+        }
+    }
+
+    fn admit(&mut self, team: &TeamName, reply: AdmitReply, now: Instant) {
+        match self.ledger.admit(team, now) {
+            AdmitDecision::Waiting(ticket) => {
+                self.waiting.insert(ticket, reply);
+            }
+            decision => settle(decision, reply),
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.ledger.take_actions() {
+            match action {
+                LedgerAction::Send { to, message } => self.peers.send_loan(&to, message),
+                LedgerAction::Settle { ticket, decision } => {
+                    if let Some(reply) = self.waiting.remove(&ticket) {
+                        settle(decision, reply);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A caller that has gone meanwhile loses the token.
+fn settle(decision: AdmitDecision, reply: AdmitReply) {
+    let result = match decision {
+        AdmitDecision::Admitted => Ok(()),
+        AdmitDecision::Refused { cause, retry_after } => Err(Refusal {
+            reason: refusal_reason(cause),
+            retry_after: Some(retry_after),
+        }),
+        AdmitDecision::Waiting(_) => Err(RefusalReason::RateExceeded.into()),
+    };
+    let _ = reply.send(result);
+}
+
+fn refusal_reason(cause: RefusalCause) -> RefusalReason {
+    match cause {
+        RefusalCause::NotCurrent => RefusalReason::NotCurrent,
+        RefusalCause::RateExceeded => RefusalReason::RateExceeded,
+        RefusalCause::UnknownTeam => RefusalReason::KeyUnknown,
+    }
+}
--- a/crates/kws-daemon/src/lib.rs
+++ b/crates/kws-daemon/src/lib.rs
@@ -1,1 +1,21 @@
-//! The daemon: one thread for each duty, joined by bounded rings.
+//! The daemon: a thread for each duty, joined by bounded rings.
+
+mod access;
+mod admin;
+mod checker;
+mod clock;
+mod control;
+mod daemon;
+mod dispatch;
+mod duty;
+mod fleet;
+mod ledger;
+mod logging;
+mod options;
+mod peers;
+mod platform;
+mod shared;
+
+pub use daemon::{RunningDaemon, start_daemon};
+pub use logging::start_logging;
+pub use options::{DaemonOptions, OptionsError, load_options};
--- /dev/null
+++ b/crates/kws-daemon/src/peers.rs
@@ -0,0 +1,130 @@
+//! The duty that exchanges messages with peers and hands them to the duty of their class.
+
+use crate::{dispatch::DispatchEvent, duty::start_duty, ledger::LedgerEvent, shared::DaemonShared};
+use eyre::{Result, WrapErr};
+use kws_peer::{
+    ExchangeSettings, InboundPeer, MessageClass, OutboundPeer, PeerObserver, PeerSecret,
+    run_exchange,
+};
+use kws_protocol::{LeaseMessage, PeerMessage};
+use std::{net, sync::Arc};
+use tokio::{
+    net::TcpListener,
+    sync::mpsc::{Receiver, Sender, channel, error::TrySendError},
+};
+
+/// Messages from peers that wait to be handed over.
+const INBOUND_MESSAGES: usize = 1024;
+
+/// Where messages of each class go.
+pub(crate) struct PeerOutlets {
+    pub(crate) fleet: Sender<InboundPeer>,
+    pub(crate) ledger: Sender<LedgerEvent>,
+    pub(crate) dispatch: Sender<DispatchEvent>,
+}
+
+/// Counts the exchange's messages in the daemon's metrics.
+struct MetricObserver(Arc<DaemonShared>);
+
+impl PeerObserver for MetricObserver {
+    fn sent(&self, class: MessageClass, bytes: usize) {
+        self.0.metrics.peer_sent(class.as_str(), bytes);
+    }
+
+    fn received(&self, class: MessageClass, bytes: usize) {
+        self.0.metrics.peer_received(class.as_str(), bytes);
+    }
+
+    fn dropped(&self, class: MessageClass) {
+        self.0.metrics.peer_dropped(class.as_str());
+    }
+
+    fn link_lost(&self, reason: &str) {
+        self.0.metrics.peer_link_lost();
+        log::debug!(reason = reason; "peer link lost");
+    }
+}
+
+/// Starts the exchange on a bound listener.
+pub(crate) fn start_peers(
+    shared: Arc<DaemonShared>,
+    listener: net::TcpListener,
+    secret: PeerSecret,
+    outbound: Receiver<OutboundPeer>,
+    outlets: PeerOutlets,
+) -> Result<()> {
+    listener
+        .set_nonblocking(true)
+        .wrap_err("the peer listener can't be made nonblocking")?;
+    start_duty("peers", move || async move {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => panic!("the peer listener can't be used: {error}"),
+        };
+        let settings = ExchangeSettings {
+            host: shared.identity.host.clone(),
+            secret,
+        };
+        let observer = Arc::new(MetricObserver(Arc::clone(&shared)));
+        let (inbound, received) = channel(INBOUND_MESSAGES);
+        tokio::join!(
+            run_exchange(settings, listener, outbound, inbound, observer),
+            hand_over(shared, received, outlets),
+        );
+    })
+}
+
+async fn hand_over(
+    shared: Arc<DaemonShared>,
+    mut received: Receiver<InboundPeer>,
+    outlets: PeerOutlets,
+) {
+    while let Some(inbound) = received.recv().await {
+        let InboundPeer { from, message } = inbound;
+        match message {
+            PeerMessage::Loan(message) => {
+                offer(
+                    &shared,
+                    "ledger",
+                    &outlets.ledger,
+                    LedgerEvent::Loan { from, message },
+                );
+            }
+            PeerMessage::Health(message) => {
+                let event = DispatchEvent::Peer { from, message };
+                offer(&shared, "dispatch", &outlets.dispatch, event);
+            }
+            PeerMessage::Lease(message) => {
+                let (LeaseMessage::Question { view, .. } | LeaseMessage::Answer { view, .. }) =
+                    message;
+                let event = LedgerEvent::PeerRevision {
+                    peer: from.clone(),
+                    revision: view.revision,
+                };
+                offer(&shared, "ledger", &outlets.ledger, event);
+                let message = PeerMessage::Lease(message);
+                offer(
+                    &shared,
+                    "fleet",
+                    &outlets.fleet,
+                    InboundPeer { from, message },
+                );
+            }
+            PeerMessage::Config(_) => {
+                offer(
+                    &shared,
+                    "fleet",
+                    &outlets.fleet,
+                    InboundPeer { from, message },
+                );
+            }
+        }
+    }
+}
+
+/// Every message of a peer may be lost, so a full ring drops it.
+fn offer<T>(shared: &DaemonShared, name: &str, ring: &Sender<T>, event: T) {
+    if let Err(TrySendError::Full(_)) = ring.try_send(event) {
+        shared.metrics.ring_full(name);
+    }
+}
--- /dev/null
+++ b/crates/kws-daemon/src/shared.rs
@@ -0,0 +1,156 @@
+//! What the duties share: the snapshot in force, the lease, readiness, and the metrics.
+
+use crate::clock::SharedInstant;
+use arc_swap::ArcSwapOption;
+use kws_admin::FleetMetrics;
+use kws_membership::{Readiness, UnreadyReason};
+use kws_peer::OutboundPeer;
+use kws_protocol::{
+    CenterName, FleetSnapshot, HostName, LoanMessage, PeerMessage, RegionName, ServerStatus,
+};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::mpsc::Sender, time::Instant};
+
+/// Which daemon this is.
+#[derive(Clone, Debug)]
+pub(crate) struct DaemonIdentity {
+    pub(crate) host: HostName,
+    pub(crate) region: RegionName,
+    pub(crate) center: CenterName,
+}
+
+/// The state that all duties read.
+pub(crate) struct DaemonShared {
+    pub(crate) identity: DaemonIdentity,
+    pub(crate) born: Instant,
+    pub(crate) metrics: FleetMetrics,
+    pub(crate) stopping: AtomicBool,
+    snapshot: ArcSwapOption<FleetSnapshot>,
+    addresses: ArcSwapOption<HashMap<HostName, SocketAddr>>,
+    lease: SharedInstant,
+    readiness: Mutex<Readiness>,
+    servers: Mutex<Vec<ServerStatus>>,
+    watch_wait: AtomicU64,
+}
+
+impl DaemonShared {
+    pub(crate) fn new(identity: DaemonIdentity, metrics: FleetMetrics, wait: Duration) -> Self {
+        let born = Instant::now();
+        Self {
+            identity,
+            born,
+            metrics,
+            stopping: AtomicBool::new(false),
+            snapshot: ArcSwapOption::empty(),
+            addresses: ArcSwapOption::empty(),
+            lease: SharedInstant::new(born),
+            readiness: Mutex::new(Readiness::Unready(UnreadyReason::NoTree)),
+            servers: Mutex::default(),
+            watch_wait: AtomicU64::new(wait.as_millis() as u64),
+        }
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
+        self.snapshot.load_full()
+    }
+
+    pub(crate) fn set_snapshot(&self, snapshot: &Arc<FleetSnapshot>) {
+        let addresses = snapshot
+            .hosts
+            .hosts
+            .iter()
+            .map(|host| (host.name.clone(), host.peer))
+            .collect();
+        self.addresses.store(Some(Arc::new(addresses)));
+        self.snapshot.store(Some(Arc::clone(snapshot)));
+        self.metrics.set_revision(snapshot.revision.0);
+    }
+
+    /// Whether the lease holds at this moment.
+    pub(crate) fn is_current(&self) -> bool {
+        self.lease.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    pub(crate) fn set_lease(&self, until: Option<Instant>) {
+        self.lease.set(until);
+    }
+
+    pub(crate) fn readiness(&self) -> Readiness {
+        *lock(&self.readiness)
+    }
+
+    pub(crate) fn set_readiness(&self, readiness: Readiness) {
+        *lock(&self.readiness) = readiness;
+    }
+
+    pub(crate) fn servers(&self) -> Vec<ServerStatus> {
+        lock(&self.servers).clone()
+    }
+
+    pub(crate) fn set_servers(&self, servers: Vec<ServerStatus>) {
+        *lock(&self.servers) = servers;
+    }
+
+    pub(crate) fn watch_wait(&self) -> Duration {
+        Duration::from_millis(self.watch_wait.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_watch_wait(&self, wait: Duration) {
+        self.watch_wait
+            .store(wait.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    fn address(&self, host: &HostName) -> Option<SocketAddr> {
+        let addresses = self.addresses.load();
+        addresses.as_ref()?.get(host).copied()
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sends messages to listed peers.
+#[derive(Clone)]
+pub(crate) struct PeerSender {
+    shared: Arc<DaemonShared>,
+    outbound: Sender<OutboundPeer>,
+}
+
+impl PeerSender {
+    pub(crate) fn new(shared: Arc<DaemonShared>, outbound: Sender<OutboundPeer>) -> Self {
+        Self { shared, outbound }
+    }
+
+    /// Queues a message; one for an unlisted host, or one that finds the ring full, is dropped.
+    pub(crate) fn send(&self, to: &HostName, message: PeerMessage) {
+        let Some(address) = self.shared.address(to) else {
+            self.shared.metrics.peer_dropped("unlisted");
+            return;
+        };
+        let outbound = OutboundPeer {
+            to: to.clone(),
+            address,
+            message,
+        };
+        if self.outbound.try_send(outbound).is_err() {
+            self.shared.metrics.ring_full("peers");
+        }
+    }
+
+    pub(crate) fn send_loan(&self, to: &HostName, message: LoanMessage) {
+        self.send(to, PeerMessage::Loan(message));
+    }
+}
--- a/crates/kws-dispatch/src/retry.rs
+++ b/crates/kws-dispatch/src/retry.rs
@@ -117,7 +117,8 @@
         self.tokens = (self.tokens + self.share).min(BUDGET_CAP);
     }
 
-    fn spend(&mut self) -> bool {
+    /// Takes one retry; false when the budget is spent.
+    pub fn spend(&mut self) -> bool {
         if self.tokens < 1.0 {
             return false;
         }
--- a/crates/kws-membership/src/action.rs
+++ b/crates/kws-membership/src/action.rs
@@ -1,7 +1,7 @@
 //! What the view decides, and what it counts.
 
-use crate::Readiness;
-use kws_protocol::{FleetSnapshot, HostName, PeerMessage};
+use crate::{Readiness, TreeRejection};
+use kws_protocol::{FleetSnapshot, HostName, PeerMessage, TreeRevision};
 use std::sync::Arc;
 
 /// One decision of [`crate::FleetView`].
@@ -16,6 +16,13 @@
     },
     /// A new snapshot is in force.
     Publish(Arc<FleetSnapshot>),
+    /// A newer revision failed its check; the last good snapshot stays in force.
+    Refuse {
+        /// The revision.
+        revision: TreeRevision,
+        /// All findings.
+        rejection: TreeRejection,
+    },
     /// The readiness changed.
     Readiness(Readiness),
 }
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -333,7 +333,13 @@
         match outcome {
             StoreOutcome::Adopted(snapshot) => self.publish(&snapshot, now, actions),
             StoreOutcome::Conflict => self.counters.conflicts += 1,
-            StoreOutcome::Refused(_) => self.counters.refused_trees += 1,
+            StoreOutcome::Refused(rejection) => {
+                self.counters.refused_trees += 1;
+                actions.push(FleetAction::Refuse {
+                    revision: self.store.seen(),
+                    rejection,
+                });
+            }
             StoreOutcome::Known | StoreOutcome::Older => {}
         }
     }
--- a/src/bin/knapweedseamd.rs
+++ b/src/bin/knapweedseamd.rs
@@ -1,3 +1,58 @@
 //! The daemon that runs on every entry host.
 
-fn main() {}
+use clap::Parser;
+use eyre::{Result, WrapErr};
+use kws_daemon::{load_options, start_daemon, start_logging};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The daemon of the proxy fleet.
+#[derive(Debug, Parser)]
+#[command(version, after_help = EXAMPLES)]
+struct DaemonArgs {
+    /// The settings of this host.
+    #[arg(
+        long,
+        default_value = "examples/quickstart/host.yaml",
+        value_name = "FILE"
+    )]
+    settings: PathBuf,
+    /// The name of this host, new for each life of the daemon, as the platform lists it.
+    #[arg(long, env = "KNAPWEEDSEAM_HOST")]
+    name: Option<String>,
+    /// Where callers connect; goes before the settings file.
+    #[arg(long, value_name = "IP:PORT")]
+    listen: Option<SocketAddr>,
+    /// Threads that serve callers.
+    #[arg(long)]
+    workers: Option<usize>,
+    /// Seconds to serve on after a stop was asked for, while the balancer learns of it.
+    #[arg(long, default_value_t = 5)]
+    drain_lag: u64,
+}
+
+const EXAMPLES: &str = "Examples:
+  knapweedseamd
+  knapweedseamd --settings /etc/knapweedseam/host.yaml --name entry-7f3a
+
+Exit codes: 0 stopped after a signal, 1 the settings or an address can't be used, 2 wrong usage.";
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let args = DaemonArgs::parse();
+    let mut options = load_options(&args.settings, args.name.as_deref(), args.listen)?;
+    if let Some(workers) = args.workers {
+        options.workers = workers.max(1);
+    }
+    options.drain_lag = Duration::from_secs(args.drain_lag);
+    start_logging(&options.settings.log)?;
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be caught")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be caught")?;
+    let daemon = start_daemon(options)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.stop().await;
+    Ok(())
+}
