--- a/crates/kws-tree/src/schema/fleet.rs
+++ b/crates/kws-tree/src/schema/fleet.rs
@@ -58,7 +58,7 @@
         ),
         value(
             "lease",
-            ValueKind::Duration,
+            ValueKind::Lease,
             Text("3s"),
             "A host is current for this long after it sent a question that was answered. It \
              bounds how long a withdrawn key still works.",
--- a/crates/kws-tree/src/value.rs
+++ b/crates/kws-tree/src/value.rs
@@ -38,6 +38,8 @@
     HostName,
     /// What keys of published values start with.
     KeyPrefix,
+    /// How long a host stays current: short enough for a withdrawn key to stop within seconds.
+    Lease,
     /// A whole number that may be 0.
     Limit,
     /// A level of the log.
@@ -114,6 +116,7 @@
             Self::Headers => "a list of header names",
             Self::HostName => "the name of a host, without port",
             Self::KeyPrefix => "a prefix of keys that ends in `/`",
+            Self::Lease => "a duration from 100ms to 10s",
             Self::Limit => "a whole number of at least 0",
             Self::LogLevel => "`error`, `warn`, `info`, `debug` or `trace`",
             Self::MediaType => "a media type without parameters",
@@ -138,6 +141,7 @@
             Self::Bandwidth => "5 Mbit/s",
             Self::Count | Self::Limit => "3",
             Self::Digests => "[sha256:<64 hex digits>]",
+            Self::Lease => "3s",
             Self::Duration | Self::DurationOrNone | Self::OptionalDuration => "250ms",
             Self::Flag | Self::Repeatable => "true",
             Self::Factor | Self::Weight => "1.5",
--- a/crates/kws-tree/src/value/read.rs
+++ b/crates/kws-tree/src/value/read.rs
@@ -7,10 +7,16 @@
     unit,
 };
 use kws_protocol::{RouteAccess, TeamName};
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, ops::RangeInclusive, time::Duration};
 
 /// The longest duration of any field.
 const LONGEST: Duration = Duration::from_hours(30 * 24);
+/// The shortest duration of a field that takes none of zero.
+const SHORTEST: Duration = Duration::from_nanos(1);
+/// The longest lease: a withdrawn key must stop working within seconds.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+/// The shortest lease that leaves time for a question across regions to be answered.
+const SHORTEST_LEASE: Duration = Duration::from_millis(100);
 
 impl ValueKind {
     /// Reads `node` as this kind.
@@ -31,11 +37,10 @@
             Self::Factor => self.read_number(node, |number| number >= 1.0),
             Self::Weight => self.read_number(node, |number| number > 0.0),
             Self::Digests => self.read_digests(node),
-            Self::DurationOrNone => self.read_duration(node, Duration::ZERO),
+            Self::Lease => self.read_duration(node, SHORTEST_LEASE..=LONGEST_LEASE),
+            Self::DurationOrNone => self.read_duration(node, Duration::ZERO..=LONGEST),
             Self::OptionalDuration if is_text(node, "off") => Ok(FieldValue::Off("off")),
-            Self::Duration | Self::OptionalDuration => {
-                self.read_duration(node, Duration::from_nanos(1))
-            }
+            Self::Duration | Self::OptionalDuration => self.read_duration(node, SHORTEST..=LONGEST),
             Self::Repeatable if is_text(node, "by_method") => Ok(FieldValue::Off("by_method")),
             Self::Flag | Self::Repeatable => self.read_flag(node),
             Self::Headers => self.read_texts(node, text::is_token, str::to_ascii_lowercase),
@@ -135,12 +140,16 @@
         }
     }
 
-    fn read_duration(self, node: &TreeNode, least: Duration) -> Result<FieldValue, Problem> {
+    fn read_duration(
+        self,
+        node: &TreeNode,
+        range: RangeInclusive<Duration>,
+    ) -> Result<FieldValue, Problem> {
         let value = self.read_unit(node, |text| {
             unit::parse_duration(text).map(FieldValue::Duration)
         })?;
         match value {
-            FieldValue::Duration(duration) if duration < least || duration > LONGEST => {
+            FieldValue::Duration(duration) if !range.contains(&duration) => {
                 Err(self.out_of_range(unit::format_duration(duration)))
             }
             value => Ok(value),
--- a/crates/kws-tree/tests/bad_trees.rs
+++ b/crates/kws-tree/tests/bad_trees.rs
@@ -227,6 +227,10 @@
     &[("root.yaml", "regions: {a: {weight: 50%, centers: [x]}, b: {weight: 49%, centers: [y]}}")],
     &["root.yaml:1:11: error: regions.a: the weights of the regions sum to 99%"],
 )]
+#[case::long_lease(
+    &[("root.yaml", "regions: {a: {weight: 100%, centers: [x]}}\nfreshness: {lease: 1m}")],
+    &["root.yaml:2:20: error: freshness.lease: `1m` is out of range"],
+)]
 #[case::no_regions(&[("root.yaml", "")], &["root.yaml: error: regions: the weights of the regions sum to 0%"])]
 #[case::shared_center(
     &[("root.yaml", "regions: {a: {weight: 50%, centers: [x]}, b: {weight: 50%, centers: [x]}}")],
