--- a/crates/kws-standin/src/lib.rs
+++ b/crates/kws-standin/src/lib.rs
@@ -1,1 +1,6 @@
-//! Stand-ins for the platform and for backend servers.
+//! Stand-ins for the platform and for backend servers, for tests and examples.
+
+pub mod backend;
+mod platform;
+
+pub use platform::{PlatformMode, PlatformService};
