--- a/crates/kws-tree/src/value.rs
+++ b/crates/kws-tree/src/value.rs
@@ -1,17 +1,13 @@
 //! The kinds of fields: how each is read, and how it is written out.
 
-use crate::{
-    Problem,
-    node::{NodeValue, TreeNode},
-    unit,
-};
+mod read;
+mod text;
+
+use crate::unit;
 use kws_protocol::{KeyDigest, RouteAccess, TeamName};
 use std::{collections::BTreeSet, fmt, net::SocketAddr, time::Duration};
 
-/// The longest duration of any field.
-const LONGEST: Duration = Duration::from_hours(30 * 24);
-/// The prefix of a key's digest.
-const DIGEST_PREFIX: &str = "sha256:";
+pub(crate) use text::{is_name, short_digest};
 
 /// What a field takes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,6 +38,8 @@
     HostName,
     /// What keys of published values start with.
     KeyPrefix,
+    /// How long a host stays current: short enough for a withdrawn key to stop within seconds.
+    Lease,
     /// A whole number that may be 0.
     Limit,
     /// A level of the log.
@@ -118,6 +116,7 @@
             Self::Headers => "a list of header names",
             Self::HostName => "the name of a host, without port",
             Self::KeyPrefix => "a prefix of keys that ends in `/`",
+            Self::Lease => "a duration from 100ms to 10s",
             Self::Limit => "a whole number of at least 0",
             Self::LogLevel => "`error`, `warn`, `info`, `debug` or `trace`",
             Self::MediaType => "a media type without parameters",
@@ -142,6 +141,7 @@
             Self::Bandwidth => "5 Mbit/s",
             Self::Count | Self::Limit => "3",
             Self::Digests => "[sha256:<64 hex digits>]",
+            Self::Lease => "3s",
             Self::Duration | Self::DurationOrNone | Self::OptionalDuration => "250ms",
             Self::Flag | Self::Repeatable => "true",
             Self::Factor | Self::Weight => "1.5",
@@ -160,221 +160,6 @@
             Self::Size => "10 MB",
         }
     }
-
-    /// Reads `node` as this kind.
-    ///
-    /// # Errors
-    /// What is wrong with the value.
-    pub fn read(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        match self {
-            Self::Address => {
-                self.read_text(node, |text| text.parse().ok().map(FieldValue::Address))
-            }
-            Self::Access => self.read_access(node),
-            Self::Bandwidth => self.read_unit(node, |text| {
-                unit::parse_bandwidth(text).map(FieldValue::Bandwidth)
-            }),
-            Self::Count => self.read_number(node, |number| number >= 1.0 && is_whole(number)),
-            Self::Limit => self.read_number(node, |number| number >= 0.0 && is_whole(number)),
-            Self::Factor => self.read_number(node, |number| number >= 1.0),
-            Self::Weight => self.read_number(node, |number| number > 0.0),
-            Self::Digests => self.read_digests(node),
-            Self::DurationOrNone => self.read_duration(node, Duration::ZERO),
-            Self::OptionalDuration if is_text(node, "off") => Ok(FieldValue::Off("off")),
-            Self::Duration | Self::OptionalDuration => {
-                self.read_duration(node, Duration::from_nanos(1))
-            }
-            Self::Repeatable if is_text(node, "by_method") => Ok(FieldValue::Off("by_method")),
-            Self::Flag | Self::Repeatable => self.read_flag(node),
-            Self::Headers => self.read_texts(node, is_token, str::to_ascii_lowercase),
-            Self::Methods => self.read_texts(node, is_method, str::to_owned),
-            Self::Names => self.read_texts(node, is_name, str::to_owned),
-            Self::FilePath => self.read_checked(node, |text| !text.is_empty(), str::to_owned),
-            Self::KeyPrefix => self.read_checked(node, |text| text.ends_with('/'), str::to_owned),
-            Self::LogLevel => self.read_checked(node, is_log_level, str::to_owned),
-            Self::HostName => self.read_checked(node, is_host_name, str::to_ascii_lowercase),
-            Self::MediaType => self.read_checked(node, is_media_type, str::to_ascii_lowercase),
-            Self::Name => self.read_checked(node, is_name, str::to_owned),
-            Self::Path => self.read_checked(node, is_path, str::to_owned),
-            Self::Rate => self.read_rate(node),
-            Self::Share => self.read_share(node),
-            Self::Size => self.read_size(node),
-        }
-    }
-
-    fn wrong_type(self, node: &TreeNode) -> Problem {
-        Problem::WrongType {
-            expected: self.expected(),
-            found: node.describe(),
-        }
-    }
-
-    fn wrong_value(self, text: &str) -> Problem {
-        Problem::WrongValue {
-            value: text.to_owned(),
-            expected: self.expected(),
-            example: self.example(),
-        }
-    }
-
-    fn out_of_range(self, value: String) -> Problem {
-        Problem::OutOfRange {
-            value,
-            range: self.expected(),
-        }
-    }
-
-    fn read_text(
-        self,
-        node: &TreeNode,
-        parse: impl Fn(&str) -> Option<FieldValue>,
-    ) -> Result<FieldValue, Problem> {
-        let NodeValue::Text(text) = &node.value else {
-            return Err(self.wrong_type(node));
-        };
-        parse(text).ok_or_else(|| self.wrong_value(text))
-    }
-
-    fn read_checked(
-        self,
-        node: &TreeNode,
-        check: fn(&str) -> bool,
-        convert: fn(&str) -> String,
-    ) -> Result<FieldValue, Problem> {
-        self.read_text(node, |text| {
-            check(text).then(|| FieldValue::Text(convert(text)))
-        })
-    }
-
-    fn read_unit(
-        self,
-        node: &TreeNode,
-        parse: impl Fn(&str) -> Option<FieldValue>,
-    ) -> Result<FieldValue, Problem> {
-        if let NodeValue::Number(number) = node.value {
-            return Err(Problem::NoUnit {
-                value: number.to_string(),
-                example: self.example(),
-            });
-        }
-        self.read_text(node, parse)
-    }
-
-    fn read_number(
-        self,
-        node: &TreeNode,
-        in_range: impl Fn(f64) -> bool,
-    ) -> Result<FieldValue, Problem> {
-        let NodeValue::Number(number) = node.value else {
-            return Err(self.wrong_type(node));
-        };
-        if !number.is_finite() || !in_range(number) {
-            return Err(self.out_of_range(number.to_string()));
-        }
-        Ok(FieldValue::Number(number))
-    }
-
-    fn read_flag(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        match node.value {
-            NodeValue::Flag(flag) => Ok(FieldValue::Flag(flag)),
-            _ => Err(self.wrong_type(node)),
-        }
-    }
-
-    fn read_duration(self, node: &TreeNode, least: Duration) -> Result<FieldValue, Problem> {
-        let value = self.read_unit(node, |text| {
-            unit::parse_duration(text).map(FieldValue::Duration)
-        })?;
-        match value {
-            FieldValue::Duration(duration) if duration < least || duration > LONGEST => {
-                Err(self.out_of_range(unit::format_duration(duration)))
-            }
-            value => Ok(value),
-        }
-    }
-
-    fn read_rate(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        let value = self.read_unit(node, |text| unit::parse_rate(text).map(FieldValue::Rate))?;
-        match value {
-            FieldValue::Rate(rate) if rate <= 0.0 => {
-                Err(self.out_of_range(unit::format_rate(rate)))
-            }
-            value => Ok(value),
-        }
-    }
-
-    fn read_share(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        let value = self.read_unit(node, |text| unit::parse_share(text).map(FieldValue::Share))?;
-        match value {
-            FieldValue::Share(share) if !(0.0..=1.0).contains(&share) => {
-                Err(self.out_of_range(unit::format_share(share)))
-            }
-            value => Ok(value),
-        }
-    }
-
-    fn read_size(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        let value = self.read_unit(node, |text| unit::parse_size(text).map(FieldValue::Size))?;
-        match value {
-            FieldValue::Size(0) => Err(self.out_of_range(unit::format_size(0))),
-            value => Ok(value),
-        }
-    }
-
-    fn read_access(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        if is_text(node, "open") {
-            return Ok(FieldValue::Access(RouteAccess::Open));
-        }
-        if is_text(node, "any_team") {
-            return Ok(FieldValue::Access(RouteAccess::AnyTeam));
-        }
-        let FieldValue::Texts(teams) = self.read_texts(node, is_name, str::to_owned)? else {
-            return Err(self.wrong_type(node));
-        };
-        if teams.is_empty() {
-            return Err(self.wrong_value("[]"));
-        }
-        let teams = teams.iter().map(|team| TeamName::new(team)).collect();
-        Ok(FieldValue::Access(RouteAccess::Teams(teams)))
-    }
-
-    fn read_digests(self, node: &TreeNode) -> Result<FieldValue, Problem> {
-        let mut digests = BTreeSet::new();
-        for text in self.list_texts(node)? {
-            let digest = parse_digest(text).ok_or_else(|| self.wrong_value(text))?;
-            digests.insert(digest);
-        }
-        Ok(FieldValue::Digests(digests))
-    }
-
-    fn read_texts(
-        self,
-        node: &TreeNode,
-        check: fn(&str) -> bool,
-        convert: fn(&str) -> String,
-    ) -> Result<FieldValue, Problem> {
-        let mut texts = BTreeSet::new();
-        for text in self.list_texts(node)? {
-            if !check(text) {
-                return Err(self.wrong_value(text));
-            }
-            texts.insert(convert(text));
-        }
-        Ok(FieldValue::Texts(texts))
-    }
-
-    fn list_texts(self, node: &TreeNode) -> Result<Vec<&str>, Problem> {
-        let NodeValue::List(items) = &node.value else {
-            return Err(self.wrong_type(node));
-        };
-        items
-            .iter()
-            .map(|item| match &item.value {
-                NodeValue::Text(text) => Ok(&**text),
-                _ => Err(self.wrong_type(item)),
-            })
-            .collect()
-    }
 }
 
 impl fmt::Display for FieldValue {
@@ -409,83 +194,3 @@
     let texts: Vec<&str> = items.iter().map(AsRef::as_ref).collect();
     write!(formatter, "[{}]", texts.join(", "))
 }
-
-/// Reads `sha256:` and 64 hexadecimal digits.
-fn parse_digest(text: &str) -> Option<KeyDigest> {
-    let mut bytes = [0; 32];
-    let digits = text.strip_prefix(DIGEST_PREFIX)?;
-    hex::decode_to_slice(digits, &mut bytes).ok()?;
-    Some(KeyDigest(bytes))
-}
-
-/// The first characters of a digest: enough to find it in the tree.
-pub(crate) fn short_digest(digest: &KeyDigest) -> String {
-    format!("{DIGEST_PREFIX}{}..", hex::encode(&digest.0[..6]))
-}
-
-fn is_text(node: &TreeNode, wanted: &str) -> bool {
-    matches!(&node.value, NodeValue::Text(text) if &**text == wanted)
-}
-
-fn is_whole(number: f64) -> bool {
-    number.fract() == 0.0 && number <= f64::from(u32::MAX)
-}
-
-/// Whether `text` may be the name of a region, data centre, service, server, route or team.
-pub(crate) fn is_name(text: &str) -> bool {
-    let mut letters = text.bytes();
-    text.len() <= 63
-        && letters
-            .next()
-            .is_some_and(|first| first.is_ascii_alphanumeric())
-        && letters.all(|letter| letter.is_ascii_alphanumeric() || matches!(letter, b'-' | b'_'))
-}
-
-fn is_token(text: &str) -> bool {
-    !text.is_empty()
-        && text
-            .bytes()
-            .all(|letter| letter.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&letter))
-}
-
-fn is_method(text: &str) -> bool {
-    !text.is_empty()
-        && text
-            .bytes()
-            .all(|letter| letter.is_ascii_uppercase() || letter == b'-')
-}
-
-fn is_log_level(text: &str) -> bool {
-    matches!(text, "error" | "warn" | "info" | "debug" | "trace")
-}
-
-fn is_media_type(text: &str) -> bool {
-    text.split_once('/')
-        .is_some_and(|(kind, subtype)| is_token(kind) && is_token(subtype))
-}
-
-fn is_host_name(text: &str) -> bool {
-    !text.is_empty()
-        && text.len() <= 253
-        && text.split('.').all(|label| {
-            !label.is_empty()
-                && label
-                    .bytes()
-                    .all(|letter| letter.is_ascii_alphanumeric() || letter == b'-')
-        })
-}
-
-/// Whether `text` is `/`, or whole segments without a slash at the end.
-fn is_path(text: &str) -> bool {
-    let Some(rest) = text.strip_prefix('/') else {
-        return false;
-    };
-    rest.is_empty() || rest.split('/').all(is_segment)
-}
-
-fn is_segment(text: &str) -> bool {
-    !matches!(text, "" | "." | "..")
-        && text
-            .bytes()
-            .all(|letter| letter.is_ascii_graphic() && !b"?#\\%\"<>".contains(&letter))
-}
