--- a/crates/kws-limits/tests/common/fleet.rs
+++ b/crates/kws-limits/tests/common/fleet.rs
@@ -12,7 +12,7 @@
 
 pub const LEASE: Duration = Duration::from_secs(2);
 pub const LIST_LAG: Duration = Duration::from_secs(1);
-pub const STALE_REGION: Duration = Duration::from_secs(60);
+pub const STALE_REGION: Duration = Duration::from_mins(1);
 pub const DRIFT_PPM: u32 = 10_000;
 
 /// One revision: hosts as (region, name), teams as (name, rate, burst), weights by region.
--- a/crates/kws-limits/tests/own_share.rs
+++ b/crates/kws-limits/tests/own_share.rs
@@ -28,7 +28,7 @@
 #[case::still_young(window().mul_f64(0.9), 0)]
 #[case::settled_empty(window(), 0)]
 #[case::partly_filled(window() + Duration::from_millis(420), 4)]
-#[case::full(window() + Duration::from_secs(60), 10)]
+#[case::full(window() + Duration::from_mins(1), 10)]
 #[tokio::test(start_paused = true)]
 async fn lone_host(#[case] age: Duration, #[case] expected: usize) {
     let born = Instant::now();
