Dispatch: fair queues, choice of two, spill and subsets

Deficit round robin over teams, a concurrency limit from own and peers' requests in flight and from shedding, region-local first with a spill budget, connection subsets by rendezvous.

--- a/crates/kws-dispatch/src/dispatcher.rs
+++ b/crates/kws-dispatch/src/dispatcher.rs
@@ -1,100 +1,421 @@
 //! The dispatcher of one host.
 
-use crate::{DispatchAction, DispatchRequest, TicketEnd, TicketId};
+use crate::{
+    DispatchAction, DispatchRequest, ServerGrant, TicketEnd, TicketId,
+    service::{ChoiceContext, ServerPick, ServiceDispatch},
+    spill::SpillBudget,
+    subset::connection_shares,
+};
 use kws_health::StandingSource;
 use kws_protocol::{
-    CenterName, FleetSnapshot, HealthMessage, HostName, RegionName, ServerDigest, ServerName,
-    ServiceName,
+    CenterName, FleetSnapshot, HealthMessage, HostName, HostState, RefusalReason, RegionName,
+    ServerDigest, ServerName, ServiceName, TeamName, rendezvous_score,
 };
+use rand::{SeedableRng, rngs::SmallRng};
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
+/// A granted request.
+#[derive(Clone, Debug)]
+struct GrantedTicket {
+    request: DispatchRequest,
+    server: ServerName,
+    granted: Instant,
+}
+
+/// Where a ticket is.
+#[derive(Clone, Debug)]
+enum TicketState {
+    Queued(ServiceName, TeamName),
+    Granted(Box<GrantedTicket>),
+}
+
 /// Queues requests and chooses a backend server for each.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Dispatcher {
     host: HostName,
     region: RegionName,
     center: CenterName,
+    services: BTreeMap<ServiceName, ServiceDispatch>,
+    tickets: BTreeMap<TicketId, TicketState>,
+    spill: Option<SpillBudget>,
+    rng: SmallRng,
 }
 
 impl Dispatcher {
     /// A dispatcher for `host` that knows no servers yet.
     pub fn new(host: HostName, region: RegionName, center: CenterName) -> Self {
+        // Hosts draw differently from each other, and the same way in every replay.
+        let rng = SmallRng::seed_from_u64(rendezvous_score(host.as_str(), "dispatch"));
         Self {
             host,
             region,
             center,
+            services: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            spill: None,
+            rng,
+        }
+    }
+
+    /// Where the dispatcher runs.
+    pub fn place(&self) -> (&HostName, &RegionName, &CenterName) {
+        (&self.host, &self.region, &self.center)
+    }
+
+    /// Takes the services of a newer tree, and the list. Requests queued for a service that is gone
+    /// are refused.
+    pub fn adopt(&mut self, snapshot: &FleetSnapshot, now: Instant) -> Vec<DispatchAction> {
+        let hosts = self.live_hosts(snapshot);
+        let settings = &snapshot.settings;
+        let near = hosts.values().filter(|region| **region == self.region);
+        let part = near.count().max(1) as f64;
+        let bits = settings
+            .regions
+            .get(&self.region)
+            .map_or(0.0, |region| region.spill_bits as f64);
+        self.spill
+            .get_or_insert_with(|| SpillBudget::new(now))
+            .set_rate(bits / part, now);
+        for (name, service) in &settings.services {
+            let shares = connection_shares(&self.host, &hosts, &service.servers);
+            self.services
+                .entry(name.clone())
+                .or_insert_with(|| ServiceDispatch::new(name))
+                .adopt(service, &shares);
         }
+        self.drop_services(snapshot)
+    }
+
+    fn live_hosts(&self, snapshot: &FleetSnapshot) -> BTreeMap<HostName, RegionName> {
+        let mut hosts: BTreeMap<HostName, RegionName> = snapshot
+            .hosts
+            .hosts
+            .iter()
+            .filter(|listed| listed.state == HostState::Live)
+            .map(|listed| (listed.name.clone(), listed.region.clone()))
+            .collect();
+        hosts.insert(self.host.clone(), self.region.clone());
+        hosts
     }
 
-    /// Takes the services of a newer tree, and the list.
-    pub fn adopt(&mut self, _snapshot: &FleetSnapshot, _now: Instant) {}
+    fn drop_services(&mut self, snapshot: &FleetSnapshot) -> Vec<DispatchAction> {
+        let mut dropped = Vec::new();
+        self.services.retain(|name, dispatch| {
+            let kept = snapshot.settings.services.contains_key(name);
+            if !kept {
+                dropped.extend(dispatch.queue.drop_if(|_| true));
+            }
+            kept
+        });
+        self.refuse_all(dropped, RefusalReason::NoServer)
+    }
 
-    /// Takes a peer's requests in flight.
-    pub fn receive(&mut self, _from: &HostName, _message: &HealthMessage, _now: Instant) {}
+    /// Takes a peer's requests in flight; servers that the digest lacks have none.
+    pub fn receive(&mut self, from: &HostName, message: &HealthMessage, now: Instant) {
+        let HealthMessage::Digest(digests) = message;
+        for dispatch in self.services.values_mut() {
+            for entry in dispatch.servers.values_mut() {
+                entry.limit.set_peer(from, 0, now);
+            }
+        }
+        for digest in digests {
+            let dispatch = self.services.get_mut(&digest.service);
+            if let Some(entry) =
+                dispatch.and_then(|dispatch| dispatch.servers.get_mut(&digest.server))
+            {
+                entry.limit.set_peer(from, digest.in_flight, now);
+            }
+        }
+    }
 
     /// Fills this host's requests in flight into a digest, and adds servers it lacks.
-    pub fn fill_digest(&self, _digests: &mut Vec<ServerDigest>) {}
+    pub fn fill_digest(&self, digests: &mut Vec<ServerDigest>) {
+        for (service, dispatch) in &self.services {
+            for (server, entry) in &dispatch.servers {
+                if entry.limit.in_flight == 0 {
+                    continue;
+                }
+                let known = digests
+                    .iter_mut()
+                    .find(|digest| &digest.service == service && &digest.server == server);
+                match known {
+                    Some(digest) => digest.in_flight = entry.limit.in_flight,
+                    None => digests.push(idle_digest(service, server, entry.limit.in_flight)),
+                }
+            }
+        }
+    }
 
     /// Queues a request; it may be granted or refused at once.
     pub fn enqueue(
         &mut self,
-        _request: DispatchRequest,
-        _standing: &dyn StandingSource,
-        _now: Instant,
+        request: DispatchRequest,
+        standing: &dyn StandingSource,
+        now: Instant,
     ) -> Vec<DispatchAction> {
-        Vec::new()
+        let ticket = request.ticket;
+        if request.deadline <= now {
+            return vec![refuse(ticket, RefusalReason::DeadlineEarly)];
+        }
+        let Some(dispatch) = self.services.get_mut(&request.service) else {
+            return vec![refuse(ticket, RefusalReason::NoServer)];
+        };
+        let queued = request.clone();
+        let service = request.service.clone();
+        let state = TicketState::Queued(service.clone(), request.team.clone());
+        self.tickets.insert(ticket, state);
+        let fallen = dispatch.queue.push(request, dispatch.queue_limit.max(1));
+        let mut actions = self.refuse_all(fallen, RefusalReason::QueueFull);
+        actions.extend(self.serve(&service, standing, now));
+        actions.extend(self.refuse_early(&queued, now));
+        actions
+    }
+
+    /// Refuses a request that still waits and will wait past its deadline.
+    fn refuse_early(&mut self, request: &DispatchRequest, now: Instant) -> Option<DispatchAction> {
+        if !matches!(
+            self.tickets.get(&request.ticket),
+            Some(TicketState::Queued(..))
+        ) {
+            return None;
+        }
+        let dispatch = self.services.get_mut(&request.service)?;
+        if !dispatch.too_late(request, now) {
+            return None;
+        }
+        dispatch.queue.remove(&request.team, request.ticket);
+        self.tickets.remove(&request.ticket);
+        Some(refuse(request.ticket, RefusalReason::DeadlineEarly))
     }
 
     /// Ends a granted ticket; its room may go to requests that wait.
     pub fn complete(
         &mut self,
-        _ticket: TicketId,
-        _end: TicketEnd,
-        _standing: &dyn StandingSource,
-        _now: Instant,
+        ticket: TicketId,
+        end: TicketEnd,
+        standing: &dyn StandingSource,
+        now: Instant,
     ) -> Vec<DispatchAction> {
-        Vec::new()
+        let Some(ended) = self.end_grant(ticket, Some(end), now) else {
+            return Vec::new();
+        };
+        self.serve(&ended.request.service, standing, now)
     }
 
     /// Forgets a ticket, queued or granted.
     pub fn cancel(
         &mut self,
-        _ticket: TicketId,
-        _standing: &dyn StandingSource,
-        _now: Instant,
+        ticket: TicketId,
+        standing: &dyn StandingSource,
+        now: Instant,
     ) -> Vec<DispatchAction> {
-        Vec::new()
+        if let Some(TicketState::Queued(service, team)) = self.tickets.get(&ticket).cloned() {
+            self.tickets.remove(&ticket);
+            if let Some(dispatch) = self.services.get_mut(&service) {
+                dispatch.queue.remove(&team, ticket);
+            }
+            return Vec::new();
+        }
+        let Some(ended) = self.end_grant(ticket, None, now) else {
+            return Vec::new();
+        };
+        self.serve(&ended.request.service, standing, now)
     }
 
     /// Ends a granted ticket's try at a server and queues it again, first of its team and away from
     /// that server. The caller has asked the retry policy before.
     pub fn retry(
         &mut self,
-        _ticket: TicketId,
-        _end: TicketEnd,
-        _standing: &dyn StandingSource,
-        _now: Instant,
+        ticket: TicketId,
+        end: TicketEnd,
+        standing: &dyn StandingSource,
+        now: Instant,
     ) -> Vec<DispatchAction> {
-        Vec::new()
+        let Some(ended) = self.end_grant(ticket, Some(end), now) else {
+            return Vec::new();
+        };
+        let mut request = ended.request;
+        let service = request.service.clone();
+        request.excluded.push(ended.server);
+        let state = TicketState::Queued(service.clone(), request.team.clone());
+        match self.services.get_mut(&service) {
+            Some(dispatch) if request.deadline > now => {
+                self.tickets.insert(ticket, state);
+                dispatch.queue.push_front(request);
+            }
+            Some(_) => return vec![refuse(ticket, RefusalReason::DeadlineEarly)],
+            None => return vec![refuse(ticket, RefusalReason::NoServer)],
+        }
+        self.serve(&service, standing, now)
     }
 
     /// Drops what its deadline lost and serves what waits. Due every 10 ms or so while requests wait.
-    pub fn tick(&mut self, _standing: &dyn StandingSource, _now: Instant) -> Vec<DispatchAction> {
-        Vec::new()
+    pub fn tick(&mut self, standing: &dyn StandingSource, now: Instant) -> Vec<DispatchAction> {
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let mut actions = Vec::new();
+        for name in names {
+            if let Some(dispatch) = self.services.get_mut(&name) {
+                dispatch.prune(now);
+            }
+            actions.extend(self.serve(&name, standing, now));
+        }
+        actions
     }
 
     /// Requests that wait for a server of `service`.
-    pub fn queued(&self, _service: &ServiceName) -> usize {
-        0
+    pub fn queued(&self, service: &ServiceName) -> usize {
+        self.services
+            .get(service)
+            .map_or(0, |dispatch| dispatch.queue.len())
     }
 
     /// The connections that this host may hold to `server`; 0 when the server is not in its subset.
-    pub fn connections(&self, _service: &ServiceName, _server: &ServerName) -> u32 {
-        0
+    pub fn connections(&self, service: &ServiceName, server: &ServerName) -> u32 {
+        self.services
+            .get(service)
+            .and_then(|dispatch| dispatch.servers.get(server))
+            .map_or(0, |entry| entry.connections)
     }
 
-    /// Where the dispatcher runs.
-    pub fn place(&self) -> (&HostName, &RegionName, &CenterName) {
-        (&self.host, &self.region, &self.center)
+    /// Takes a granted ticket off its server; `None` when it isn't granted.
+    fn end_grant(
+        &mut self,
+        ticket: TicketId,
+        end: Option<TicketEnd>,
+        now: Instant,
+    ) -> Option<GrantedTicket> {
+        let Some(TicketState::Granted(_)) = self.tickets.get(&ticket) else {
+            return None;
+        };
+        let Some(TicketState::Granted(ended)) = self.tickets.remove(&ticket) else {
+            return None;
+        };
+        let dispatch = self.services.get_mut(&ended.request.service);
+        if let Some(dispatch) = dispatch {
+            let time = now.duration_since(ended.granted);
+            end_try(dispatch, &ended.server, end, time);
+        }
+        Some(*ended)
+    }
+
+    /// Grants what has a place to go, and refuses what has none.
+    fn serve(
+        &mut self,
+        service: &ServiceName,
+        standing: &dyn StandingSource,
+        now: Instant,
+    ) -> Vec<DispatchAction> {
+        let Some(dispatch) = self.services.get_mut(service) else {
+            return Vec::new();
+        };
+        let expired = dispatch.queue.drop_expired(now);
+        let mut context = ChoiceContext {
+            standing,
+            region: &self.region,
+            spill: false,
+            now,
+        };
+        let stranded = dispatch.drop_stranded(&context);
+        let mut granted = Vec::new();
+        loop {
+            context.spill = self.spill.as_mut().is_some_and(|spill| {
+                spill.fill(now);
+                spill.allows()
+            });
+            let Some((request, pick)) = dispatch.next(&context, &mut self.rng) else {
+                break;
+            };
+            let Some(entry) = dispatch.servers.get_mut(&pick.server) else {
+                break;
+            };
+            entry.limit.grant(now);
+            if let Some(spill) = self.spill.as_mut().filter(|_| pick.spill) {
+                spill.pay(request.bytes);
+            }
+            granted.push((request, pick, entry.settings.address));
+        }
+        let mut actions = self.refuse_all(expired, RefusalReason::DeadlineEarly);
+        actions.extend(self.refuse_all(stranded, RefusalReason::NoServer));
+        for (request, pick, address) in granted {
+            actions.push(self.grant(request, pick, address, now));
+        }
+        actions
+    }
+
+    fn grant(
+        &mut self,
+        request: DispatchRequest,
+        pick: ServerPick,
+        address: std::net::SocketAddr,
+        now: Instant,
+    ) -> DispatchAction {
+        let grant = ServerGrant {
+            ticket: request.ticket,
+            server: pick.server.clone(),
+            address,
+            trial: pick.trial,
+            spill: pick.spill,
+        };
+        let granted = GrantedTicket {
+            request,
+            server: pick.server,
+            granted: now,
+        };
+        let state = TicketState::Granted(Box::new(granted));
+        self.tickets.insert(grant.ticket, state);
+        DispatchAction::Grant(grant)
+    }
+
+    fn refuse_all(
+        &mut self,
+        requests: impl IntoIterator<Item = DispatchRequest>,
+        reason: RefusalReason,
+    ) -> Vec<DispatchAction> {
+        requests
+            .into_iter()
+            .map(|request| {
+                self.tickets.remove(&request.ticket);
+                refuse(request.ticket, reason)
+            })
+            .collect()
+    }
+}
+
+fn end_try(
+    dispatch: &mut ServiceDispatch,
+    server: &ServerName,
+    end: Option<TicketEnd>,
+    time: Duration,
+) {
+    if end == Some(TicketEnd::Answered) {
+        dispatch.learn_time(time);
+    }
+    let Some(entry) = dispatch.servers.get_mut(server) else {
+        return;
+    };
+    entry.limit.release();
+    match end {
+        Some(TicketEnd::Answered) => entry.limit.widen(entry.settings.slots),
+        Some(TicketEnd::Shed) => entry.limit.narrow(),
+        Some(TicketEnd::Failed) | None => {}
+    }
+}
+
+fn refuse(ticket: TicketId, reason: RefusalReason) -> DispatchAction {
+    DispatchAction::Refuse { ticket, reason }
+}
+
+/// A digest of a server of which only the requests in flight are told.
+fn idle_digest(service: &ServiceName, server: &ServerName, in_flight: u32) -> ServerDigest {
+    ServerDigest {
+        service: service.clone(),
+        server: server.clone(),
+        answers: 0,
+        bad: 0,
+        median: Duration::ZERO,
+        in_flight,
+        draining: false,
+        ejected: false,
     }
 }
--- a/crates/kws-dispatch/src/lib.rs
+++ b/crates/kws-dispatch/src/lib.rs
@@ -4,8 +4,14 @@
 //! reads no clock: each call takes an event and the time, and returns what to do.
 
 mod action;
+mod choice;
+mod concurrency;
 mod dispatcher;
+mod queue;
 mod retry;
+mod service;
+mod spill;
+mod subset;
 
 pub use action::{DispatchAction, DispatchRequest, ServerGrant, TicketEnd, TicketId};
 pub use dispatcher::Dispatcher;
--- /dev/null
+++ b/crates/kws-dispatch/src/queue.rs
@@ -0,0 +1,183 @@
+//! The queue of one service: deficit round robin over teams.
+
+use crate::{DispatchRequest, TicketId};
+use kws_protocol::TeamName;
+use std::collections::{BTreeMap, VecDeque};
+use tokio::time::Instant;
+
+/// The smallest share of the heaviest team's weight that a team may have, so that rounds are few.
+const MIN_QUANTUM: f64 = 0.01;
+
+/// The requests of one team, in order.
+#[derive(Clone, Debug)]
+struct TeamQueue {
+    requests: VecDeque<DispatchRequest>,
+    weight: f64,
+    /// What the team may send before its turn ends, in requests.
+    deficit: f64,
+}
+
+/// Requests that wait, served in proportion to their teams' weights.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairQueue {
+    teams: BTreeMap<TeamName, TeamQueue>,
+    turns: VecDeque<TeamName>,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Requests that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Adds a request behind its team's others. When more than `limit` wait then, the newest request
+    /// of the team that is longest for its weight falls out.
+    pub(crate) fn push(
+        &mut self,
+        request: DispatchRequest,
+        limit: usize,
+    ) -> Option<DispatchRequest> {
+        self.team_of(&request).requests.push_back(request);
+        self.len += 1;
+        if self.len <= limit {
+            return None;
+        }
+        let longest = self
+            .teams
+            .iter()
+            .max_by(|left, right| length(left.1).total_cmp(&length(right.1)))
+            .map(|(name, _)| name.clone())?;
+        let fallen = self.teams.get_mut(&longest)?.requests.pop_back();
+        self.forget_empty(&longest);
+        self.len -= 1;
+        fallen
+    }
+
+    /// Puts a request back before its team's others; it had its turn already.
+    pub(crate) fn push_front(&mut self, request: DispatchRequest) {
+        let team = self.team_of(&request);
+        team.deficit += 1.0;
+        team.requests.push_front(request);
+        self.len += 1;
+    }
+
+    fn team_of(&mut self, request: &DispatchRequest) -> &mut TeamQueue {
+        if !self.teams.contains_key(&request.team) {
+            self.turns.push_back(request.team.clone());
+        }
+        let team = self
+            .teams
+            .entry(request.team.clone())
+            .or_insert_with(|| TeamQueue {
+                requests: VecDeque::new(),
+                weight: request.weight,
+                deficit: 0.0,
+            });
+        team.weight = request.weight.max(f64::MIN_POSITIVE);
+        team
+    }
+
+    /// Takes the next request that `pick` finds a place for, in fair order.
+    pub(crate) fn next<P>(
+        &mut self,
+        mut pick: impl FnMut(&DispatchRequest) -> Option<P>,
+    ) -> Option<(DispatchRequest, P)> {
+        let heaviest = self
+            .teams
+            .values()
+            .map(|team| team.weight)
+            .fold(0.0, f64::max);
+        let mut blocked = 0;
+        while blocked < self.turns.len() {
+            let name = self.turns.front()?.clone();
+            let team = self.teams.get_mut(&name)?;
+            if team.deficit < 1.0 {
+                team.deficit += (team.weight / heaviest).max(MIN_QUANTUM);
+            }
+            if team.deficit < 1.0 {
+                self.turns.rotate_left(1);
+                continue;
+            }
+            if let Some(place) = team.requests.front().and_then(&mut pick) {
+                team.deficit -= 1.0;
+                let request = team.requests.pop_front()?;
+                let ended = team.deficit < 1.0;
+                self.len -= 1;
+                if ended {
+                    self.turns.rotate_left(1);
+                }
+                self.forget_empty(&name);
+                return Some((request, place));
+            }
+            blocked += 1;
+            self.turns.rotate_left(1);
+        }
+        None
+    }
+
+    /// Removes one request.
+    pub(crate) fn remove(&mut self, team: &TeamName, ticket: TicketId) -> Option<DispatchRequest> {
+        let requests = &mut self.teams.get_mut(team)?.requests;
+        let place = requests.iter().position(|one| one.ticket == ticket)?;
+        let removed = requests.remove(place);
+        self.len -= 1;
+        self.forget_empty(team);
+        removed
+    }
+
+    /// Removes the requests whose deadline has passed.
+    pub(crate) fn drop_expired(&mut self, now: Instant) -> Vec<DispatchRequest> {
+        self.drop_if(|request| request.deadline <= now)
+    }
+
+    /// Removes the requests that `lost` names.
+    pub(crate) fn drop_if(
+        &mut self,
+        lost: impl Fn(&DispatchRequest) -> bool,
+    ) -> Vec<DispatchRequest> {
+        let mut dropped = Vec::new();
+        for team in self.teams.values_mut() {
+            let (gone, kept) = std::mem::take(&mut team.requests)
+                .into_iter()
+                .partition::<Vec<_>, _>(&lost);
+            team.requests = kept.into();
+            dropped.extend(gone);
+        }
+        self.len -= dropped.len();
+        self.teams.retain(|_, team| !team.requests.is_empty());
+        self.turns.retain(|name| self.teams.contains_key(name));
+        dropped
+    }
+
+    /// Requests that are served until the last one of `team` is, itself included.
+    pub(crate) fn turns_to_last(&self, team: &TeamName) -> f64 {
+        let Some(queue) = self.teams.get(team) else {
+            return 0.0;
+        };
+        let weights: f64 = self.teams.values().map(|team| team.weight).sum();
+        let own = queue.requests.len() as f64;
+        (own * weights / queue.weight).min(self.len as f64)
+    }
+
+    /// The teams with requests that wait.
+    pub(crate) fn team_names(&self) -> impl Iterator<Item = &TeamName> {
+        self.teams.keys()
+    }
+
+    fn forget_empty(&mut self, name: &TeamName) {
+        if self
+            .teams
+            .get(name)
+            .is_some_and(|team| team.requests.is_empty())
+        {
+            self.teams.remove(name);
+            self.turns.retain(|turn| turn != name);
+        }
+    }
+}
+
+/// How long a team's queue is for its weight.
+fn length(team: &TeamQueue) -> f64 {
+    team.requests.len() as f64 / team.weight
+}
