--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -49,7 +49,15 @@
     /// # Errors
     /// When no port can be had.
     pub async fn start(script: BackendScript) -> io::Result<BackendHandle> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), script).await
+    }
+
+    /// Starts a server at an address.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start_at(address: SocketAddr, script: BackendScript) -> io::Result<BackendHandle> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(ServerState {
             script: Mutex::new(script),
