--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -4,7 +4,7 @@
     DaemonOptions,
     admin::start_admin,
     control::RingControl,
-    dispatch::start_dispatch,
+    dispatch::{DispatchEvent, start_dispatch},
     fleet::{FleetOutlets, FleetRings, start_fleet},
     ledger::{LedgerEvent, start_ledger},
     peers::{PeerOutlets, start_peers},
@@ -86,68 +86,90 @@
 ///
 /// # Errors
 /// When an address can't be bound or a thread can't be started.
-pub fn start_daemon(options: DaemonOptions) -> Result<RunningDaemon> {
-    let settings = options.settings;
+pub fn start_daemon(options: &DaemonOptions) -> Result<RunningDaemon> {
+    let settings = &options.settings;
     let admin = bind("admin", settings.admin)?;
     let peer = bind("peer", settings.peer)?;
     let (admin_address, peer_address) = (admin.local_addr()?, peer.local_addr()?);
     let identity = DaemonIdentity {
         host: host_name(settings.name.as_deref(), peer_address),
-        region: settings.region,
-        center: settings.center,
+        region: settings.region.clone(),
+        center: settings.center.clone(),
     };
     let metrics = FleetMetrics::new().wrap_err("the metrics can't be registered")?;
     let shared = Arc::new(DaemonShared::new(identity, metrics, FIRST_WAIT));
-
-    let (platform_sender, platform) = channel(PLATFORM_RING);
-    let (fleet_sender, fleet) = channel(FLEET_RING);
-    let (ledger, ledger_events) = channel(LEDGER_RING);
-    let (dispatch, dispatch_events) = channel(DISPATCH_RING);
-    let (outbound, outbound_messages) = channel(OUTBOUND_RING);
-    let peers = PeerSender::new(Arc::clone(&shared), outbound);
-
-    start_ledger(Arc::clone(&shared), ledger_events, peers.clone())?;
-    start_dispatch(Arc::clone(&shared), dispatch_events, peers.clone())?;
-    start_peers(
-        Arc::clone(&shared),
-        peer,
-        options.secret,
-        outbound_messages,
-        PeerOutlets {
-            fleet: fleet_sender,
-            ledger: ledger.clone(),
-            dispatch: dispatch.clone(),
-        },
-    )?;
-    start_fleet(
-        Arc::clone(&shared),
-        FleetRings {
-            platform,
-            peers: fleet,
-        },
-        FleetOutlets {
-            peers,
-            ledger: ledger.clone(),
-            dispatch: dispatch.clone(),
-        },
-    )?;
-    start_watch(settings.platform, Arc::clone(&shared), platform_sender)?;
     start_admin(Arc::clone(&shared), admin)?;
+    let rings = start_duties(&shared, options, peer)?;
 
-    let control = RingControl::new(Arc::clone(&shared), ledger.clone(), dispatch);
-    let listener_settings = ListenerSettings::new(settings.listen, options.workers);
-    let listener = run_listener(listener_settings, Arc::new(control))
+    let control = RingControl::new(Arc::clone(&shared), rings.ledger.clone(), rings.dispatch);
+    let listener = ListenerSettings::new(settings.listen, options.workers);
+    let listener = run_listener(listener, Arc::new(control))
         .wrap_err_with(|| format!("callers can't be served on {}", settings.listen))?;
+    log::info!(
+        host = shared.identity.host.as_str(),
+        listen = listener.address().to_string().as_str(),
+        admin = admin_address.to_string().as_str(),
+        peer = peer_address.to_string().as_str();
+        "started"
+    );
     Ok(RunningDaemon {
         shared,
         listener,
-        ledger,
+        ledger: rings.ledger,
         drain_lag: options.drain_lag,
         admin: admin_address,
         peer: peer_address,
     })
 }
 
+/// The rings that the caller listeners write to.
+struct RequestRings {
+    ledger: Sender<LedgerEvent>,
+    dispatch: Sender<DispatchEvent>,
+}
+
+fn start_duties(
+    shared: &Arc<DaemonShared>,
+    options: &DaemonOptions,
+    listener: TcpListener,
+) -> Result<RequestRings> {
+    let (platform_events, platform) = channel(PLATFORM_RING);
+    let (fleet_messages, fleet) = channel(FLEET_RING);
+    let (ledger, ledger_events) = channel(LEDGER_RING);
+    let (dispatch, dispatch_events) = channel(DISPATCH_RING);
+    let (outbound, outbound_messages) = channel(OUTBOUND_RING);
+    let peers = PeerSender::new(Arc::clone(shared), outbound);
+
+    start_ledger(Arc::clone(shared), ledger_events, peers.clone())?;
+    start_dispatch(Arc::clone(shared), dispatch_events, peers.clone())?;
+    let outlets = PeerOutlets {
+        fleet: fleet_messages,
+        ledger: ledger.clone(),
+        dispatch: dispatch.clone(),
+    };
+    let secret = options.secret.clone();
+    start_peers(
+        Arc::clone(shared),
+        listener,
+        secret,
+        outbound_messages,
+        outlets,
+    )?;
+    let rings = FleetRings {
+        platform,
+        peers: fleet,
+    };
+    let outlets = FleetOutlets {
+        peers,
+        ledger: ledger.clone(),
+        dispatch: dispatch.clone(),
+    };
+    start_fleet(Arc::clone(shared), rings, outlets)?;
+    let source = options.settings.platform.clone();
+    start_watch(source, Arc::clone(shared), platform_events)?;
+    Ok(RequestRings { ledger, dispatch })
+}
+
 fn bind(duty: &str, address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).wrap_err_with(|| format!("{duty} can't listen on {address}"))
 }
--- a/crates/kws-daemon/src/logging.rs
+++ b/crates/kws-daemon/src/logging.rs
@@ -4,10 +4,13 @@
 use log::LevelFilter;
 use log4rs::{
     append::console::ConsoleAppender,
-    config::{Appender, Config, Root},
+    config::{Appender, Config, Logger, Root},
     encode::json::JsonEncoder,
 };
 
+/// Libraries that tell at `info` what only their developers need.
+const QUIET_LIBRARIES: [&str; 3] = ["ntex_net", "ntex_rt", "ntex_server"];
+
 /// Starts logging at `level`, one of `error`, `warn`, `info`, `debug` and `trace`.
 ///
 /// # Errors
@@ -19,8 +22,10 @@
     let console = ConsoleAppender::builder()
         .encoder(Box::new(JsonEncoder::new()))
         .build();
+    let quiet = level.min(LevelFilter::Warn);
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
+        .loggers(QUIET_LIBRARIES.map(|library| Logger::builder().build(library, quiet)))
         .build(Root::builder().appender("console").build(level))
         .wrap_err("the logging can't be configured")?;
     log4rs::init_config(config).wrap_err("the logging can't be started")?;
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -28,7 +28,7 @@
     let servers = start_servers().await?;
     let mut options = load_options(Path::new("examples/quickstart/host.yaml"), None, None)?;
     options.drain_lag = Duration::ZERO;
-    let daemon = start_daemon(options)?;
+    let daemon = start_daemon(&options)?;
     let client = Client::builder()
         .disable_timeout()
         .build(SharedCfg::default())
--- a/src/bin/knapweedseamd.rs
+++ b/src/bin/knapweedseamd.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use eyre::{Result, WrapErr};
 use kws_daemon::{load_options, start_daemon, start_logging};
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The daemon of the proxy fleet.
@@ -38,8 +38,16 @@
 Exit codes: 0 stopped after a signal, 1 the settings or an address can't be used, 2 wrong usage.";
 
 #[tokio::main(flavor = "current_thread")]
-async fn main() -> Result<()> {
-    let args = DaemonArgs::parse();
+async fn main() -> ExitCode {
+    let Err(error) = run(DaemonArgs::parse()).await else {
+        return ExitCode::SUCCESS;
+    };
+    // Operators need the finding and its place, not the place in the source.
+    eprintln!("knapweedseamd: {error:#}");
+    ExitCode::FAILURE
+}
+
+async fn run(args: DaemonArgs) -> Result<()> {
     let mut options = load_options(&args.settings, args.name.as_deref(), args.listen)?;
     if let Some(workers) = args.workers {
         options.workers = workers.max(1);
@@ -48,7 +56,7 @@
     start_logging(&options.settings.log)?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be caught")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be caught")?;
-    let daemon = start_daemon(options)?;
+    let daemon = start_daemon(&options)?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- /dev/null
+++ b/tests/daemon_processes.rs
@@ -0,0 +1,366 @@
+//! Daemons as separate processes, over real sockets, against the stand-ins of the platform and of
+//! backend servers.
+
+use kws_protocol::StatusReport;
+use kws_standin::{
+    PlatformMode, PlatformService,
+    backend::{BackendHandle, BackendScript, BackendServer},
+};
+use rstest::rstest;
+use serde::Deserialize;
+use std::{
+    fmt::Write as _,
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, ChildStdout, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+const ORCHARD_KEY: &str = "demo-orchard-key";
+const ORCHARD_DIGEST: &str = "a65e85820909c0c7bef91b959ced58e1db5e333d19557f436dbfa4f71b619756";
+/// No step of a test takes longer on a machine that works at all.
+const PATIENCE: Duration = Duration::from_mins(1);
+const PAUSE: Duration = Duration::from_millis(50);
+
+struct DaemonProcess {
+    child: Child,
+    name: String,
+    listen: SocketAddr,
+    admin: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl DaemonProcess {
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args([signal, &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct TestFleet {
+    platform: PlatformService,
+    servers: Vec<BackendHandle>,
+    daemons: Vec<DaemonProcess>,
+    files: TempDir,
+}
+
+/// The status and body of one answer; none when the connection broke.
+type Answer = Option<(u16, String)>;
+
+impl TestFleet {
+    async fn start(hosts: usize) -> Self {
+        let mut servers = Vec::new();
+        for _ in 0..2 {
+            let server = BackendServer::start(BackendScript::default()).await;
+            servers.push(server.expect("backend server"));
+        }
+        let mut fleet = Self {
+            platform: PlatformService::start(),
+            servers,
+            daemons: Vec::new(),
+            files: TempDir::new().expect("directory"),
+        };
+        fs::write(
+            fleet.files.path().join("secret"),
+            "a secret of the test fleet",
+        )
+        .expect("secret");
+        for number in 1..=hosts {
+            fleet.start_daemon(&format!("host-{number}"));
+        }
+        fleet.publish(true);
+        for daemon in &fleet.daemons {
+            wait_for(
+                "readiness",
+                || fleet.status_of(daemon),
+                |status| status.ready,
+            )
+            .await;
+        }
+        fleet
+    }
+
+    fn start_daemon(&mut self, name: &str) {
+        let settings = self.files.path().join(format!("{name}.yaml"));
+        let http = self.platform.url().replace("http://", "");
+        let secret = self.files.path().join("secret");
+        let text = format!(
+            "name: {name}\nregion: local\ncenter: local-a\nlisten: \"127.0.0.1:0\"\n\
+             admin: \"127.0.0.1:0\"\npeer: \"127.0.0.1:0\"\npeer_secret_file: {}\n\
+             platform:\n  http: \"{http}\"\n  prefix: fleet/\n",
+            secret.display()
+        );
+        fs::write(&settings, text).expect("settings");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_knapweedseamd"))
+            .args(["--drain-lag", "1", "--workers", "1", "--settings"])
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let started = read_started(child.stdout.take().expect("a pipe"));
+        self.daemons.push(DaemonProcess {
+            child,
+            name: name.to_owned(),
+            listen: started.listen,
+            admin: started.admin,
+            peer: started.peer,
+        });
+    }
+
+    /// Publishes the tree, with or without the team's key, and the list of all daemons.
+    fn publish(&self, with_key: bool) {
+        let tree = self.tree(with_key);
+        let hosts = self.hosts();
+        self.platform
+            .publish_all([("root.yaml", tree.as_str()), ("hosts.json", hosts.as_str())]);
+    }
+
+    fn tree(&self, with_key: bool) -> String {
+        let mut servers = String::new();
+        for (index, server) in self.servers.iter().enumerate() {
+            let address = server.address();
+            let _ = writeln!(
+                servers,
+                "      listing-{index}: {{address: \"{address}\", slots: 30}}"
+            );
+        }
+        let keys = if with_key {
+            format!("[\"sha256:{ORCHARD_DIGEST}\"]")
+        } else {
+            "[]".to_owned()
+        };
+        format!(
+            "freshness: {{lease: 1s, list_lag: 500ms}}\n\
+             regions:\n  local: {{weight: 100%, centers: [local-a]}}\n\
+             services:\n  listing:\n    floor: 50%\n    servers:\n{servers}\
+             defaults:\n  service: {{server: {{region: local, center: local-a}}}}\n\
+             routes:\n  slots: {{path: /slots, service: listing, deadline: 20s, access: any_team}}\n\
+             teams:\n  orchard: {{rate: 20/s, burst: 20, keys: {keys}}}\n"
+        )
+    }
+
+    fn hosts(&self) -> String {
+        let hosts: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|daemon| {
+                format!(
+                    "{{\"name\": \"{}\", \"region\": \"local\", \"center\": \"local-a\", \
+                     \"peer\": \"{}\", \"state\": \"live\"}}",
+                    daemon.name, daemon.peer
+                )
+            })
+            .collect();
+        format!("{{\"hosts\": [{}], \"servers\": []}}", hosts.join(", "))
+    }
+
+    async fn status_of(&self, daemon: &DaemonProcess) -> Option<StatusReport> {
+        let (status, body) = get(daemon.admin, "/status", None).await?;
+        (status == 200).then(|| serde_json::from_str(&body).expect("a status report"))
+    }
+
+    /// Waits until a daemon admits the team's requests.
+    async fn wait_admitted(&self) {
+        for daemon in &self.daemons {
+            let call = || get(daemon.listen, "/slots", Some(ORCHARD_KEY));
+            wait_for("an admitted request", call, |answer| answer.0 == 200).await;
+        }
+    }
+
+    /// Sends from all daemons at once as fast as they answer, and counts what was admitted.
+    async fn admitted_within(&self, time: Duration) -> usize {
+        let end = Instant::now() + time;
+        let mut callers = Vec::new();
+        for daemon in &self.daemons {
+            for _ in 0..4 {
+                callers.push(tokio::spawn(count_admitted(daemon.listen, end)));
+            }
+        }
+        let mut admitted = 0;
+        for caller in callers {
+            admitted += caller.await.expect("the caller ends");
+        }
+        admitted
+    }
+}
+
+async fn count_admitted(address: SocketAddr, end: Instant) -> usize {
+    let mut admitted = 0;
+    while Instant::now() < end {
+        match timeout(
+            Duration::from_secs(1),
+            get(address, "/slots", Some(ORCHARD_KEY)),
+        )
+        .await
+        {
+            Ok(Some((200, _))) => admitted += 1,
+            _ => sleep(Duration::from_millis(5)).await,
+        }
+    }
+    admitted
+}
+
+/// Where a daemon listens, as its first log line says.
+#[derive(Deserialize)]
+struct StartedLine {
+    listen: SocketAddr,
+    admin: SocketAddr,
+    peer: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct LogLine {
+    message: String,
+    attributes: serde_json::Value,
+}
+
+/// Reads the log up to the line that names the addresses, and the rest on a thread of its own.
+fn read_started(stdout: ChildStdout) -> StartedLine {
+    let mut lines = BufReader::new(stdout).lines();
+    let started = lines
+        .by_ref()
+        .map(|line| serde_json::from_str(&line.expect("a line")).expect("a JSON line"))
+        .find(|line: &LogLine| line.message == "started")
+        .expect("the daemon says where it listens");
+    thread::spawn(move || lines.count());
+    serde_json::from_value(started.attributes).expect("addresses")
+}
+
+async fn get(address: SocketAddr, path: &str, key: Option<&str>) -> Answer {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let key = key.map_or(String::new(), |key| {
+        format!("authorization: Bearer {key}\r\n")
+    });
+    let head = format!("GET {path} HTTP/1.1\r\nhost: test\r\n{key}connection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.ok()?;
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).await.ok()?;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let (_, body) = text.split_once("\r\n\r\n")?;
+    Some((status, body.to_owned()))
+}
+
+async fn wait_for<T, F>(what: &str, mut ask: impl FnMut() -> F, wanted: impl Fn(&T) -> bool) -> T
+where
+    F: Future<Output = Option<T>>,
+{
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let found = timeout(Duration::from_secs(2), ask()).await.ok().flatten();
+        if let Some(found) = found.filter(&wanted) {
+            return found;
+        }
+        assert!(Instant::now() < deadline, "{what} didn't come");
+        sleep(PAUSE).await;
+    }
+}
+
+/// What is admitted while three daemons take as much as they can is at most burst + rate x time,
+/// whatever happens to one of them.
+#[rstest]
+#[case::calm("")]
+#[case::killed("-KILL")]
+#[case::frozen("-STOP")]
+#[tokio::test]
+async fn rate_held(#[case] signal: &str) {
+    let fleet = TestFleet::start(3).await;
+    fleet.wait_admitted().await;
+    let begun = Instant::now();
+    let mut admitted = fleet.admitted_within(Duration::from_secs(2)).await;
+    if !signal.is_empty() {
+        fleet.daemons[2].signal(signal);
+    }
+    admitted += fleet.admitted_within(Duration::from_secs(2)).await;
+    if signal == "-STOP" {
+        fleet.daemons[2].signal("-CONT");
+    }
+    admitted += fleet.admitted_within(Duration::from_secs(2)).await;
+    let entitled = 20.0 + 20.0 * begun.elapsed().as_secs_f64();
+    assert!(admitted as f64 <= entitled, "{admitted} of {entitled}");
+    assert!(admitted > 0, "nothing was admitted");
+}
+
+#[tokio::test]
+async fn key_withdrawn() {
+    let fleet = TestFleet::start(2).await;
+    fleet.wait_admitted().await;
+    fleet.publish(false);
+    for daemon in &fleet.daemons {
+        let call = || get(daemon.listen, "/slots", Some(ORCHARD_KEY));
+        wait_for("the withdrawal", call, |answer| answer.0 == 401).await;
+    }
+}
+
+#[tokio::test]
+async fn platform_outage() {
+    let fleet = TestFleet::start(3).await;
+    fleet.wait_admitted().await;
+    fleet.platform.set_mode(PlatformMode::Down);
+    sleep(Duration::from_secs(3)).await;
+    for daemon in &fleet.daemons {
+        let status = fleet.status_of(daemon).await.expect("a status report");
+        assert!(status.ready, "{status:?}");
+    }
+    fleet.wait_admitted().await;
+}
+
+#[tokio::test]
+async fn broken_tree() {
+    let fleet = TestFleet::start(2).await;
+    fleet.wait_admitted().await;
+    fleet.platform.publish("root.yaml", "routes: [not a map]");
+    sleep(Duration::from_secs(2)).await;
+    fleet.wait_admitted().await;
+    let status = fleet
+        .status_of(&fleet.daemons[0])
+        .await
+        .expect("a status report");
+    assert_eq!(status.revision.0, 1);
+}
+
+#[tokio::test]
+async fn planned_stop() {
+    let mut fleet = TestFleet::start(1).await;
+    fleet.wait_admitted().await;
+    let slow = BackendScript {
+        body_bytes: 40_000,
+        piece_bytes: 1_000,
+        piece_delay_ms: 100,
+        ..BackendScript::default()
+    };
+    for server in &fleet.servers {
+        server.set_script(slow.clone());
+    }
+    // The bucket starts empty, and the wait took its first token.
+    sleep(Duration::from_millis(500)).await;
+    let listen = fleet.daemons[0].listen;
+    let download = tokio::spawn(async move { get(listen, "/slots", Some(ORCHARD_KEY)).await });
+    sleep(Duration::from_millis(500)).await;
+    fleet.daemons[0].signal("-TERM");
+    let (status, body) = download.await.expect("joined").expect("a whole answer");
+    assert_eq!((status, body.len()), (200, 40_000));
+    let code = fleet.daemons[0]
+        .child
+        .wait()
+        .expect("the daemon ends")
+        .code();
+    assert_eq!(code, Some(0));
+}
