--- a/crates/kws-tree/src/directory.rs
+++ b/crates/kws-tree/src/directory.rs
@@ -17,7 +17,8 @@
 /// The deepest directory that is read.
 const MAX_DEPTH: usize = 16;
 
-/// Reads every file below `directory`; its path with `/` is its key.
+/// Reads every file below `directory`; its path with `/` is its key. Files with a hidden name count
+/// only when they are branches, as the daemon reads them too.
 ///
 /// # Errors
 /// All files together that cannot be read, are too large, or hold no UTF-8 text.
@@ -51,10 +52,11 @@
     }
     for entry in fs::read_dir(directory)? {
         let entry = entry?;
-        if entry.file_name().as_encoded_bytes().starts_with(b".") {
+        let path = entry.path();
+        let hidden = entry.file_name().as_encoded_bytes().starts_with(b".");
+        if hidden && path.extension().is_none_or(|ending| ending != "yaml") {
             continue;
         }
-        let path = entry.path();
         if path.is_dir() {
             list_files(&path, depth - 1, paths)?;
         } else {
--- a/crates/kws-tree/src/finding/problem.rs
+++ b/crates/kws-tree/src/finding/problem.rs
@@ -143,8 +143,8 @@
     /// A field may stand in the root branch only.
     #[error("`{0}` may stand in root.yaml only")]
     RootOnly(String),
-    /// A route never gets a request.
-    #[error("route `{first}` serves the same host, path and methods")]
+    /// Two routes serve the same requests.
+    #[error("route `{first}` serves the same host and path, and one of its methods")]
     RouteShadowed {
         /// The other route.
         first: String,
--- a/crates/kws-tree/src/references/route.rs
+++ b/crates/kws-tree/src/references/route.rs
@@ -3,7 +3,7 @@
 use super::field_finding;
 use crate::{Finding, Problem, fields::name_finding, merge::MergedTree};
 use kws_protocol::{FleetSettings, RouteAccess, RouteSettings};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// What a request must match to come to a route, methods apart.
 type RoutePlace<'a> = (Option<&'a str>, &'a str);
@@ -63,16 +63,9 @@
     }
 }
 
-/// Whether `first` takes requests that `second` names too; a route for named methods goes before
-/// one for every method.
+/// Whether `first` serves a method that `second` serves too; no methods means every one.
 fn hides(first: &RouteSettings, second: &RouteSettings) -> bool {
-    let both = methods_of(first).zip(methods_of(second));
-    match both {
-        Some((left, right)) => !left.is_disjoint(right),
-        None => first.methods.is_empty() && second.methods.is_empty(),
-    }
-}
-
-fn methods_of(route: &RouteSettings) -> Option<&BTreeSet<String>> {
-    (!route.methods.is_empty()).then_some(&route.methods)
+    first.methods.is_empty()
+        || second.methods.is_empty()
+        || !first.methods.is_disjoint(&second.methods)
 }
--- a/crates/kws-tree/src/schema/route.rs
+++ b/crates/kws-tree/src/schema/route.rs
@@ -73,7 +73,8 @@
             "repeatable",
             ValueKind::Repeatable,
             Text("by_method"),
-            "Whether its requests are idempotent. `by_method` means by the HTTP method.",
+            "Whether its requests are idempotent. `by_method` means that GET, HEAD and OPTIONS \
+             are.",
         ),
         value(
             "service",
--- a/crates/kws-tree/tests/bad_trees.rs
+++ b/crates/kws-tree/tests/bad_trees.rs
@@ -148,10 +148,15 @@
     "127.0.0.1:1",
     "shop.yaml:6:25: error: services.till.servers.till-2.address: the address 127.0.0.1:1 belongs to server `till-1` already"
 )]
+#[case::every_method(
+    "/look",
+    "/pay",
+    "shop.yaml:8:3: error: routes.pay: route `look` serves the same host and path, and one of its methods"
+)]
 #[case::shadowed(
     "/look, service: till, methods: [GET]",
     "/pay, service: till",
-    "shop.yaml:8:3: error: routes.pay: route `look` serves the same host, path and methods"
+    "shop.yaml:8:3: error: routes.pay: route `look` serves the same host and path, and one of its methods"
 )]
 #[case::odd_path(
     "/look",
