--- /dev/null
+++ b/crates/kws-bench/src/limits.rs
@@ -0,0 +1,120 @@
+//! The table of limits: the product against naive rules, in virtual time.
+
+pub mod lease;
+pub mod model;
+pub mod rule;
+pub mod scenario;
+pub mod score;
+
+use clap::Args;
+use kws_limits::LimitsPolicy;
+use scenario::{ArrivalKind, FaultKind, RuleKind, SCORED_SECONDS, TableRun};
+use std::thread;
+
+const ARRIVALS: [ArrivalKind; 3] = [ArrivalKind::Even, ArrivalKind::Skewed, ArrivalKind::Single];
+
+const FAULTS: [FaultKind; 6] = [
+    FaultKind::Calm,
+    FaultKind::Kill,
+    FaultKind::Pause,
+    FaultKind::OneWay,
+    FaultKind::ListChange,
+    FaultKind::Flood,
+];
+
+/// What to measure.
+#[derive(Args, Clone, Debug)]
+pub struct LimitsArgs {
+    /// Hosts of the fleet.
+    #[arg(long, default_value_t = 40)]
+    hosts: usize,
+    /// The share of its rate that each team sends.
+    #[arg(long, default_value_t = 0.8)]
+    load: f64,
+    /// The rules; all when absent.
+    #[arg(long, value_enum)]
+    rule: Vec<RuleKind>,
+    /// Requests a second for which a region has one more holder.
+    #[arg(long, default_value_t = LimitsPolicy::default().rate_per_holder)]
+    rate_per_holder: f64,
+    /// The least number of holders in a region.
+    #[arg(long, default_value_t = LimitsPolicy::default().min_holders)]
+    min_holders: usize,
+    /// Milliseconds of demand that are borrowed ahead within a region.
+    #[arg(long, default_value_t = LimitsPolicy::default().region_ahead.as_millis() as u64)]
+    region_ahead: u64,
+}
+
+impl LimitsArgs {
+    /// Prints the table.
+    ///
+    /// # Errors
+    /// None; the signature is that of every table.
+    pub fn run(&self) -> eyre::Result<()> {
+        println!(
+            "{:8} {:7} {:11} {:>9} {:>10} {:>11} {:>8} {:>8} {:>8}",
+            "rule",
+            "arrival",
+            "fault",
+            "largest",
+            "refused %",
+            "msg/host/s",
+            "p50 ms",
+            "p99 ms",
+            "max ms"
+        );
+        for rule in self.rules() {
+            for arrival in ARRIVALS {
+                let runs = FAULTS.map(|fault| self.table_run(rule, arrival, fault));
+                let lines = thread::scope(|scope| {
+                    let runs = runs.each_ref().map(|run| scope.spawn(|| line(run)));
+                    runs.map(|run| run.join().unwrap_or_default())
+                });
+                for line in lines {
+                    println!("{line}");
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn rules(&self) -> Vec<RuleKind> {
+        if self.rule.is_empty() {
+            return vec![RuleKind::Product, RuleKind::Split, RuleKind::Owner];
+        }
+        self.rule.clone()
+    }
+
+    fn table_run(&self, rule: RuleKind, arrival: ArrivalKind, fault: FaultKind) -> TableRun {
+        TableRun {
+            rule,
+            policy: LimitsPolicy {
+                rate_per_holder: self.rate_per_holder,
+                min_holders: self.min_holders,
+                region_ahead: std::time::Duration::from_millis(self.region_ahead),
+                ..LimitsPolicy::default()
+            },
+            arrival,
+            fault,
+            hosts: self.hosts,
+            load: self.load,
+        }
+    }
+}
+
+fn line(run: &TableRun) -> String {
+    let score = run.run();
+    let messages = score.messages as f64 / run.hosts as f64 / SCORED_SECONDS;
+    format!(
+        "{:8} {:7} {:11} {:>9.3} {:>10.2} {:>11.1} {:>8.2} {:>8.2} {:>8.2}",
+        format!("{:?}", run.rule),
+        format!("{:?}", run.arrival),
+        format!("{:?}", run.fault),
+        score.largest_ratio(),
+        score.refused_percent(),
+        messages,
+        score.wait(50.0),
+        score.wait(99.0),
+        score.wait(100.0)
+    )
+}
--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -7,30 +7,48 @@
     window::{Allotment, RevisionWindow, ShareCache},
 };
 use kws_protocol::{HostName, TeamName, TreeRevision};
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Rounding that may be missing from a whole token; the level then goes below 0 by as much.
 const ROUNDING: f64 = 1e-9;
 
+/// A lender that stays short is spared for at most this long.
+const MAX_DRY_PAUSE: Duration = Duration::from_millis(400);
+
 /// A request that waits.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
     /// Its ticket.
     pub(crate) ticket: AdmitTicket,
+    /// When it came.
+    pub(crate) arrived: Instant,
     /// When it is refused.
     pub(crate) deadline: Instant,
 }
 
+/// A host that may be asked for a loan.
+#[derive(Debug)]
+pub(crate) struct LoanSource {
+    /// The host.
+    pub(crate) lender: HostName,
+    /// Whether it is in the own region.
+    pub(crate) near: bool,
+    /// The most that it can hold, in tokens.
+    pub(crate) burst: f64,
+    /// How long it is spared after it was short.
+    pub(crate) dry_pause: Duration,
+}
+
 /// Who may be asked for a loan, best first.
 #[derive(Debug, Default)]
 pub(crate) struct LenderList {
     /// The revision that named them.
     pub(crate) revision: TreeRevision,
     /// Holders in the own region.
-    pub(crate) local: Vec<HostName>,
+    pub(crate) local: Vec<LoanSource>,
     /// Holders in other regions.
-    pub(crate) remote: Vec<HostName>,
+    pub(crate) remote: Vec<LoanSource>,
 }
 
 /// What the account's tokens depend on.
@@ -67,6 +85,8 @@
     pub(crate) demand: DemandRate,
     /// Who may lend.
     pub(crate) lenders: Arc<LenderList>,
+    /// Whose turn it is to be asked.
+    pub(crate) turn: usize,
 }
 
 impl TeamAccount {
@@ -86,6 +106,7 @@
             waiting: VecDeque::new(),
             demand: DemandRate::new(now),
             lenders: Arc::default(),
+            turn: 0,
         }
     }
 
@@ -198,6 +219,12 @@
         pending.map(|loan| loan.tokens).sum()
     }
 
+    /// Until when answers may still be counted on; nothing when none is.
+    pub(crate) fn last_expected(&self, now: Instant) -> Option<Instant> {
+        let expected = self.pending.iter().map(|loan| loan.expected);
+        expected.max().filter(|expected| *expected > now)
+    }
+
     /// Whether the lender is asked already or was short or silent lately.
     pub(crate) fn is_spared(&self, lender: &HostName, now: Instant) -> bool {
         let dry = self
@@ -210,13 +237,31 @@
             .any(|loan| &loan.lender == lender && loan.expected > now)
     }
 
-    /// Spares a lender until an instant.
-    pub(crate) fn mark_dry(&mut self, lender: &HostName, until: Instant, now: Instant) {
+    /// Whether an answer from the own region may still be counted on.
+    pub(crate) fn expects_near(&self, now: Instant) -> bool {
+        self.pending
+            .iter()
+            .any(|loan| loan.near && loan.expected > now)
+    }
+
+    /// Whether all that wait and `more` requests may still get tokens. An answer from the own region
+    /// is waited for in any case, since others can be asked in time after it.
+    pub(crate) fn covers(&self, more: usize, now: Instant) -> bool {
+        let wanted = (self.waiting.len() + more) as f64;
+        self.expects_near(now) || self.in_hand() + self.expected(now) >= wanted - ROUNDING
+    }
+
+    /// Spares a lender for `pause`, or longer when it was marked just before.
+    pub(crate) fn mark_dry(&mut self, lender: &HostName, pause: Duration, now: Instant) {
+        let marked = self.dry.iter().find(|dry| &dry.lender == lender);
+        let again = marked.filter(|dry| now < dry.until + dry.pause);
+        let pause = again.map_or(pause, |dry| (dry.pause * 2).min(MAX_DRY_PAUSE).max(pause));
         self.dry
-            .retain(|dry| dry.until > now && &dry.lender != lender);
+            .retain(|dry| now < dry.until + dry.pause && &dry.lender != lender);
         self.dry.push(DryLender {
             lender: lender.clone(),
-            until,
+            until: now + pause,
+            pause,
         });
     }
 
--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -3,12 +3,12 @@
 use super::{LimitsLedger, MIN_RETRY, refuse, refuse_rate};
 use crate::{
     AdmitDecision, LOAN_TERM, RefusalCause,
-    account::{LenderList, TeamAccount, WaitingRequest},
+    account::{LenderList, LoanSource, TeamAccount, WaitingRequest},
     loan::{BorrowedLoan, PendingLoan},
     placement::{region_holders, region_weight},
 };
 use kws_protocol::{HostName, LoanId, LoanMessage, TeamName, rendezvous_score};
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// How many waits long a lender that did not answer is spared.
@@ -24,14 +24,17 @@
     ) -> AdmitDecision {
         let missing = account.waiting.len() as f64 + 1.0 - account.in_hand();
         self.borrow(team, account, missing, now);
-        if account.expected(now) < missing.min(1.0) {
+        let Some(expected) = account
+            .last_expected(now)
+            .filter(|_| account.covers(1, now))
+        else {
             return refuse_rate(self.window.team(team));
-        }
-        let expected = account.pending.iter().map(|loan| loan.expected).max();
+        };
         let ticket = self.new_ticket();
         account.waiting.push_back(WaitingRequest {
             ticket,
-            deadline: expected.unwrap_or(now),
+            arrived: now,
+            deadline: expected,
         });
         AdmitDecision::Waiting(ticket)
     }
@@ -50,54 +53,55 @@
         }
     }
 
-    /// Asks lenders, the region's first, until `missing` tokens are on their way.
+    /// Asks lenders of the region, and others only when those were all short or silent lately.
     fn borrow(&mut self, team: &TeamName, account: &mut TeamAccount, missing: f64, now: Instant) {
         self.renew_lenders(team, account);
         let lenders = Arc::clone(&account.lenders);
         let demand = account.demand.value(now);
         let local = missing.max(demand * self.policy.region_ahead.as_secs_f64());
-        let wait = now + self.policy.region_wait;
-        self.ask(team, account, &lenders.local, local, wait, now);
-        if account.expected(now) >= missing {
+        let wait = self.policy.region_wait;
+        self.ask(team, account, &lenders.local, (local, wait), now);
+        if account.expected(now) >= missing || account.expects_near(now) {
             return;
         }
         let remote = missing.max(demand * self.policy.remote_ahead.as_secs_f64());
-        let wait = now + self.policy.remote_wait;
-        self.ask(team, account, &lenders.remote, remote, wait, now);
+        let wait = self.policy.remote_wait;
+        self.ask(team, account, &lenders.remote, (remote, wait), now);
     }
 
+    /// Asks lenders in turn, each for no more than it can have, until `wanted` is on its way.
     fn ask(
         &mut self,
         team: &TeamName,
         account: &mut TeamAccount,
-        lenders: &[HostName],
-        wanted: f64,
-        expected: Instant,
+        lenders: &[LoanSource],
+        (wanted, wait): (f64, Duration),
         now: Instant,
     ) {
-        for lender in lenders {
+        for _ in 0..lenders.len() {
             let open = wanted - account.expected(now);
             if open <= 0.0 {
                 return;
             }
-            if account.is_spared(lender, now) {
+            account.turn += 1;
+            let source = &lenders[account.turn % lenders.len()];
+            if account.is_spared(&source.lender, now) {
                 continue;
             }
             self.next_loan += 1;
             let id = LoanId(self.next_loan);
+            let tokens = open.min(source.burst).max(1.0);
             account.pending.push(PendingLoan {
                 id,
-                lender: lender.clone(),
-                tokens: open,
+                lender: source.lender.clone(),
+                tokens,
                 sent: now,
-                expected,
+                near: source.near,
+                expected: now + wait,
+                dry_pause: source.dry_pause,
             });
-            let message = LoanMessage::Borrow {
-                id,
-                team: team.clone(),
-                tokens: open,
-            };
-            self.send(lender, message);
+            let team = team.clone();
+            self.send(&source.lender, LoanMessage::Borrow { id, team, tokens });
         }
     }
 
@@ -120,33 +124,11 @@
                 .position(|loan| loan.id == id && &loan.lender == lender);
             let Some(index) = found else { return };
             let asked = account.pending.swap_remove(index);
-            ledger.take_loan(account, &asked, tokens, now);
+            take_loan(account, &asked, tokens, now);
             ledger.serve_waiting(team, account, now);
         });
     }
 
-    fn take_loan(
-        &mut self,
-        account: &mut TeamAccount,
-        asked: &PendingLoan,
-        tokens: f64,
-        now: Instant,
-    ) {
-        let until = asked.sent + LOAN_TERM;
-        if tokens > 0.0 && now < until {
-            account.borrowed.push(BorrowedLoan {
-                id: asked.id,
-                lender: asked.lender.clone(),
-                tokens,
-                until,
-                used: now,
-            });
-        }
-        if tokens < asked.tokens {
-            account.mark_dry(&asked.lender, now + self.policy.dry_pause, now);
-        }
-    }
-
     /// Admits what the tokens allow; the rest asks on, or is refused when no one is left to ask.
     fn serve_waiting(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
         while !account.waiting.is_empty() && account.spend(now) {
@@ -160,12 +142,18 @@
             return;
         }
         self.borrow(team, account, missing, now);
-        let expected = account.pending.iter().map(|loan| loan.expected).max();
-        for waiting in &mut account.waiting {
-            waiting.deadline = waiting.deadline.max(expected.unwrap_or(now));
+        while !account.waiting.is_empty() && !account.covers(0, now) {
+            if let Some(waiting) = account.waiting.pop_back() {
+                self.settle(&waiting, refuse_rate(self.window.team(team)));
+            }
         }
-        if account.expected(now) <= 0.0 {
-            self.refuse_waiting(team, account, now, |_| true);
+        let Some(expected) = account.last_expected(now) else {
+            return;
+        };
+        let longest = self.policy.remote_wait;
+        for waiting in &mut account.waiting {
+            let last = waiting.arrived + longest;
+            waiting.deadline = waiting.deadline.max(expected.min(last));
         }
     }
 
@@ -190,7 +178,7 @@
             .map(|loan| loan.lender.clone())
             .collect();
         for lender in &overdue {
-            account.mark_dry(lender, now + pause, now);
+            account.mark_dry(lender, pause, now);
         }
         account.pending.retain(|loan| now < loan.sent + LOAN_TERM);
     }
@@ -251,18 +239,30 @@
         if account.lenders.revision == revision {
             return;
         }
+        let Some(settings) = newest.settings.teams.get(team) else {
+            return;
+        };
         let mut lenders = LenderList {
             revision,
             ..LenderList::default()
         };
         for region in newest.settings.regions.keys() {
-            if region_weight(newest, region) <= 0.0 {
-                continue;
-            }
-            let mut holders = region_holders(&self.policy, newest, region, team);
-            holders.retain(|holder| holder != &self.host);
+            let weight = region_weight(newest, region);
+            let holders = region_holders(&self.policy, newest, region, team);
+            let share = weight / holders.len().max(1) as f64;
+            let mut holders: Vec<LoanSource> = holders
+                .into_iter()
+                .filter(|holder| weight > 0.0 && holder != &self.host)
+                .map(|lender| LoanSource {
+                    lender,
+                    near: region == &self.region,
+                    burst: settings.burst * share,
+                    dry_pause: self.policy.dry_pause(settings.rate * share),
+                })
+                .collect();
             // Each borrower has its own order, so that no holder is asked first by all.
-            holders.sort_by_key(|holder| rendezvous_score(self.host.as_str(), holder.as_str()));
+            holders
+                .sort_by_key(|source| rendezvous_score(self.host.as_str(), source.lender.as_str()));
             if region == &self.region {
                 lenders.local = holders;
             } else {
@@ -272,3 +272,19 @@
         account.lenders = Arc::new(lenders);
     }
 }
+
+fn take_loan(account: &mut TeamAccount, asked: &PendingLoan, tokens: f64, now: Instant) {
+    let until = asked.sent + LOAN_TERM;
+    if tokens > 0.0 && now < until {
+        account.borrowed.push(BorrowedLoan {
+            id: asked.id,
+            lender: asked.lender.clone(),
+            tokens,
+            until,
+            used: now,
+        });
+    }
+    if tokens < asked.tokens {
+        account.mark_dry(&asked.lender, asked.dry_pause, now);
+    }
+}
--- a/crates/kws-limits/src/loan.rs
+++ b/crates/kws-limits/src/loan.rs
@@ -103,6 +103,10 @@
     pub(crate) tokens: f64,
     /// When it was sent.
     pub(crate) sent: Instant,
+    /// Whether the lender is in the own region.
+    pub(crate) near: bool,
+    /// How long the lender is spared when it is short.
+    pub(crate) dry_pause: Duration,
     /// Until when an answer is counted on; a later one is still taken within the term.
     pub(crate) expected: Instant,
 }
@@ -114,6 +118,8 @@
     pub(crate) lender: HostName,
     /// Until when it is not asked.
     pub(crate) until: Instant,
+    /// How long that was.
+    pub(crate) pause: Duration,
 }
 
 /// The demand for a team's tokens on this host, in requests a second, weighted to the recent.
--- a/crates/kws-limits/src/policy.rs
+++ b/crates/kws-limits/src/policy.rs
@@ -24,8 +24,10 @@
     pub region_ahead: Duration,
     /// Tokens for so long a stretch of the demand seen are asked from other regions.
     pub remote_ahead: Duration,
-    /// A lender that was short is not asked again for this long.
-    pub dry_pause: Duration,
+    /// A lender that was short is not asked again for at least this long.
+    pub min_dry_pause: Duration,
+    /// A lender that was short is not asked again for at most this long.
+    pub max_dry_pause: Duration,
     /// A loan that was not touched for this long is returned.
     pub idle_return: Duration,
 }
@@ -33,15 +35,25 @@
 impl Default for LimitsPolicy {
     fn default() -> Self {
         Self {
-            rate_per_holder: 50.0,
+            rate_per_holder: 10.0,
             burst_per_holder: 4.0,
             min_holders: 2,
             region_wait: Duration::from_millis(5),
             remote_wait: Duration::from_millis(80),
             region_ahead: Duration::from_millis(50),
             remote_ahead: Duration::from_millis(200),
-            dry_pause: Duration::from_millis(20),
+            min_dry_pause: Duration::from_millis(10),
+            max_dry_pause: Duration::from_millis(100),
             idle_return: Duration::from_millis(200),
         }
     }
 }
+
+impl LimitsPolicy {
+    /// How long a lender is spared that was short: until it has a token, within the bounds.
+    pub(crate) fn dry_pause(&self, rate: f64) -> Duration {
+        let seconds = 1.0 / rate.max(f64::MIN_POSITIVE);
+        let most = self.max_dry_pause.as_secs_f64();
+        Duration::from_secs_f64(seconds.min(most)).max(self.min_dry_pause)
+    }
+}
