--- a/crates/kws-bench/tests/limits_schedules.rs
+++ b/crates/kws-bench/tests/limits_schedules.rs
@@ -190,7 +190,7 @@
         for _ in 0..count {
             let at = rng.random_range(0.0..END as f64);
             let one = (at / 5.0) as usize;
-            let host = if one % 2 == 0 {
+            let host = if one.is_multiple_of(2) {
                 one
             } else {
                 rng.random_range(0..hosts)
