--- /dev/null
+++ b/crates/kws-replay/tests/fleet_traces.rs
@@ -0,0 +1,137 @@
+//! Every fleet trace holds under the rules of this build, and breaks under a naive one.
+
+use kws_membership::{CheckedTree, FleetAction, TreeChecker};
+use kws_protocol::{FleetSnapshot, HostName, PeerMessage, PublishedValues, TreeRevision};
+use kws_replay::{FleetModel, FleetNode, ReplayError, TraceChecker, replay_file, replay_with};
+use rstest::rstest;
+use std::{
+    io::Write,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+use tempfile::NamedTempFile;
+use tokio::time::Instant;
+
+/// The lease of the platform-only rule, and of the watches of both.
+const LEASE: Duration = Duration::from_secs(3);
+
+/// What a naive host believes.
+#[derive(Clone, Copy, Debug)]
+enum NaiveRule {
+    /// The last value written, for ever.
+    OwnCache,
+    /// The last value written, while the platform answers.
+    PlatformOnly,
+}
+
+struct NaiveNode {
+    snapshot: Option<Arc<FleetSnapshot>>,
+    confirmed: Option<Instant>,
+    rule: NaiveRule,
+}
+
+impl FleetNode for NaiveNode {
+    fn platform_answer(
+        &mut self,
+        values: PublishedValues,
+        _sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        self.confirmed = Some(now);
+        if let Ok(CheckedTree { settings, hosts }) = TraceChecker.check(&values) {
+            self.snapshot = Some(Arc::new(FleetSnapshot {
+                revision: values.revision,
+                settings,
+                hosts,
+            }));
+        }
+        Vec::new()
+    }
+
+    fn platform_confirmed(
+        &mut self,
+        _revision: TreeRevision,
+        _sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        self.confirmed = Some(now);
+        Vec::new()
+    }
+
+    fn platform_failed(&mut self, _now: Instant) -> Vec<FleetAction> {
+        Vec::new()
+    }
+
+    fn receive(&mut self, _: &HostName, _: PeerMessage, _now: Instant) -> Vec<FleetAction> {
+        Vec::new()
+    }
+
+    fn tick(&mut self, _now: Instant) -> Vec<FleetAction> {
+        Vec::new()
+    }
+
+    fn is_current(&self, now: Instant) -> bool {
+        let confirmed = self.confirmed.is_some_and(|at| now < at + LEASE);
+        let trusted = matches!(self.rule, NaiveRule::OwnCache);
+        self.snapshot.is_some() && (trusted || confirmed)
+    }
+
+    fn is_ready(&self) -> bool {
+        self.snapshot.is_some()
+    }
+
+    fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
+        self.snapshot.clone()
+    }
+
+    fn watch_wait(&self) -> Duration {
+        LEASE / 3
+    }
+
+    fn watch_grace(&self) -> Duration {
+        LEASE / 12
+    }
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn every_trace(#[files("../../traces/fleet/*.yaml")] path: PathBuf) {
+    let report = replay_file(&path).expect("a trace");
+    assert!(report.passed(), "{report}");
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn naive_rule(
+    #[files("../../traces/fleet/*.yaml")] path: PathBuf,
+    #[values(NaiveRule::OwnCache, NaiveRule::PlatformOnly)] rule: NaiveRule,
+) {
+    let model = FleetModel::new(Box::new(move |_| {
+        Box::new(NaiveNode {
+            snapshot: None,
+            confirmed: None,
+            rule,
+        })
+    }));
+    let report = replay_with(&path, &[&model]).expect("a trace");
+    println!("{rule:?}: {report}");
+    assert!(!report.passed());
+}
+
+#[rstest]
+#[case::unknown_feature("feature: weather")]
+#[case::missing_fields("feature: fleet")]
+#[case::not_yaml(": [")]
+fn bad_trace(#[case] text: &str) {
+    let mut file = NamedTempFile::new().expect("a file");
+    file.write_all(text.as_bytes()).expect("written");
+    let error = replay_file(file.path()).expect_err("refused");
+    assert!(!matches!(error, ReplayError::Unreadable { .. }), "{error}");
+}
+
+#[test]
+fn absent_file() {
+    let error = replay_file(Path::new("no-such-trace.yaml")).expect_err("refused");
+    assert!(matches!(error, ReplayError::Unreadable { .. }));
+}
