--- a/crates/kws-membership/src/action.rs
+++ b/crates/kws-membership/src/action.rs
@@ -1,7 +1,7 @@
 //! What the view decides, and what it counts.
 
 use crate::Readiness;
-use kws_protocol::{FleetSnapshot, HostName, PeerMessage};
+use kws_protocol::{FleetSnapshot, HostName, ListedHost, PeerMessage};
 use std::sync::Arc;
 
 /// One decision of [`crate::FleetView`].
@@ -14,6 +14,9 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Peers that may be sent to although no snapshot is in force yet: the tree read first is
+    /// broken, but its host list is not.
+    Contact(Vec<ListedHost>),
     /// A new snapshot is in force.
     Publish(Arc<FleetSnapshot>),
     /// The readiness changed.
--- a/crates/kws-membership/src/checker.rs
+++ b/crates/kws-membership/src/checker.rs
@@ -13,15 +13,20 @@
 }
 
 /// Why published values are refused whole.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("{0}")]
-pub struct TreeRejection(pub String);
+#[derive(Clone, Debug, Error, PartialEq)]
+#[error("{findings}")]
+pub struct TreeRejection {
+    /// All findings as one text.
+    pub findings: String,
+    /// The host list, if that alone is sound: it shows a host that holds nothing its peers.
+    pub hosts: Option<HostList>,
+}
 
 /// Resolves published values, or refuses them; the same values give the same verdict on every host.
 pub trait TreeChecker: Send {
     /// Checks `values` whole.
     ///
     /// # Errors
-    /// [`TreeRejection`] with all findings as one text.
+    /// [`TreeRejection`] with all findings.
     fn check(&self, values: &PublishedValues) -> Result<CheckedTree, TreeRejection>;
 }
--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -3,7 +3,8 @@
 mod plan;
 
 use kws_protocol::{
-    FleetSnapshot, HostName, HostState, ListedHost, RegionName, RevisionView, TreeRevision,
+    FleetSnapshot, HostList, HostName, HostState, ListedHost, RegionName, RevisionView,
+    TreeRevision,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -126,6 +127,18 @@
         self.seeds.push(name);
     }
 
+    /// Takes the live hosts of the own region as seeds and returns them.
+    pub(crate) fn seed_from(&mut self, list: &HostList) -> Vec<ListedHost> {
+        let in_region = list.in_region(&self.identity.region);
+        let peers: Vec<ListedHost> = in_region
+            .filter(|host| host.state == HostState::Live && host.name != self.identity.name)
+            .cloned()
+            .collect();
+        self.seeds
+            .extend(peers.iter().map(|host| host.name.clone()));
+        peers
+    }
+
     /// Whether the list says that this host is leaving.
     pub(crate) fn leaving(&self) -> bool {
         self.listed(&self.identity.name)
@@ -215,6 +228,19 @@
             .collect()
     }
 
+    /// Whether [`Self::holders`] would name any.
+    pub(crate) fn any_holder(
+        &self,
+        now: Instant,
+        lease: Duration,
+        lacks: impl Fn(TreeRevision) -> bool,
+    ) -> bool {
+        self.peers
+            .values()
+            .filter(|peer| peer.heard(now, lease))
+            .any(|peer| peer.news.is_some_and(|news| lacks(news.revision)))
+    }
+
     /// The revision that `name` was last heard at.
     pub(crate) fn heard_revision(&self, name: &HostName) -> Option<TreeRevision> {
         Some(self.peers.get(name)?.news?.revision)
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -8,7 +8,8 @@
     questions::QuestionRounds,
 };
 use kws_protocol::{
-    FleetSnapshot, HostName, LeaseMessage, PeerMessage, PublishedValues, RevisionView, TreeRevision,
+    FleetSnapshot, HostList, HostName, LeaseMessage, PeerMessage, PublishedValues, RevisionView,
+    TreeRevision,
 };
 use spread::SpreadState;
 use std::{sync::Arc, time::Duration};
@@ -240,8 +241,7 @@
     /// Whether a host heard within the lease holds values that are missing here.
     fn is_behind(&self, now: Instant) -> bool {
         let lacks = |revision| self.store.lacks(revision);
-        let holders = self.members.holders(now, self.terms.lease, lacks);
-        !holders.is_empty()
+        self.members.any_holder(now, self.terms.lease, lacks)
     }
 
     fn ask(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
@@ -333,11 +333,24 @@
         match outcome {
             StoreOutcome::Adopted(snapshot) => self.publish(&snapshot, now, actions),
             StoreOutcome::Conflict => self.counters.conflicts += 1,
-            StoreOutcome::Refused(_) => self.counters.refused_trees += 1,
+            StoreOutcome::Refused(rejection) => {
+                self.counters.refused_trees += 1;
+                self.contact(rejection.hosts, now, actions);
+            }
             StoreOutcome::Known | StoreOutcome::Older => {}
         }
     }
 
+    /// Without a tree of its own, a host asks the peers that a refused revision lists.
+    fn contact(&mut self, hosts: Option<HostList>, now: Instant, actions: &mut Vec<FleetAction>) {
+        if self.store.snapshot().is_some() {
+            return;
+        }
+        let peers = self.members.seed_from(&hosts.unwrap_or_default());
+        self.next_round = now;
+        actions.push(FleetAction::Contact(peers));
+    }
+
     fn publish(
         &mut self,
         snapshot: &Arc<FleetSnapshot>,
--- a/crates/kws-membership/src/view/spread.rs
+++ b/crates/kws-membership/src/view/spread.rs
@@ -37,6 +37,9 @@
 impl FleetView {
     /// Asks a holder for what is missing here.
     pub(super) fn fetch(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        if !self.is_behind(now) {
+            return;
+        }
         let Some((to, revision)) = self.fetch_target(now) else {
             return;
         };
--- a/crates/kws-replay/src/fleet/checker.rs
+++ b/crates/kws-replay/src/fleet/checker.rs
@@ -27,7 +27,10 @@
 impl TreeChecker for TraceChecker {
     fn check(&self, values: &PublishedValues) -> Result<CheckedTree, TreeRejection> {
         if values.values.contains_key(BROKEN) {
-            return Err(TreeRejection(String::from("the trace says so")));
+            return Err(TreeRejection {
+                findings: String::from("the trace says so"),
+                hosts: hosts(values).ok(),
+            });
         }
         Ok(CheckedTree {
             settings: settings(values)?,
@@ -113,5 +116,8 @@
 }
 
 fn missing(key: &str) -> TreeRejection {
-    TreeRejection(format!("{key} is missing or malformed"))
+    TreeRejection {
+        findings: format!("{key} is missing or malformed"),
+        hosts: None,
+    }
 }
