--- /dev/null
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -0,0 +1,361 @@
+//! When a host is current: each rule of the lease, by messages in and answers out.
+
+use kws_membership::{
+    CheckedTree, FleetAction, FleetView, HostIdentity, MemberState, Readiness, TreeChecker,
+    TreeRejection, UnreadyReason,
+};
+use kws_protocol::{
+    CenterName, ConfigMessage, FleetSettings, FreshnessSettings, HostList, HostName, HostState,
+    LeaseMessage, ListedHost, PeerMessage, PublishedValues, RegionName, RevisionView, TreeRevision,
+};
+use rstest::rstest;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::{Instant, advance};
+
+const LEASE: Duration = Duration::from_secs(3);
+const PEERS: [&str; 4] = ["b", "c", "d", "e"];
+
+/// Hosts `a` to `e` in one region, whatever the values.
+struct FiveHosts;
+
+impl TreeChecker for FiveHosts {
+    fn check(&self, _values: &PublishedValues) -> Result<CheckedTree, TreeRejection> {
+        let listed = |name: &&str| ListedHost {
+            name: HostName::new(name),
+            region: RegionName::new("vidzemes"),
+            center: CenterName::new("turaida"),
+            peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: HostState::Live,
+        };
+        let settings = FleetSettings {
+            freshness: FreshnessSettings {
+                lease: LEASE,
+                list_lag: Duration::ZERO,
+                stale_region: Duration::from_mins(1),
+                clock_drift_ppm: 100_000,
+            },
+            regions: [].into(),
+            services: [].into(),
+            routes: [].into(),
+            teams: [].into(),
+        };
+        Ok(CheckedTree {
+            settings,
+            hosts: HostList {
+                hosts: ["a", "b", "c", "d", "e"].iter().map(listed).collect(),
+                servers: Vec::new(),
+            },
+        })
+    }
+}
+
+fn values(revision: u64) -> PublishedValues {
+    PublishedValues {
+        revision: TreeRevision(revision),
+        values: [(String::from("revision"), Arc::from(revision.to_string()))].into(),
+    }
+}
+
+fn view_of(revision: u64) -> RevisionView {
+    RevisionView {
+        revision: TreeRevision(revision),
+        digest: values(revision).digest(),
+        platform_age: Duration::ZERO,
+    }
+}
+
+/// Host `a` of the fleet, and the nonce of its last round of questions.
+struct TestHost {
+    view: FleetView,
+    nonce: u64,
+}
+
+impl TestHost {
+    /// Holds revision 5, confirmed by the platform now; no peer has answered.
+    fn new() -> Self {
+        let identity = HostIdentity {
+            name: HostName::new("a"),
+            region: RegionName::new("vidzemes"),
+        };
+        let now = Instant::now();
+        let mut host = Self {
+            view: FleetView::new(identity, Box::new(FiveHosts), 1, now),
+            nonce: 0,
+        };
+        let actions = host.view.platform_answer(values(5), now, now);
+        host.note_nonce(&actions);
+        host
+    }
+
+    /// As [`Self::new`], joined by answers of all peers.
+    fn joined() -> Self {
+        let mut host = Self::new();
+        for peer in PEERS {
+            host.answer(peer, host.nonce, view_of(5), true);
+        }
+        host
+    }
+
+    /// Lets time pass with a tick at its end; returns what the tick sends.
+    async fn pass(&mut self, time: Duration) -> Vec<FleetAction> {
+        advance(time).await;
+        let actions = self.view.tick(Instant::now());
+        self.note_nonce(&actions);
+        actions
+    }
+
+    fn answer(
+        &mut self,
+        from: &str,
+        nonce: u64,
+        view: RevisionView,
+        counts: bool,
+    ) -> Vec<FleetAction> {
+        let message = LeaseMessage::Answer {
+            nonce,
+            view,
+            counts,
+        };
+        self.receive(from, PeerMessage::Lease(message))
+    }
+
+    fn receive(&mut self, from: &str, message: PeerMessage) -> Vec<FleetAction> {
+        self.view
+            .receive(&HostName::new(from), message, Instant::now())
+    }
+
+    fn is_current(&self) -> bool {
+        self.view.is_current(Instant::now())
+    }
+
+    fn note_nonce(&mut self, actions: &[FleetAction]) {
+        for action in actions {
+            if let FleetAction::Send {
+                message: PeerMessage::Lease(LeaseMessage::Question { nonce, .. }),
+                ..
+            } = action
+            {
+                self.nonce = *nonce;
+            }
+        }
+    }
+}
+
+/// The part of a lease after which the platform's own part is over (drift is a tenth).
+const LAST_WORD: Duration = Duration::from_millis(2_600);
+
+#[rstest]
+#[case::all(&PEERS, 5, true, true)]
+#[case::majority(&["b", "c"], 5, true, true)]
+#[case::minority(&["b"], 5, true, false)]
+#[case::nobody(&[], 5, true, false)]
+#[case::lagging(&["b", "c"], 4, true, true)]
+#[case::newer(&PEERS, 6, true, false)]
+#[case::restarted(&PEERS, 5, false, false)]
+#[case::unlisted(&["x", "y", "z"], 5, true, false)]
+#[case::one_often(&["b", "b", "b"], 5, true, false)]
+#[tokio::test(start_paused = true)]
+async fn region_majority(
+    #[case] answering: &[&str],
+    #[case] revision: u64,
+    #[case] counts: bool,
+    #[case] current: bool,
+) {
+    let mut host = TestHost::joined();
+    host.pass(LAST_WORD).await;
+    for peer in answering {
+        host.answer(peer, host.nonce, view_of(revision), counts);
+    }
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(host.is_current(), current);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_newer_blocks() {
+    let mut host = TestHost::joined();
+    host.pass(LAST_WORD).await;
+    host.answer("e", host.nonce, view_of(6), true);
+    for peer in ["b", "c", "d"] {
+        host.answer(peer, host.nonce, view_of(5), true);
+    }
+    host.pass(Duration::from_secs(1)).await;
+    assert!(!host.is_current());
+    // Its holder is not heard for a lease: the others go on without it.
+    host.pass(Duration::from_secs(2)).await;
+    for peer in ["b", "c", "d"] {
+        host.answer(peer, host.nonce, view_of(5), true);
+    }
+    assert!(host.is_current());
+}
+
+#[rstest]
+#[case::other_digest(RevisionView { digest: 1, ..view_of(5) }, 1)]
+#[case::same_digest(view_of(5), 0)]
+#[tokio::test(start_paused = true)]
+async fn digest_conflict(#[case] view: RevisionView, #[case] conflicts: u64) {
+    let mut host = TestHost::joined();
+    host.pass(LAST_WORD).await;
+    host.answer("b", host.nonce, view_of(5), true);
+    host.answer("c", host.nonce, view, true);
+    assert_eq!(host.view.counters().conflicts, conflicts);
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(host.is_current(), conflicts == 0);
+}
+
+#[rstest]
+#[case::within(Duration::from_millis(2_600), true, 0)]
+#[case::beyond(Duration::from_millis(2_800), false, 4)]
+#[tokio::test(start_paused = true)]
+async fn late_answer(#[case] delay: Duration, #[case] current: bool, #[case] late: u64) {
+    let mut host = TestHost::joined();
+    host.pass(LAST_WORD).await;
+    let nonce = host.nonce;
+    // The tick opens another round, whose questions nobody answers.
+    host.pass(delay).await;
+    for peer in PEERS {
+        host.answer(peer, nonce, view_of(5), true);
+    }
+    assert_eq!(host.is_current(), current);
+    assert_eq!(host.view.counters().late_answers, late);
+}
+
+#[tokio::test(start_paused = true)]
+async fn questions_are_no_answers() {
+    let mut host = TestHost::joined();
+    host.pass(LEASE).await;
+    host.pass(LEASE).await;
+    for peer in PEERS {
+        let (nonce, view) = (host.nonce, view_of(5));
+        let question = LeaseMessage::Question { nonce, view };
+        host.receive(peer, PeerMessage::Lease(question));
+    }
+    assert!(!host.is_current());
+    let state = host
+        .view
+        .members()
+        .state(&HostName::new("b"), Instant::now(), LEASE);
+    assert_eq!(state, MemberState::OneWay);
+}
+
+#[rstest]
+#[case::at_once(Duration::ZERO, Duration::from_millis(2_699), true)]
+#[case::drift_taken_off(Duration::ZERO, Duration::from_millis(2_700), false)]
+#[case::measured_from_sending(Duration::from_secs(2), Duration::from_millis(700), false)]
+#[tokio::test(start_paused = true)]
+async fn platform_lease(#[case] travel: Duration, #[case] after: Duration, #[case] current: bool) {
+    let mut host = TestHost::joined();
+    let sent = Instant::now();
+    advance(travel).await;
+    host.view
+        .platform_confirmed(TreeRevision(5), sent, Instant::now());
+    advance(after).await;
+    assert_eq!(host.is_current(), current);
+}
+
+#[rstest]
+#[case::same(5, true)]
+#[case::stale(4, false)]
+#[case::unread(6, false)]
+#[tokio::test(start_paused = true)]
+async fn confirmed_revision(#[case] revision: u64, #[case] current: bool) {
+    let mut host = TestHost::joined();
+    advance(LAST_WORD).await;
+    let now = Instant::now();
+    host.view
+        .platform_confirmed(TreeRevision(revision), now, now);
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(host.is_current(), current);
+}
+
+#[rstest]
+#[case::fresh(Duration::ZERO, true)]
+#[case::near_bound(Duration::from_secs(45), true)]
+#[case::beyond_bound(Duration::from_secs(50), false)]
+#[tokio::test(start_paused = true)]
+async fn stale_region(#[case] platform_age: Duration, #[case] current: bool) {
+    let mut host = TestHost::joined();
+    host.pass(Duration::from_mins(2)).await;
+    for peer in PEERS {
+        let view = RevisionView {
+            platform_age,
+            ..view_of(5)
+        };
+        host.answer(peer, host.nonce, view, true);
+    }
+    assert_eq!(host.is_current(), current);
+}
+
+#[rstest]
+#[case::majority(&["b", "c"], 5, Readiness::Ready)]
+#[case::minority(&["b"], 5, Readiness::Unready(UnreadyReason::Joining))]
+#[case::peers_newer(&["b", "c"], 6, Readiness::Unready(UnreadyReason::Joining))]
+#[tokio::test(start_paused = true)]
+async fn joining_host(
+    #[case] answering: &[&str],
+    #[case] revision: u64,
+    #[case] readiness: Readiness,
+) {
+    let mut host = TestHost::new();
+    assert!(!host.is_current());
+    for peer in answering {
+        host.answer(peer, host.nonce, view_of(revision), false);
+    }
+    assert_eq!(host.view.readiness(), readiness);
+    assert_eq!(host.is_current(), readiness.is_ready());
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_peers() {
+    let mut host = TestHost::new();
+    host.pass(LEASE).await;
+    let now = Instant::now();
+    host.view.platform_confirmed(TreeRevision(5), now, now);
+    assert_eq!(host.view.readiness(), Readiness::Ready);
+}
+
+#[rstest]
+#[case::young(Duration::from_secs(3), false)]
+#[case::old(Duration::from_secs(4), true)]
+#[tokio::test(start_paused = true)]
+async fn counting_answer(#[case] age: Duration, #[case] expected: bool) {
+    let mut host = TestHost::joined();
+    host.pass(age).await;
+    let (nonce, view) = (9, view_of(5));
+    let actions = host.receive(
+        "b",
+        PeerMessage::Lease(LeaseMessage::Question { nonce, view }),
+    );
+    let FleetAction::Send {
+        message:
+            PeerMessage::Lease(LeaseMessage::Answer {
+                nonce: 9, counts, ..
+            }),
+        ..
+    } = &actions[0]
+    else {
+        panic!("no answer: {actions:?}");
+    };
+    assert_eq!(*counts, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn newer_peer_is_fetched() {
+    let mut host = TestHost::joined();
+    let actions = host.answer("b", host.nonce, view_of(6), true);
+    let fetch = FleetAction::Send {
+        to: HostName::new("b"),
+        message: PeerMessage::Config(ConfigMessage::Fetch {
+            since: TreeRevision(5),
+        }),
+    };
+    assert_eq!(actions, [fetch]);
+    let delta = ConfigMessage::Delta {
+        base: TreeRevision(5),
+        revision: TreeRevision(6),
+        digest: values(6).digest(),
+        set: vec![(String::from("revision"), Arc::from("6"))],
+        removed: Vec::new(),
+    };
+    let actions = host.receive("b", PeerMessage::Config(delta));
+    assert!(matches!(&actions[..], [FleetAction::Publish(snapshot)] if snapshot.revision.0 == 6));
+}
