--- a/crates/kws-membership/tests/fleet_view.rs
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -219,6 +219,33 @@
     assert_eq!(host.view.counters().late_answers, late);
 }
 
+#[tokio::test(start_paused = true)]
+async fn lease_from_sending() {
+    let mut host = TestHost::joined();
+    host.pass(LAST_WORD).await;
+    advance(Duration::from_secs(2)).await;
+    for peer in PEERS {
+        host.answer(peer, host.nonce, view_of(5), true);
+    }
+    assert!(host.is_current());
+    advance(Duration::from_millis(700)).await;
+    assert!(!host.is_current());
+}
+
+#[tokio::test(start_paused = true)]
+async fn laggard_vouches_for_nothing() {
+    let mut host = TestHost::joined();
+    host.pass(Duration::from_mins(2)).await;
+    for (peer, revision, age) in [("b", 5, 50), ("c", 5, 50), ("d", 4, 0)] {
+        let view = RevisionView {
+            platform_age: Duration::from_secs(age),
+            ..view_of(revision)
+        };
+        host.answer(peer, host.nonce, view, true);
+    }
+    assert!(!host.is_current());
+}
+
 #[tokio::test(start_paused = true)]
 async fn questions_are_no_answers() {
     let mut host = TestHost::joined();
--- a/crates/kws-replay/src/fleet/bus.rs
+++ b/crates/kws-replay/src/fleet/bus.rs
@@ -295,7 +295,8 @@
 
     fn set_phase(&mut self, names: &[String], phase: HostPhase) {
         for name in self.expand(names) {
-            if let Some(host) = self.hosts.get_mut(&name) {
+            let host = self.hosts.get_mut(&name);
+            if let Some(host) = host.filter(|host| host.phase != HostPhase::Dead) {
                 host.phase = phase;
             }
         }
