--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -126,11 +126,9 @@
             match action {
                 FleetAction::Send { to, message } => self.outlets.peers.send(&to, message),
                 FleetAction::Publish(snapshot) => self.publish(snapshot).await,
-                FleetAction::Refuse {
-                    revision,
-                    rejection,
-                } => {
-                    log::error!(revision = revision.0, findings = rejection.0.as_str(); "tree refused");
+                FleetAction::Contact(hosts) => self.shared.set_addresses(&hosts),
+                FleetAction::Refuse { revision, findings } => {
+                    log::error!(revision = revision.0, findings = findings.as_str(); "tree refused");
                     let event = LedgerEvent::RefuseRevision(revision);
                     let _ = self.outlets.ledger.send(event).await;
                 }
--- a/crates/kws-daemon/src/shared.rs
+++ b/crates/kws-daemon/src/shared.rs
@@ -6,7 +6,8 @@
 use kws_membership::{Readiness, UnreadyReason};
 use kws_peer::OutboundPeer;
 use kws_protocol::{
-    CenterName, FleetSnapshot, HostName, LoanMessage, PeerMessage, RegionName, ServerStatus,
+    CenterName, FleetSnapshot, HostName, ListedHost, LoanMessage, PeerMessage, RegionName,
+    ServerStatus,
 };
 use std::{
     collections::HashMap,
@@ -63,17 +64,17 @@
     }
 
     pub(crate) fn set_snapshot(&self, snapshot: &Arc<FleetSnapshot>) {
-        let addresses = snapshot
-            .hosts
-            .hosts
-            .iter()
-            .map(|host| (host.name.clone(), host.peer))
-            .collect();
-        self.addresses.store(Some(Arc::new(addresses)));
+        self.set_addresses(&snapshot.hosts.hosts);
         self.snapshot.store(Some(Arc::clone(snapshot)));
         self.metrics.set_revision(snapshot.revision.0);
     }
 
+    /// Takes the hosts that messages may be sent to.
+    pub(crate) fn set_addresses(&self, hosts: &[ListedHost]) {
+        let addresses = hosts.iter().map(|host| (host.name.clone(), host.peer));
+        self.addresses.store(Some(Arc::new(addresses.collect())));
+    }
+
     /// Whether the lease holds at this moment.
     pub(crate) fn is_current(&self) -> bool {
         self.lease.get().is_some_and(|until| Instant::now() < until)
