Tests of gray failure, floor, trials and drains

Found by them: a service that begins to fail as a whole does so unevenly, and the first servers over the threshold were ejected by all hosts; a server must now stand out from what is typical. A server returned by its trials was followed out again for 5 s on peers' older digests.

--- a/crates/kws-health/src/phase.rs
+++ b/crates/kws-health/src/phase.rs
@@ -58,6 +58,8 @@
     strikes: u32,
     /// When the last strike was given or forgiven.
     strike_at: Instant,
+    /// When it last came back into service.
+    returned: Option<Instant>,
 }
 
 impl ServerLife {
@@ -68,9 +70,16 @@
             sickness: 0.0,
             strikes: 0,
             strike_at: now,
+            returned: None,
         }
     }
 
+    /// Whether it came back within `time`.
+    pub(crate) fn returned_within(&self, time: Duration, now: Instant) -> bool {
+        self.returned
+            .is_some_and(|at| now.duration_since(at) <= time)
+    }
+
     /// Whether it is in service.
     pub(crate) fn serves(&self) -> bool {
         matches!(self.phase, ServerPhase::Serving { .. })
@@ -138,6 +147,7 @@
     pub(crate) fn serve(&mut self, cold: bool, now: Instant) {
         self.phase = ServerPhase::Serving { since: now, cold };
         self.strike_at = now;
+        self.returned = Some(now);
     }
 
     /// Forgives one strike for each `max` of service without one.
--- a/crates/kws-health/src/service.rs
+++ b/crates/kws-health/src/service.rs
@@ -24,6 +24,9 @@
 /// After this long without a verdict on a trial every host may try.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(5);
 
+/// A server that came back isn't followed out again for this long.
+const FOLLOW_REST: Duration = Duration::from_secs(10);
+
 /// Peers that must report an ejection before this host counts on it.
 const REPORTING_PEERS: usize = 2;
 
@@ -286,12 +289,14 @@
             let entries = self.floor_entries(now);
             let room = may_eject(&entries, self.settings.floor, &name);
             if let Some(state) = self.servers.get_mut(&name) {
+                // Peers' digests from before their own trials must not undo a return.
+                let returned = state.life.returned_within(FOLLOW_REST, now);
                 match state.life.phase {
                     ServerPhase::Ejected {
                         scope: EjectionScope::Followed,
                         ..
                     } => state.life.follow(now + PEER_AGE),
-                    ServerPhase::Serving { .. } if !known && room => {
+                    ServerPhase::Serving { .. } if !known && !returned && room => {
                         state.life.follow(now + PEER_AGE);
                     }
                     _ => {}
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -81,8 +81,47 @@
         self.slow / self.compared.max(f64::from(MIN_ANSWERS))
     }
 
-    fn sick(&self, settings: &EjectionSettings) -> bool {
-        self.bad_share() >= settings.bad_share || self.slow_share() >= SLOW_SHARE
+    /// Whether the server stands out from what is typical for the service.
+    fn sick(&self, typical: TypicalShares, settings: &EjectionSettings) -> bool {
+        self.bad_share() - typical.bad >= settings.bad_share
+            || self.slow_share() - typical.slow >= SLOW_SHARE
+    }
+}
+
+/// What is typical for the servers of the service now. A service that begins to fail or to slow as a
+/// whole does so unevenly: its servers must stand out by the whole threshold.
+#[derive(Clone, Copy, Debug, Default)]
+struct TypicalShares {
+    bad: f64,
+    slow: f64,
+}
+
+impl TypicalShares {
+    fn of(sums: &[VoteSum]) -> Self {
+        let typical = |share: fn(&VoteSum) -> f64| {
+            let shares = sums.iter().map(|sum| Share(share(sum)));
+            lower_median(shares.collect()).map_or(0.0, |share| share.0)
+        };
+        Self {
+            bad: typical(VoteSum::bad_share),
+            slow: typical(VoteSum::slow_share),
+        }
+    }
+}
+
+/// All the votes on one server.
+struct ServerVotes<'a> {
+    server: &'a ServerName,
+    votes: Vec<(&'a HostName, Option<&'a CenterName>, HostVote)>,
+}
+
+impl ServerVotes<'_> {
+    fn total(&self) -> VoteSum {
+        let mut total = VoteSum::default();
+        for (_, _, vote) in &self.votes {
+            total.add(vote);
+        }
+        total
     }
 }
 
@@ -194,18 +233,24 @@
             (host, evidence.center.as_ref(), light)
         })
         .collect();
-    let mut sick: Vec<SickServer> = regions
+    let ballots: Vec<ServerVotes<'_>> = regions
         .iter()
-        .filter_map(|(server, region)| {
-            let votes: Vec<_> = lights
-                .iter()
-                .filter_map(|(host, center, light)| {
-                    Some((*host, *center, light.vote(server, region, settings)?))
-                })
-                .collect();
-            judge_server(own, server, &votes, settings)
+        .map(|(server, region)| {
+            let voted = lights.iter().filter_map(|(host, center, light)| {
+                Some((*host, *center, light.vote(server, region, settings)?))
+            });
+            ServerVotes {
+                server,
+                votes: voted.collect(),
+            }
         })
         .collect();
+    let sums: Vec<VoteSum> = ballots.iter().map(ServerVotes::total).collect();
+    let typical = TypicalShares::of(&sums);
+    let mut sick: Vec<SickServer> = ballots
+        .iter()
+        .filter_map(|ballot| judge_server(own, ballot, typical, settings))
+        .collect();
     sick.sort_by(|left, right| {
         right
             .sickness
@@ -217,14 +262,13 @@
 
 fn judge_server(
     own: &HostName,
-    server: &ServerName,
-    votes: &[(&HostName, Option<&CenterName>, HostVote)],
+    ballot: &ServerVotes<'_>,
+    typical: TypicalShares,
     settings: &EjectionSettings,
 ) -> Option<SickServer> {
-    let mut total = VoteSum::default();
+    let votes = &ballot.votes;
     let mut centers: BTreeMap<Option<&CenterName>, VoteSum> = BTreeMap::new();
     for (_, center, vote) in votes {
-        total.add(vote);
         centers.entry(*center).or_default().add(vote);
     }
     let accusers = votes
@@ -234,18 +278,19 @@
     let judging = centers.values().filter(|sum| sum.judges()).count();
     let accusing = centers
         .values()
-        .filter(|sum| sum.judges() && sum.sick(settings))
+        .filter(|sum| sum.judges() && sum.sick(typical, settings))
         .count();
     if accusers >= ACCUSERS && accusing * 2 > judging {
+        let total = ballot.total();
         return Some(SickServer {
-            server: server.clone(),
+            server: ballot.server.clone(),
             scope: EjectionScope::Fleet,
             sickness: total.bad_share() + total.slow_share(),
         });
     }
     let (_, _, vote) = votes.iter().find(|(host, ..)| *host == own)?;
     alone(vote, settings).map(|sickness| SickServer {
-        server: server.clone(),
+        server: ballot.server.clone(),
         scope: EjectionScope::Local,
         sickness,
     })
--- /dev/null
+++ b/crates/kws-health/tests/capacity_floor.rs
@@ -0,0 +1,221 @@
+//! Ejection never takes capacity below the floor.
+
+mod support;
+
+use kws_fixture::{SampleFleet, host_name};
+use kws_health::AnswerOutcome::{Error, Good};
+use kws_protocol::{HealthMessage, ServerDigest};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
+use std::time::Duration;
+use support::{Answer, Judges, Try, USUAL, listing, server};
+use tokio::{
+    runtime::Builder,
+    time::{Instant, advance},
+};
+
+/// Server 0 fails 5 in 10, server 1 fails 7, server 2 fails 9.
+fn three_sick(one: Try) -> Answer {
+    if one.server < 3 && one.tenths(5 + 2 * one.server) {
+        return (Error, USUAL.1);
+    }
+    USUAL
+}
+
+async fn three_out() -> Judges {
+    let mut judges = Judges::new(SampleFleet::new(4, 10));
+    judges.run(12, three_sick).await;
+    assert_eq!(judges.ejected(0), [0, 1, 2]);
+    judges
+}
+
+#[rstest]
+#[case::floor_70(0.7, 3)]
+#[case::floor_75(0.75, 2)]
+#[case::floor_100(1.0, 0)]
+#[case::no_floor(0.0, 5)]
+#[tokio::test(start_paused = true)]
+async fn half_sick(#[case] floor: f64, #[case] out: usize) {
+    let mut fleet = SampleFleet::new(4, 10);
+    fleet.floor = floor;
+    let mut judges = Judges::new(fleet);
+    let script = |one: Try| {
+        if one.server < 5 {
+            (Error, USUAL.1)
+        } else {
+            USUAL
+        }
+    };
+    judges.run(12, script).await;
+    let ejected: Vec<usize> = (0..4).map(|host| judges.ejected(host).len()).collect();
+    assert_eq!(ejected, [out; 4]);
+}
+
+/// A sick server that has to stay is used last.
+#[tokio::test(start_paused = true)]
+async fn kept_suspect() {
+    let mut fleet = SampleFleet::new(4, 10);
+    fleet.floor = 1.0;
+    let mut judges = Judges::new(fleet);
+    judges.run(12, three_sick).await;
+    assert!(judges.standing(0, 2).penalty > judges.standing(0, 9).penalty);
+}
+
+#[tokio::test(start_paused = true)]
+async fn raised_floor() {
+    let mut judges = three_out().await;
+    judges.fleet.floor = 0.85;
+    judges.adopt();
+    assert_eq!(judges.ejected(0), [2]);
+    assert!(judges.capacity(0) >= 0.85 * 30.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn healthy_leaves() {
+    let mut judges = three_out().await;
+    judges.fleet.leaving.insert(server(9));
+    judges.adopt();
+    assert_eq!(judges.ejected(0), [1, 2]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn healthy_drains() {
+    let mut judges = three_out().await;
+    judges.hosts[0].observe_drain(&listing(), &server(9), Instant::now());
+    assert_eq!(judges.ejected(0), [1, 2]);
+}
+
+/// More is lost than the floor allows, and none of it by ejection.
+#[tokio::test(start_paused = true)]
+async fn half_drains() {
+    let mut judges = three_out().await;
+    for at in 5..10 {
+        judges.hosts[0].observe_drain(&listing(), &server(at), Instant::now());
+    }
+    assert_eq!(judges.ejected(0), []);
+}
+
+/// Servers that peers have ejected leave no room to eject others.
+#[tokio::test(start_paused = true)]
+async fn peers_ejected() {
+    let mut judges = Judges::new(SampleFleet::new(1, 10));
+    let script = |one: Try| {
+        if one.server == 9 {
+            (Error, USUAL.1)
+        } else {
+            USUAL
+        }
+    };
+    let claims = HealthMessage::Digest((0..3).map(ejected_digest).collect());
+    for _ in 0..12 {
+        for peer in 1..3 {
+            judges.hosts[0].receive(&host_name(peer), &claims, Instant::now());
+        }
+        judges.run(1, script).await;
+    }
+    assert_eq!(judges.ejected(0), []);
+}
+
+fn ejected_digest(at: usize) -> ServerDigest {
+    ServerDigest {
+        service: listing(),
+        server: server(at),
+        answers: 0,
+        bad: 0,
+        median: Duration::ZERO,
+        in_flight: 0,
+        draining: false,
+        ejected: true,
+    }
+}
+
+/// Something that happens to one host.
+#[derive(Clone, Debug)]
+enum HostEvent {
+    Answers { server: usize, bad: bool },
+    Claims { peer: usize, server: usize },
+    Drain { server: usize },
+    Leave { server: usize },
+    Return { server: usize },
+    Tree { floor: f64, servers: usize },
+    Wait { seconds: u64 },
+}
+
+fn host_event() -> impl Strategy<Value = HostEvent> {
+    prop_oneof![
+        8 => (0..10_usize, any::<bool>()).prop_map(|(server, bad)| HostEvent::Answers { server, bad }),
+        2 => (1..5_usize, 0..10_usize).prop_map(|(peer, server)| HostEvent::Claims { peer, server }),
+        1 => (0..10_usize).prop_map(|server| HostEvent::Drain { server }),
+        1 => (0..10_usize).prop_map(|server| HostEvent::Leave { server }),
+        1 => (0..10_usize).prop_map(|server| HostEvent::Return { server }),
+        1 => (0.0..1.0, 5..12_usize).prop_map(|(floor, servers)| HostEvent::Tree { floor, servers }),
+        4 => (0..40_u64).prop_map(|seconds| HostEvent::Wait { seconds }),
+    ]
+}
+
+async fn apply(judges: &mut Judges, event: &HostEvent) {
+    let now = Instant::now();
+    match event {
+        HostEvent::Answers { server: at, bad } => {
+            let outcome = if *bad { Error } else { Good };
+            for _ in 0..8 {
+                judges.hosts[0].observe(&listing(), &server(*at), outcome, USUAL.1, now);
+            }
+        }
+        HostEvent::Claims { peer, server } => {
+            let claims = HealthMessage::Digest(vec![ejected_digest(*server)]);
+            judges.hosts[0].receive(&host_name(*peer), &claims, now);
+        }
+        HostEvent::Drain { server: at } => {
+            judges.hosts[0].observe_drain(&listing(), &server(*at), now);
+        }
+        HostEvent::Leave { server: at } => {
+            judges.fleet.leaving.insert(server(*at));
+            judges.adopt();
+        }
+        HostEvent::Return { server: at } => {
+            judges.fleet.leaving.remove(&server(*at));
+            judges.adopt();
+        }
+        HostEvent::Tree { floor, servers } => {
+            judges.fleet.floor = *floor;
+            judges.fleet.services[0].1 = *servers;
+            judges.adopt();
+        }
+        HostEvent::Wait { seconds } => {
+            advance(Duration::from_secs(*seconds)).await;
+            judges.hosts[0].tick(Instant::now());
+        }
+    }
+}
+
+/// Capacity is at the floor or above, or ejection has no part in the loss.
+fn floor_holds(judges: &Judges) -> bool {
+    let total = judges.fleet.services[0].1 as f64 * f64::from(judges.fleet.slots);
+    judges.capacity(0) + 1e-6 >= judges.fleet.floor * total || judges.ejected(0).is_empty()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn random_events(events in proptest::collection::vec(host_event(), 1..80)) {
+        let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+        let broken = runtime.expect("runtime").block_on(async {
+            let mut judges = Judges::new(SampleFleet::new(1, 10));
+            for event in &events {
+                apply(&mut judges, event).await;
+                if !floor_holds(&judges) {
+                    return Some((event.clone(), judges.capacity(0), judges.ejected(0)));
+                }
+            }
+            None
+        });
+        prop_assert!(broken.is_none(), "{broken:?}");
+    }
+}
--- /dev/null
+++ b/crates/kws-health/tests/server_drain.rs
@@ -0,0 +1,78 @@
+//! A leaving server gets no new work.
+
+mod support;
+
+use kws_fixture::{SampleFleet, host_name};
+use kws_health::{StandingBar, StandingSource};
+use kws_protocol::HealthMessage;
+use std::time::Duration;
+use support::{Judges, USUAL, listing, server};
+use tokio::time::{Instant, advance};
+
+fn bar(judges: &Judges, host: usize) -> Option<StandingBar> {
+    judges.standing(host, 3).bar
+}
+
+fn pass_digest(judges: &mut Judges, from: usize, to: usize) {
+    let message = HealthMessage::Digest(judges.hosts[from].digest(Instant::now()));
+    judges.hosts[to].receive(&host_name(from), &message, Instant::now());
+}
+
+#[tokio::test(start_paused = true)]
+async fn own_word() {
+    let mut judges = Judges::new(SampleFleet::new(3, 10));
+    judges.hosts[0].observe_drain(&listing(), &server(3), Instant::now());
+    assert_eq!(bar(&judges, 0), Some(StandingBar::Draining));
+}
+
+/// A peer's first-hand word counts at once; a second-hand one isn't passed on.
+#[tokio::test(start_paused = true)]
+async fn peer_word() {
+    let mut judges = Judges::new(SampleFleet::new(3, 10));
+    judges.hosts[0].observe_drain(&listing(), &server(3), Instant::now());
+    pass_digest(&mut judges, 0, 1);
+    pass_digest(&mut judges, 1, 2);
+    assert_eq!(bar(&judges, 1), Some(StandingBar::Draining));
+    assert_eq!(bar(&judges, 2), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn listed_leaving() {
+    let mut judges = Judges::new(SampleFleet::new(1, 10));
+    judges.fleet.leaving.insert(server(3));
+    judges.adopt();
+    assert_eq!(bar(&judges, 0), Some(StandingBar::Leaving));
+}
+
+/// A server that returns under its name starts cold, whatever it said before.
+#[tokio::test(start_paused = true)]
+async fn returned() {
+    let mut judges = Judges::new(SampleFleet::new(1, 10));
+    judges.hosts[0].observe_drain(&listing(), &server(3), Instant::now());
+    judges.fleet.leaving.insert(server(3));
+    judges.adopt();
+    judges.fleet.leaving.clear();
+    judges.adopt();
+    let standing = judges.standing(0, 3);
+    assert_eq!((standing.bar, standing.weight), (None, 0.1));
+}
+
+/// A drain is believed through a long outage of the platform, and then tried.
+#[tokio::test(start_paused = true)]
+async fn long_drain() {
+    let mut judges = Judges::new(SampleFleet::new(1, 10));
+    judges.hosts[0].observe_drain(&listing(), &server(3), Instant::now());
+    advance(Duration::from_mins(9)).await;
+    judges.run(1, |_| USUAL).await;
+    assert_eq!(bar(&judges, 0), Some(StandingBar::Draining));
+    advance(Duration::from_mins(2)).await;
+    judges.hosts[0].tick(Instant::now());
+    assert!(judges.standing(0, 3).trial_only);
+}
+
+#[tokio::test(start_paused = true)]
+async fn unlisted() {
+    let judges = Judges::new(SampleFleet::new(1, 10));
+    let unknown = judges.hosts[0].standing(&listing(), &server(99), Instant::now());
+    assert_eq!(unknown.bar, Some(StandingBar::Unlisted));
+}
--- /dev/null
+++ b/crates/kws-health/tests/support.rs
@@ -0,0 +1,149 @@
+//! Several judges that exchange digests, and one server pool that they all use.
+#![allow(dead_code, missing_docs, reason = "each test file uses a part of it")]
+
+use kws_fixture::{SampleFleet, host_name, server_name};
+use kws_health::{AnswerOutcome, HealthJudge, ServerStanding, StandingBar, StandingSource};
+use kws_protocol::{HealthMessage, ServerName, ServiceName};
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+/// The time between two rounds.
+pub const ROUND: Duration = Duration::from_millis(500);
+
+/// A usual answer.
+pub const USUAL: (AnswerOutcome, Duration) = (AnswerOutcome::Good, Duration::from_millis(20));
+
+/// A try, as a script of servers sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    pub round: usize,
+    pub host: usize,
+    pub server: usize,
+}
+
+impl Try {
+    /// Whether the try falls into `share` tenths of all tries, evenly spread.
+    pub fn tenths(&self, share: usize) -> bool {
+        (self.round * 7 + self.host * 3 + self.server) % 10 < share
+    }
+}
+
+pub type Answer = (AnswerOutcome, Duration);
+
+/// The judges of a fleet.
+pub struct Judges {
+    pub fleet: SampleFleet,
+    pub hosts: Vec<HealthJudge>,
+    pub round: usize,
+}
+
+impl Judges {
+    pub fn new(fleet: SampleFleet) -> Self {
+        let mut judges: Vec<HealthJudge> = (0..fleet.hosts)
+            .map(|at| HealthJudge::new(host_name(at)))
+            .collect();
+        let snapshot = fleet.snapshot();
+        for judge in &mut judges {
+            judge.adopt(&snapshot, Instant::now());
+        }
+        Self {
+            fleet,
+            hosts: judges,
+            round: 0,
+        }
+    }
+
+    /// Each host tries each server that it may use; then all exchange digests and judge.
+    pub async fn run(&mut self, rounds: usize, script: impl Fn(Try) -> Answer) {
+        for _ in 0..rounds {
+            advance(ROUND).await;
+            self.round += 1;
+            self.try_all(&script);
+            self.exchange();
+        }
+    }
+
+    fn try_all(&mut self, script: &impl Fn(Try) -> Answer) {
+        let now = Instant::now();
+        for host in 0..self.hosts.len() {
+            for server in 0..self.fleet.services[0].1 {
+                let standing = self.standing(host, server);
+                if standing.weight == 0.0 && !standing.trial_only {
+                    continue;
+                }
+                let (outcome, latency) = script(Try {
+                    round: self.round,
+                    host,
+                    server,
+                });
+                let name = server_name("listing", server);
+                self.hosts[host].observe(&listing(), &name, outcome, latency, now);
+            }
+        }
+    }
+
+    fn exchange(&mut self) {
+        let now = Instant::now();
+        let messages: Vec<HealthMessage> = self
+            .hosts
+            .iter_mut()
+            .map(|judge| HealthMessage::Digest(judge.digest(now)))
+            .collect();
+        for (to, judge) in self.hosts.iter_mut().enumerate() {
+            for (from, message) in messages.iter().enumerate() {
+                if from != to {
+                    judge.receive(&host_name(from), message, now);
+                }
+            }
+            judge.tick(now);
+        }
+    }
+
+    /// Adopts the fleet as it was changed.
+    pub fn adopt(&mut self) {
+        let snapshot = self.fleet.snapshot();
+        for judge in &mut self.hosts {
+            judge.adopt(&snapshot, Instant::now());
+        }
+    }
+
+    pub fn standing(&self, host: usize, server: usize) -> ServerStanding {
+        let name = server_name("listing", server);
+        self.hosts[host].standing(&listing(), &name, Instant::now())
+    }
+
+    /// The servers that `host` keeps ejected or on trial.
+    pub fn ejected(&self, host: usize) -> Vec<usize> {
+        (0..self.fleet.services[0].1)
+            .filter(|server| self.standing(host, *server).bar == Some(StandingBar::Ejected))
+            .collect()
+    }
+
+    /// How many hosts keep each server ejected; servers that none does are absent.
+    pub fn ejections(&self) -> Vec<(usize, usize)> {
+        let count = |server: &usize| {
+            (0..self.hosts.len())
+                .filter(|host| self.ejected(*host).contains(server))
+                .count()
+        };
+        (0..self.fleet.services[0].1)
+            .map(|server| (server, count(&server)))
+            .filter(|(_, hosts)| *hosts > 0)
+            .collect()
+    }
+
+    /// The capacity that `host` uses, in slots.
+    pub fn capacity(&self, host: usize) -> f64 {
+        (0..self.fleet.services[0].1)
+            .map(|server| self.standing(host, server).weight * f64::from(self.fleet.slots))
+            .sum()
+    }
+}
+
+pub fn listing() -> ServiceName {
+    ServiceName::new("listing")
+}
+
+pub fn server(at: usize) -> ServerName {
+    server_name("listing", at)
+}
--- /dev/null
+++ b/crates/kws-health/tests/trial_entry.rs
@@ -0,0 +1,116 @@
+//! How an ejected server comes back.
+
+mod support;
+
+use kws_fixture::SampleFleet;
+use kws_health::AnswerOutcome::Error;
+use rstest::rstest;
+use support::{Answer, Judges, Try, USUAL};
+
+fn third_fails(one: Try) -> Answer {
+    if one.server == 3 {
+        return (Error, USUAL.1);
+    }
+    USUAL
+}
+
+/// Rounds until server 3 is off trial or out of service again, from its first ejection on.
+async fn ejected_judges() -> Judges {
+    let mut judges = Judges::new(SampleFleet::new(8, 10));
+    while judges.ejections() != [(3, 8)] {
+        judges.run(1, third_fails).await;
+    }
+    judges
+}
+
+fn trial_hosts(judges: &Judges) -> usize {
+    (0..8)
+        .filter(|host| judges.standing(*host, 3).trial_only)
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn few_trials() {
+    let mut judges = ejected_judges().await;
+    assert_eq!(trial_hosts(&judges), 0);
+    judges.run(20, third_fails).await;
+    assert_eq!(trial_hosts(&judges), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn slow_start() {
+    let mut judges = ejected_judges().await;
+    let mut weights = Vec::new();
+    for _ in 0..48 {
+        judges.run(1, |_| USUAL).await;
+        weights.push(judges.standing(0, 3).weight);
+    }
+    let rising = weights.is_sorted();
+    let low = weights.iter().any(|weight| (0.1..0.3).contains(weight));
+    assert_eq!((rising, low, weights[47]), (true, true, 1.0));
+}
+
+/// A server that fails each trial is out for longer each time, up to the limit.
+#[rstest]
+#[case::first(1, 20)]
+#[case::second(2, 40)]
+#[case::third(3, 80)]
+#[case::limit(6, 240)]
+#[tokio::test(start_paused = true)]
+async fn growing_times(#[case] ejection: usize, #[case] rounds: usize) {
+    let mut judges = ejected_judges().await;
+    for _ in 1..ejection {
+        while trial_hosts(&judges) == 0 {
+            judges.run(1, third_fails).await;
+        }
+        while trial_hosts(&judges) > 0 {
+            judges.run(1, third_fails).await;
+        }
+    }
+    let start = judges.round;
+    while trial_hosts(&judges) == 0 {
+        judges.run(1, third_fails).await;
+    }
+    assert_eq!(judges.round - start, rounds);
+}
+
+/// A server that flaps is spared more and more: it serves a falling part of its sick time.
+#[tokio::test(start_paused = true)]
+async fn flapping() {
+    let mut judges = Judges::new(SampleFleet::new(8, 10));
+    let sick = |round: usize| round % 40 < 20;
+    let mut met = [0, 0];
+    for round in 0..800 {
+        let serving = judges.standing(0, 3).weight > 0.0;
+        met[round / 400] += usize::from(serving && sick(round + 1));
+        judges
+            .run(1, |one| {
+                if sick(one.round) {
+                    third_fails(one)
+                } else {
+                    USUAL
+                }
+            })
+            .await;
+    }
+    assert!(met[1] * 2 <= met[0], "{met:?}");
+    assert_eq!(
+        judges.ejections().iter().filter(|(at, _)| *at != 3).count(),
+        0
+    );
+}
+
+/// A long healthy time forgives.
+#[tokio::test(start_paused = true)]
+async fn forgiven() {
+    let mut judges = ejected_judges().await;
+    judges.run(600, |_| USUAL).await;
+    while judges.ejections() != [(3, 8)] {
+        judges.run(1, third_fails).await;
+    }
+    let start = judges.round;
+    while trial_hosts(&judges) == 0 {
+        judges.run(1, third_fails).await;
+    }
+    assert_eq!(judges.round - start, 20);
+}
