--- a/crates/kws-dispatch/src/dispatcher.rs
+++ b/crates/kws-dispatch/src/dispatcher.rs
@@ -309,6 +309,9 @@
         let Some(dispatch) = self.services.get_mut(service) else {
             return Vec::new();
         };
+        if dispatch.queue.len() == 0 {
+            return Vec::new();
+        }
         let expired = dispatch.queue.drop_expired(now);
         let mut context = ChoiceContext {
             standing,
--- a/crates/kws-dispatch/src/queue.rs
+++ b/crates/kws-dispatch/src/queue.rs
@@ -2,7 +2,7 @@
 
 use crate::{DispatchRequest, TicketId};
 use kws_protocol::TeamName;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tokio::time::Instant;
 
 /// The smallest share of the heaviest team's weight that a team may have, so that rounds are few.
@@ -80,42 +80,66 @@
 
     /// Takes the next request that `pick` finds a place for, in fair order.
     pub(crate) fn next<P>(
+        &mut self,
+        pick: impl FnMut(&DispatchRequest) -> Option<P>,
+    ) -> Option<(DispatchRequest, P)> {
+        let before: Vec<(TeamName, f64)> = self
+            .turns
+            .iter()
+            .filter_map(|name| Some((name.clone(), self.teams.get(name)?.deficit)))
+            .collect();
+        let next = self.next_turn(pick);
+        if next.is_none() {
+            // Rounds in which nothing was served must not earn anything.
+            for (name, deficit) in &before {
+                if let Some(team) = self.teams.get_mut(name) {
+                    team.deficit = *deficit;
+                }
+            }
+            self.turns = before.into_iter().map(|(name, _)| name).collect();
+        }
+        next
+    }
+
+    fn next_turn<P>(
         &mut self,
         mut pick: impl FnMut(&DispatchRequest) -> Option<P>,
     ) -> Option<(DispatchRequest, P)> {
-        let heaviest = self
-            .teams
-            .values()
-            .map(|team| team.weight)
-            .fold(0.0, f64::max);
-        let mut blocked = 0;
-        while blocked < self.turns.len() {
+        let weights = self.teams.values().map(|team| team.weight);
+        let heaviest = weights.fold(0.0, f64::max);
+        let mut blocked = BTreeSet::new();
+        while blocked.len() < self.turns.len() {
             let name = self.turns.front()?.clone();
             let team = self.teams.get_mut(&name)?;
             if team.deficit < 1.0 {
                 team.deficit += (team.weight / heaviest).max(MIN_QUANTUM);
             }
-            if team.deficit < 1.0 {
+            if team.deficit < 1.0 || blocked.contains(&name) {
                 self.turns.rotate_left(1);
                 continue;
             }
             if let Some(place) = team.requests.front().and_then(&mut pick) {
-                team.deficit -= 1.0;
-                let request = team.requests.pop_front()?;
-                let ended = team.deficit < 1.0;
-                self.len -= 1;
-                if ended {
-                    self.turns.rotate_left(1);
-                }
-                self.forget_empty(&name);
-                return Some((request, place));
+                return Some((self.take_front(&name)?, place));
             }
-            blocked += 1;
+            blocked.insert(name);
             self.turns.rotate_left(1);
         }
         None
     }
 
+    /// Takes the first request of the team whose turn it is, and pays for it.
+    fn take_front(&mut self, name: &TeamName) -> Option<DispatchRequest> {
+        let team = self.teams.get_mut(name)?;
+        team.deficit -= 1.0;
+        let request = team.requests.pop_front()?;
+        if team.deficit < 1.0 {
+            self.turns.rotate_left(1);
+        }
+        self.len -= 1;
+        self.forget_empty(name);
+        Some(request)
+    }
+
     /// Removes one request.
     pub(crate) fn remove(&mut self, team: &TeamName, ticket: TicketId) -> Option<DispatchRequest> {
         let requests = &mut self.teams.get_mut(team)?.requests;
--- /dev/null
+++ b/crates/kws-dispatch/tests/fair_queue.rs
@@ -0,0 +1,142 @@
+//! Who is served while a service is contended.
+
+mod support;
+
+use kws_dispatch::{DispatchRequest, TicketEnd};
+use kws_fixture::SampleFleet;
+use kws_protocol::RefusalReason;
+use rstest::rstest;
+use std::{collections::BTreeMap, time::Duration};
+use support::{TestHost, granted, listing, refused, tickets};
+use tokio::time::{Instant, advance};
+
+/// One server with one slot, and a queue of `queue`.
+fn narrow(queue: u32) -> TestHost {
+    let mut fleet = SampleFleet::new(1, 1);
+    fleet.slots = 1;
+    fleet.queue = queue;
+    TestHost::new(&fleet)
+}
+
+/// The large team's requests all come first. Which share of the first 24 turns goes to the small?
+#[rstest]
+#[case::equal(1.0, 1.0, 12)]
+#[case::double(2.0, 1.0, 8)]
+#[case::small_heavy(1.0, 3.0, 18)]
+#[tokio::test(start_paused = true)]
+async fn shares(#[case] large: f64, #[case] small: f64, #[case] expected: usize) {
+    let mut host = narrow(200);
+    let mut teams = BTreeMap::new();
+    let mut running = 0;
+    for (team, weight, count) in [("large", large, 100), ("small", small, 20)] {
+        for _ in 0..count {
+            let request = DispatchRequest {
+                weight,
+                ..host.request(team)
+            };
+            teams.insert(request.ticket.0, team);
+            running += tickets(&host.enqueue(request)).len() as u64;
+        }
+    }
+    let mut served = 0;
+    for _ in 0..24 {
+        let next = tickets(&host.complete(running, TicketEnd::Answered));
+        running = next[0];
+        served += usize::from(teams[&running] == "small");
+    }
+    assert!(served.abs_diff(expected) <= 1, "{served}");
+}
+
+/// A burst of one team pushes out its own requests, not another's.
+#[tokio::test(start_paused = true)]
+async fn full_queue() {
+    let mut host = narrow(8);
+    let mut refusals = Vec::new();
+    for _ in 0..20 {
+        refusals.extend(refused(&host.send("large")));
+    }
+    let first_small = host.next + 1;
+    for _ in 0..3 {
+        refusals.extend(refused(&host.send("small")));
+    }
+    assert_eq!(host.dispatcher.queued(&listing()), 8);
+    assert_eq!(refusals.len(), 14);
+    let own = refusals
+        .iter()
+        .all(|(ticket, reason)| *ticket < first_small && *reason == RefusalReason::QueueFull);
+    assert!(own, "{refusals:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn expired() {
+    let mut host = narrow(8);
+    host.send("large");
+    let mut request = host.request("large");
+    request.deadline = Instant::now() + Duration::from_millis(200);
+    assert_eq!(host.enqueue(request), []);
+    advance(Duration::from_millis(250)).await;
+    assert_eq!(refused(&host.tick()), [(2, RefusalReason::DeadlineEarly)]);
+    assert_eq!(host.dispatcher.queued(&listing()), 0);
+}
+
+/// A queue of ten at 50 ms each: who is refused at once by the time that it has?
+#[rstest]
+#[case::hopeless(Duration::from_millis(100), true)]
+#[case::enough(Duration::from_secs(1), false)]
+#[tokio::test(start_paused = true)]
+async fn refused_early(#[case] time: Duration, #[case] expected: bool) {
+    let mut host = narrow(64);
+    for _ in 0..11 {
+        host.send("large");
+    }
+    let mut request = host.request("large");
+    request.deadline = Instant::now() + time;
+    let refusals = refused(&host.enqueue(request));
+    assert_eq!(refusals == [(12, RefusalReason::DeadlineEarly)], expected);
+}
+
+/// The small team's own queue decides, not the large team's.
+#[tokio::test(start_paused = true)]
+async fn small_not_refused() {
+    let mut host = narrow(64);
+    for _ in 0..40 {
+        host.send("large");
+    }
+    let mut request = host.request("small");
+    request.deadline = Instant::now() + Duration::from_millis(200);
+    assert_eq!(refused(&host.enqueue(request)), []);
+}
+
+/// A retried request is the next of its team, and keeps its ticket.
+#[tokio::test(start_paused = true)]
+async fn retry_first() {
+    let mut host = narrow(8);
+    host.send("large");
+    host.send("large");
+    let actions = host.retry(1, TicketEnd::Failed);
+    assert_eq!(tickets(&actions), [1]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancelled() {
+    let mut host = narrow(8);
+    for _ in 0..3 {
+        host.send("large");
+    }
+    let now = Instant::now();
+    for ticket in [2, 1] {
+        let ticket = kws_dispatch::TicketId(ticket);
+        let actions = host.dispatcher.cancel(ticket, &host.standings, now);
+        let freed = ticket.0 == 1;
+        assert_eq!(tickets(&actions), if freed { vec![3] } else { vec![] });
+    }
+}
+
+/// Nothing serves: the request isn't kept until its deadline.
+#[tokio::test(start_paused = true)]
+async fn nothing_serves() {
+    let mut host = narrow(8);
+    host.bar(0, false);
+    assert_eq!(refused(&host.send("large")), [(1, RefusalReason::NoServer)]);
+    assert!(granted(&host.tick()).is_empty());
+}
--- /dev/null
+++ b/crates/kws-dispatch/tests/retry_policy.rs
@@ -0,0 +1,163 @@
+//! When a failed try is followed by another, and what the caller is told.
+
+use kws_dispatch::{FailedTry, RetryBudget, RetryDecision, RetryPolicy, TryFailure};
+use kws_protocol::{
+    AnswerChecks, RefusalReason, RetryReason, RouteAccess, RouteName, RouteSettings, RunState,
+    ServiceName,
+};
+use rstest::rstest;
+use std::{collections::BTreeSet, time::Duration};
+use tokio::time::Instant;
+
+fn route(repeatable: Option<bool>) -> RouteSettings {
+    RouteSettings {
+        name: RouteName::new("slots"),
+        host: None,
+        path: "/slots".to_owned(),
+        methods: BTreeSet::new(),
+        service: ServiceName::new("till"),
+        access: RouteAccess::AnyTeam,
+        repeatable,
+        deadline: Duration::from_secs(5),
+        idle: Duration::from_secs(1),
+        tries: 3,
+        hedge: Some(Duration::from_millis(100)),
+        max_head: 16_384,
+        max_body: 1_048_576,
+        checks: AnswerChecks::default(),
+    }
+}
+
+fn failed(failure: TryFailure) -> FailedTry {
+    FailedTry {
+        failure,
+        tries: 1,
+        may_have_run: false,
+        body_intact: true,
+        deadline: Instant::now() + Duration::from_secs(5),
+    }
+}
+
+fn decide(method: &str, failed: &FailedTry) -> RetryDecision {
+    let policy = RetryPolicy::new(&route(None), method);
+    policy.decide(failed, &mut RetryBudget::new(0.2), Instant::now())
+}
+
+fn stop(reason: RefusalReason, state: RunState) -> RetryDecision {
+    RetryDecision::Stop(reason, state)
+}
+
+#[rstest]
+#[case::get(None, "GET", true)]
+#[case::head(None, "HEAD", true)]
+#[case::options(None, "OPTIONS", true)]
+#[case::post(None, "POST", false)]
+#[case::put(None, "PUT", false)]
+#[case::delete(None, "DELETE", false)]
+#[case::lower_case(None, "get", false)]
+#[case::route_loosens(Some(true), "POST", true)]
+#[case::route_tightens(Some(false), "GET", false)]
+fn repeatable(#[case] setting: Option<bool>, #[case] method: &str, #[case] expected: bool) {
+    let policy = RetryPolicy::new(&route(setting), method);
+    assert_eq!(policy.repeatable(), expected);
+    assert_eq!(policy.hedge_after().is_some(), expected);
+    assert_eq!(policy.hedge(1, &mut RetryBudget::new(0.2)), expected);
+}
+
+#[rstest]
+#[case::bad_answer(TryFailure::BadAnswer, RetryReason::BadAnswer)]
+#[case::connect(TryFailure::ConnectFailed, RetryReason::ConnectFailed)]
+#[case::lost(TryFailure::LostAfterWrite, RetryReason::ConnectionLost)]
+#[case::not_run(TryFailure::ServerNotRun, RetryReason::ServerNotRun)]
+#[case::timeout(TryFailure::Timeout, RetryReason::ConnectionLost)]
+#[tokio::test(start_paused = true)]
+async fn repeatable_retried(#[case] failure: TryFailure, #[case] reason: RetryReason) {
+    let decision = decide("GET", &failed(failure));
+    assert_eq!(decision, RetryDecision::Retry(reason));
+}
+
+/// A request that may not be repeated is sent again only when it provably did not run.
+#[rstest]
+#[case::bad_answer(
+    TryFailure::BadAnswer,
+    stop(RefusalReason::BadAnswer, RunState::Unknown)
+)]
+#[case::connect(
+    TryFailure::ConnectFailed,
+    RetryDecision::Retry(RetryReason::ConnectFailed)
+)]
+#[case::lost(
+    TryFailure::LostAfterWrite,
+    stop(RefusalReason::ConnectionLost, RunState::Unknown)
+)]
+#[case::not_run(
+    TryFailure::ServerNotRun,
+    RetryDecision::Retry(RetryReason::ServerNotRun)
+)]
+#[case::timeout(
+    TryFailure::Timeout,
+    stop(RefusalReason::DeadlinePassed, RunState::Unknown)
+)]
+#[tokio::test(start_paused = true)]
+async fn unrepeatable(#[case] failure: TryFailure, #[case] expected: RetryDecision) {
+    assert_eq!(decide("POST", &failed(failure)), expected);
+}
+
+/// What stops a retry that would be safe.
+#[rstest]
+#[case::tries(FailedTry { tries: 3, ..failed(TryFailure::ConnectFailed) }, RefusalReason::NoServer)]
+#[case::body(
+    FailedTry { body_intact: false, ..failed(TryFailure::ServerNotRun) },
+    RefusalReason::NoServer
+)]
+#[case::deadline(
+    FailedTry { deadline: Instant::now(), ..failed(TryFailure::ConnectFailed) },
+    RefusalReason::DeadlineEarly
+)]
+#[tokio::test(start_paused = true)]
+async fn stopped(#[case] failed: FailedTry, #[case] reason: RefusalReason) {
+    for method in ["GET", "POST"] {
+        assert_eq!(decide(method, &failed), stop(reason, RunState::NotRun));
+    }
+}
+
+/// Once a try may have run, no later proof makes it "not run" again.
+#[rstest]
+#[case::connect(TryFailure::ConnectFailed)]
+#[case::not_run(TryFailure::ServerNotRun)]
+#[tokio::test(start_paused = true)]
+async fn ran_before(#[case] failure: TryFailure) {
+    let last = FailedTry {
+        tries: 3,
+        may_have_run: true,
+        ..failed(failure)
+    };
+    assert_eq!(
+        decide("GET", &last),
+        stop(RefusalReason::NoServer, RunState::Unknown)
+    );
+    let first = FailedTry { tries: 1, ..last };
+    assert_eq!(
+        decide("POST", &first),
+        stop(RefusalReason::NoServer, RunState::Unknown)
+    );
+}
+
+/// Of 1000 requests that all fail, the share of the budget and its start are retried.
+#[rstest]
+#[case::none(0.0, 0)]
+#[case::tenth(0.1, 103)]
+#[case::half(0.5, 503)]
+#[tokio::test(start_paused = true)]
+async fn budget(#[case] share: f64, #[case] expected: usize) {
+    let policy = RetryPolicy::new(&route(None), "GET");
+    let mut budget = RetryBudget::new(share);
+    let retries = (0..1_000).filter(|_| {
+        budget.earn();
+        let failed = failed(TryFailure::ConnectFailed);
+        policy.decide(&failed, &mut budget, Instant::now())
+            == RetryDecision::Retry(RetryReason::ConnectFailed)
+    });
+    let retries = retries.count();
+    assert!(retries.abs_diff(expected) <= 1, "{retries}");
+}
--- /dev/null
+++ b/crates/kws-dispatch/tests/server_choice.rs
@@ -0,0 +1,216 @@
+//! Which server a request gets, and when it has to wait.
+
+mod support;
+
+use kws_dispatch::{DispatchAction, TicketEnd};
+use kws_fixture::SampleFleet;
+use kws_health::ServerStanding;
+use rstest::rstest;
+use std::time::Duration;
+use support::{TestHost, granted, listing, server, tickets};
+use tokio::time::{Instant, advance};
+
+/// How many of `count` requests at once are granted.
+fn burst(host: &mut TestHost, count: usize) -> usize {
+    (0..count).map(|_| granted(&host.send("large")).len()).sum()
+}
+
+/// Two servers, one of them local, with three slots each.
+#[rstest]
+#[case::idle(&[], 3)]
+#[case::peer_uses_one(&[(0, 1)], 2)]
+#[case::peers_fill(&[(0, 3)], 1)]
+#[case::peers_overfill(&[(0, 9)], 1)]
+#[tokio::test(start_paused = true)]
+async fn shared_slots(#[case] peer: &[(usize, u32)], #[case] expected: usize) {
+    let mut host = TestHost::new(&SampleFleet::new(2, 2));
+    host.peer(1, peer);
+    assert_eq!(burst(&mut host, 10), expected);
+}
+
+/// A peer that falls silent no longer counts.
+#[tokio::test(start_paused = true)]
+async fn silent_peer() {
+    let mut host = TestHost::new(&SampleFleet::new(2, 2));
+    host.peer(1, &[(0, 3)]);
+    advance(Duration::from_secs(3)).await;
+    host.tick();
+    assert_eq!(burst(&mut host, 10), 3);
+}
+
+/// Ten hosts fill one server: this one sends at a tenth of its pace, not at none.
+#[tokio::test(start_paused = true)]
+async fn contended_pace() {
+    let mut host = TestHost::new(&SampleFleet::new(10, 1));
+    let mut sent = 0;
+    for peer in 1..10 {
+        host.peer(peer, &[(0, 1)]);
+    }
+    let mut running: Vec<u64> = Vec::new();
+    for _ in 0..40 {
+        running.extend(tickets(&host.send("large")));
+    }
+    for _ in 0..200 {
+        for peer in 1..10 {
+            host.peer(peer, &[(0, 1)]);
+        }
+        running.extend(tickets(&host.tick()));
+        sent += running.len();
+        advance(Duration::from_millis(10)).await;
+        for ticket in std::mem::take(&mut running) {
+            running.extend(tickets(&host.complete(ticket, TicketEnd::Failed)));
+        }
+    }
+    // 2 s at 50 ms of service, 3 slots over 10 hosts: 12 requests.
+    assert!((8..=16).contains(&sent), "{sent}");
+}
+
+/// Shed requests slow the host down; answers speed it up again.
+#[rstest]
+#[case::shed(TicketEnd::Shed, 0)]
+#[case::answered(TicketEnd::Answered, 3)]
+#[tokio::test(start_paused = true)]
+async fn shedding(#[case] end: TicketEnd, #[case] expected: usize) {
+    let mut host = TestHost::new(&SampleFleet::new(2, 2));
+    for _ in 0..4 {
+        let running = tickets(&host.send("large"));
+        for ticket in running {
+            host.complete(ticket, end);
+        }
+    }
+    assert_eq!(burst(&mut host, 5), expected);
+}
+
+/// The local region first; the other one when nothing local serves, within the budget.
+#[rstest]
+#[case::local(&[], 3_000_000, "listing-00", false)]
+#[case::spill(&[0], 3_000_000, "listing-01", true)]
+#[tokio::test(start_paused = true)]
+async fn region_first(
+    #[case] out: &[usize],
+    #[case] bits: u64,
+    #[case] expected: &str,
+    #[case] spill: bool,
+) {
+    let mut fleet = SampleFleet::new(2, 2);
+    fleet.spill_bits = bits;
+    let mut host = TestHost::new(&fleet);
+    for at in out {
+        host.bar(*at, false);
+    }
+    advance(Duration::from_secs(1)).await;
+    let actions = host.send("large");
+    let [DispatchAction::Grant(grant)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((grant.server.as_str(), grant.spill), (expected, spill));
+}
+
+/// 8000 bits a second pay for one request of 1000 bytes a second.
+#[tokio::test(start_paused = true)]
+async fn spill_budget() {
+    let mut fleet = SampleFleet::new(1, 2);
+    fleet.spill_bits = 8_000;
+    let mut host = TestHost::new(&fleet);
+    host.bar(0, false);
+    let mut sent = 0;
+    for _ in 0..100 {
+        advance(Duration::from_millis(100)).await;
+        let mut running = tickets(&host.send("large"));
+        running.extend(tickets(&host.tick()));
+        sent += running.len();
+        for ticket in running {
+            host.complete(ticket, TicketEnd::Failed);
+        }
+    }
+    assert!((9..=11).contains(&sent), "{sent}");
+}
+
+/// A busy local region makes a request wait; only one whose deadline is near spills.
+#[rstest]
+#[case::patient(Duration::from_secs(10), 0)]
+#[case::urgent(Duration::from_millis(120), 1)]
+#[tokio::test(start_paused = true)]
+async fn short_locally(#[case] time: Duration, #[case] expected: usize) {
+    let mut host = TestHost::new(&SampleFleet::new(1, 2));
+    advance(Duration::from_secs(1)).await;
+    assert_eq!(burst(&mut host, 3), 3);
+    let mut request = host.request("large");
+    request.deadline = Instant::now() + time;
+    assert_eq!(granted(&host.enqueue(request)).len(), expected);
+}
+
+/// A server on trial gets one repeatable request at a time, and no other.
+#[rstest]
+#[case::repeatable(true, &["listing-00"])]
+#[case::unrepeatable(false, &["listing-02"])]
+#[tokio::test(start_paused = true)]
+async fn trial(#[case] repeatable: bool, #[case] expected: &[&str]) {
+    let mut host = TestHost::new(&SampleFleet::new(1, 3));
+    host.bar(0, true);
+    let mut request = host.request("large");
+    request.repeatable = repeatable;
+    let first = granted(&host.enqueue(request));
+    let names: Vec<&str> = first.iter().map(kws_protocol::ServerName::as_str).collect();
+    assert_eq!(names, expected);
+    assert_eq!(granted(&host.send("large")).len(), 1);
+    let mut third = host.request("large");
+    third.repeatable = true;
+    assert!(!granted(&host.enqueue(third)).contains(&server(0)));
+}
+
+/// A drain in a burst: not one request more, while those that wait go elsewhere.
+#[tokio::test(start_paused = true)]
+async fn drain_in_burst() {
+    let mut host = TestHost::new(&SampleFleet::new(1, 4));
+    let sent = burst(&mut host, 20);
+    assert_eq!((sent, host.dispatcher.queued(&listing())), (6, 14));
+    host.bar(0, false);
+    let mut running: Vec<u64> = (1..=6).collect();
+    let mut servers = Vec::new();
+    while let Some(ticket) = running.pop() {
+        let actions = host.complete(ticket, TicketEnd::Answered);
+        servers.extend(granted(&actions));
+        running.extend(tickets(&actions));
+    }
+    assert_eq!(servers.len(), 14);
+    assert!(!servers.contains(&server(0)), "{servers:?}");
+}
+
+/// A retry avoids the server that failed it, unless nothing else serves.
+#[rstest]
+#[case::another(false, "listing-02")]
+#[case::alone(true, "listing-00")]
+#[tokio::test(start_paused = true)]
+async fn retry_elsewhere(#[case] alone: bool, #[case] expected: &str) {
+    let mut host = TestHost::new(&SampleFleet::new(1, 3));
+    host.bar(1, false);
+    host.bar(2, false);
+    host.send("large");
+    if !alone {
+        host.standings.0.remove(&server(2));
+    }
+    let servers = granted(&host.retry(1, TicketEnd::Failed));
+    assert_eq!(servers[0].as_str(), expected);
+}
+
+/// Warm-up and suspicion take load off a server; 600 requests one at a time.
+#[rstest]
+#[case::equal(ServerStanding::FULL, 240..=360)]
+#[case::warming(ServerStanding { weight: 0.1, ..ServerStanding::FULL }, 0..=60)]
+#[case::suspect(ServerStanding { penalty: 3.0, ..ServerStanding::FULL }, 0..=0)]
+#[tokio::test(start_paused = true)]
+async fn lighter(
+    #[case] standing: ServerStanding,
+    #[case] expected: std::ops::RangeInclusive<usize>,
+) {
+    let mut host = TestHost::new(&SampleFleet::new(1, 3));
+    host.standings.0.insert(server(0), standing);
+    let mut hits = 0;
+    for _ in 0..600 {
+        let actions = host.send("large");
+        hits += usize::from(granted(&actions).contains(&server(0)));
+        host.complete(tickets(&actions)[0], TicketEnd::Answered);
+    }
+    assert!(expected.contains(&hits), "{hits}");
+}
--- /dev/null
+++ b/crates/kws-dispatch/tests/support.rs
@@ -0,0 +1,149 @@
+//! A dispatcher with scripted standings.
+#![allow(dead_code, missing_docs, reason = "each test file uses a part of it")]
+
+use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, TicketEnd, TicketId};
+use kws_fixture::{SampleFleet, host_name, place_of, server_name};
+use kws_health::{ServerStanding, StandingBar, StandingSource};
+use kws_protocol::{HealthMessage, RefusalReason, ServerDigest, ServerName, ServiceName, TeamName};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Standings by server; all others serve at full weight.
+#[derive(Default)]
+pub struct Standings(pub BTreeMap<ServerName, ServerStanding>);
+
+impl StandingSource for Standings {
+    fn standing(&self, _: &ServiceName, server: &ServerName, _: Instant) -> ServerStanding {
+        self.0.get(server).copied().unwrap_or(ServerStanding::FULL)
+    }
+}
+
+/// The dispatcher of `host-000`, in vidzemes; even servers are local.
+pub struct TestHost {
+    pub dispatcher: Dispatcher,
+    pub standings: Standings,
+    pub next: u64,
+}
+
+impl TestHost {
+    pub fn new(fleet: &SampleFleet) -> Self {
+        let (region, center) = place_of(0);
+        let mut dispatcher = Dispatcher::new(host_name(0), region, center);
+        dispatcher.adopt(&fleet.snapshot(), Instant::now());
+        Self {
+            dispatcher,
+            standings: Standings::default(),
+            next: 0,
+        }
+    }
+
+    /// Puts a server out of service.
+    pub fn bar(&mut self, at: usize, trial_only: bool) {
+        let standing = ServerStanding {
+            trial_only,
+            ..ServerStanding::barred(StandingBar::Ejected)
+        };
+        self.standings.0.insert(server(at), standing);
+    }
+
+    /// A repeatable request of `team` with a deadline in 10 s.
+    pub fn request(&mut self, team: &str) -> DispatchRequest {
+        self.next += 1;
+        DispatchRequest {
+            ticket: TicketId(self.next),
+            service: listing(),
+            team: TeamName::new(team),
+            weight: 1.0,
+            deadline: Instant::now() + Duration::from_secs(10),
+            repeatable: true,
+            bytes: 1_000,
+            excluded: Vec::new(),
+        }
+    }
+
+    pub fn enqueue(&mut self, request: DispatchRequest) -> Vec<DispatchAction> {
+        self.dispatcher
+            .enqueue(request, &self.standings, Instant::now())
+    }
+
+    pub fn send(&mut self, team: &str) -> Vec<DispatchAction> {
+        let request = self.request(team);
+        self.enqueue(request)
+    }
+
+    pub fn complete(&mut self, ticket: u64, end: TicketEnd) -> Vec<DispatchAction> {
+        self.dispatcher
+            .complete(TicketId(ticket), end, &self.standings, Instant::now())
+    }
+
+    pub fn retry(&mut self, ticket: u64, end: TicketEnd) -> Vec<DispatchAction> {
+        self.dispatcher
+            .retry(TicketId(ticket), end, &self.standings, Instant::now())
+    }
+
+    pub fn tick(&mut self) -> Vec<DispatchAction> {
+        self.dispatcher.tick(&self.standings, Instant::now())
+    }
+
+    /// Takes the in-flight digest of one peer: requests by server.
+    pub fn peer(&mut self, peer: usize, in_flight: &[(usize, u32)]) {
+        let digests = in_flight.iter().map(|(at, count)| load_digest(*at, *count));
+        let message = HealthMessage::Digest(digests.collect());
+        self.dispatcher
+            .receive(&host_name(peer), &message, Instant::now());
+    }
+}
+
+fn load_digest(at: usize, in_flight: u32) -> ServerDigest {
+    ServerDigest {
+        service: listing(),
+        server: server(at),
+        answers: 0,
+        bad: 0,
+        median: Duration::ZERO,
+        in_flight,
+        draining: false,
+        ejected: false,
+    }
+}
+
+/// The servers granted, by their places.
+pub fn granted(actions: &[DispatchAction]) -> Vec<ServerName> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Grant(grant) => Some(grant.server.clone()),
+            DispatchAction::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+/// The tickets granted.
+pub fn tickets(actions: &[DispatchAction]) -> Vec<u64> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Grant(grant) => Some(grant.ticket.0),
+            DispatchAction::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+/// The refusals.
+pub fn refused(actions: &[DispatchAction]) -> Vec<(u64, RefusalReason)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Refuse { ticket, reason } => Some((ticket.0, *reason)),
+            DispatchAction::Grant(_) => None,
+        })
+        .collect()
+}
+
+pub fn listing() -> ServiceName {
+    ServiceName::new("listing")
+}
+
+pub fn server(at: usize) -> ServerName {
+    server_name("listing", at)
+}
