--- /dev/null
+++ b/crates/kws-bench/src/main.rs
@@ -0,0 +1,24 @@
+//! Prints tables of measurements.
+
+use clap::{Parser, Subcommand};
+use kws_bench::backends::BackendsArgs;
+
+/// Measurements over the product and its baselines.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct BenchArgs {
+    #[command(subcommand)]
+    table: BenchTable,
+}
+
+#[derive(Debug, Subcommand)]
+enum BenchTable {
+    /// Backend servers: detection, false ejections, bad answers, the worst-served team.
+    Backends(BackendsArgs),
+}
+
+fn main() -> eyre::Result<()> {
+    match BenchArgs::parse().table {
+        BenchTable::Backends(args) => args.run(),
+    }
+}
