--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -2,17 +2,16 @@
 
 use crate::{
     control::{AccessRecord, RetryVerdict, ServerGrant, ServerRequest, TryReport},
-    head::{BodyLength, RequestParts, asks_close, read_head},
+    head::{asks_close, read_head},
+    judge::RequestJudge,
     reply::{Refused, refusal_response, set_header},
     request_body::{BodyLimits, RequestBody},
-    route::{find_route, is_repeatable},
+    route::is_repeatable,
     single_try::{TryContext, TryFailure, run_try},
     try_guard::TryGuard,
     worker::WorkerState,
 };
-use kws_protocol::{
-    FleetSnapshot, RefusalReason, RouteAccess, RouteSettings, RunState, ServerName, TeamName,
-};
+use kws_protocol::{RouteSettings, RunState, ServerName, TeamName};
 use ntex::{
     http::{ConnectionType, Payload, Request, Response},
     io::IoRef,
@@ -42,6 +41,19 @@
     }
 }
 
+/// The refusal of a request whose caller waits before it sends the body, as far as the head tells.
+pub(crate) fn refused_early(worker: &WorkerState, request: &Request) -> Option<Refused> {
+    let parts = match read_head(request) {
+        Ok(parts) => parts,
+        Err(reason) => return Some(Refused::not_run(reason)),
+    };
+    let judge = RequestJudge {
+        worker,
+        parts: &parts,
+    };
+    judge.judge().err()
+}
+
 async fn serve_connected(worker: &WorkerState, mut request: Request, caller: IoRef) -> Response {
     let started = Instant::now();
     let request_id = worker.ids.next_id();
@@ -50,8 +62,10 @@
     let result = match read_head(&request) {
         Ok(parts) => {
             let mut exchange = Exchange {
-                worker,
-                parts: &parts,
+                judge: RequestJudge {
+                    worker,
+                    parts: &parts,
+                },
                 request_id: &request_id,
                 caller,
                 started,
@@ -94,8 +108,7 @@
 }
 
 struct Exchange<'a> {
-    worker: &'a WorkerState,
-    parts: &'a RequestParts,
+    judge: RequestJudge<'a>,
     request_id: &'a str,
     caller: IoRef,
     started: Instant,
@@ -105,107 +118,38 @@
 
 impl Exchange<'_> {
     async fn run(&mut self, payload: Payload) -> Result<Response, Refused> {
-        let snapshot = self.current_snapshot()?;
-        let route = self.route(&snapshot)?;
+        let snapshot = self.judge.current_snapshot()?;
+        let route = self.judge.route(&snapshot)?;
         self.log.route = Some(route.name.clone());
-        self.check_size(route)?;
-        let team = self.authenticate(&snapshot, route)?;
+        self.judge.check_size(route)?;
+        let team = self.judge.authenticate(&snapshot, route)?;
         self.log.team.clone_from(&team);
         if let Some(team) = &team {
             self.admit(team).await?;
-            self.recheck(route, Some(team))?;
+            self.judge.recheck(route, Some(team))?;
         }
         self.forward(route, team, payload).await
     }
 
-    /// The settings, when this host may believe them.
-    fn current_snapshot(&self) -> Result<Arc<FleetSnapshot>, Refused> {
-        let not_current = Refused::not_run(RefusalReason::NotCurrent);
-        if !self.worker.control.is_current() {
-            return Err(not_current);
-        }
-        self.worker.control.snapshot().ok_or(not_current)
-    }
-
-    fn route<'s>(&self, snapshot: &'s FleetSnapshot) -> Result<&'s RouteSettings, Refused> {
-        let method = self.parts.method.as_str();
-        find_route(
-            &snapshot.settings,
-            &self.parts.host,
-            &self.parts.path,
-            method,
-        )
-        .ok_or(Refused::not_run(RefusalReason::RouteUnknown))
-    }
-
-    fn check_size(&self, route: &RouteSettings) -> Result<(), Refused> {
-        if self.parts.size > route.max_head {
-            return Err(Refused::not_run(RefusalReason::HeadTooLarge));
-        }
-        match self.parts.length {
-            BodyLength::Sized(bytes) if bytes > route.max_body => {
-                Err(Refused::not_run(RefusalReason::BodyTooLarge))
-            }
-            _ => Ok(()),
-        }
-    }
-
-    /// The team that the request runs for; absent on a route open to all.
-    fn authenticate(
-        &self,
-        snapshot: &Arc<FleetSnapshot>,
-        route: &RouteSettings,
-    ) -> Result<Option<TeamName>, Refused> {
-        if route.access == RouteAccess::Open {
-            return Ok(None);
-        }
-        let digest = self
-            .parts
-            .key
-            .ok_or(Refused::not_run(RefusalReason::KeyMissing))?;
-        let team = self.worker.keys.team(snapshot, digest);
-        let team = team.ok_or(Refused::not_run(RefusalReason::KeyUnknown))?;
-        match &route.access {
-            RouteAccess::Teams(teams) if !teams.contains(&team) => {
-                Err(Refused::not_run(RefusalReason::TeamForbidden))
-            }
-            _ => Ok(Some(team)),
-        }
-    }
-
     async fn admit(&self, team: &TeamName) -> Result<(), Refused> {
-        let admitted = self.worker.control.admit(team).await;
+        let admitted = self.judge.worker.control.admit(team).await;
         admitted.map_err(|refusal| Refused {
             retry_after: refusal.retry_after,
             ..Refused::not_run(refusal.reason)
         })
     }
 
-    /// Judges the request again after a wait: the key may have been withdrawn, the route changed,
-    /// or the lease run out.
-    fn recheck(&self, route: &RouteSettings, team: Option<&TeamName>) -> Result<(), Refused> {
-        let snapshot = self.current_snapshot()?;
-        let now = self.route(&snapshot)?;
-        if now.name != route.name || now.service != route.service {
-            return Err(Refused::not_run(RefusalReason::RouteUnknown));
-        }
-        if self.authenticate(&snapshot, now)?.as_ref() != team {
-            return Err(Refused::not_run(RefusalReason::KeyUnknown));
-        }
-        Ok(())
-    }
-
-    /// As [`Self::recheck`]; the grant of a refused request is handed back.
+    /// As [`RequestJudge::recheck`]; the grant of a refused request is handed back.
     fn recheck_granted(
         &self,
         route: &RouteSettings,
         team: Option<&TeamName>,
         grant: &ServerGrant,
     ) -> Result<(), Refused> {
-        let checked = self.recheck(route, team);
+        let checked = self.judge.recheck(route, team);
         if checked.is_err() {
             drop(TryGuard::new(
-                Arc::clone(&self.worker.control),
+                Arc::clone(&self.judge.worker.control),
                 grant.ticket,
             ));
         }
@@ -233,7 +177,7 @@
             max_bytes: route.max_body,
             idle: route.idle,
         };
-        let body = RequestBody::new(payload, self.parts.length, limits);
+        let body = RequestBody::new(payload, self.judge.parts.length, limits);
         let mut excluded = BTreeSet::new();
         loop {
             let grant = self.acquire(route, team.as_ref(), &excluded).await?;
@@ -263,10 +207,10 @@
             service: route.service.clone(),
             team: team.cloned(),
             deadline: self.started + route.deadline,
-            repeatable: is_repeatable(route, self.parts.method.as_str()),
+            repeatable: is_repeatable(route, self.judge.parts.method.as_str()),
             excluded: excluded.clone(),
         };
-        let granted = self.worker.control.acquire(request).await;
+        let granted = self.judge.worker.control.acquire(request).await;
         granted.map_err(Refused::not_run)
     }
 
@@ -277,8 +221,8 @@
         grant: &'t ServerGrant,
     ) -> TryContext<'t> {
         TryContext {
-            worker: self.worker,
-            parts: self.parts,
+            worker: self.judge.worker,
+            parts: self.judge.parts,
             route,
             team,
             grant,
@@ -293,7 +237,7 @@
         let Some(reason) = failure.retry else {
             return false;
         };
-        let repeatable = is_repeatable(route, self.parts.method.as_str());
+        let repeatable = is_repeatable(route, self.judge.parts.method.as_str());
         let safe = repeatable || failure.refused.run == RunState::NotRun;
         let deadline = self.started + route.deadline;
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -309,9 +253,9 @@
             tries: self.log.tries,
             remaining,
         };
-        let retried = self.worker.control.retry(&report) == RetryVerdict::Retry;
+        let retried = self.judge.worker.control.retry(&report) == RetryVerdict::Retry;
         if retried {
-            self.worker.control.count_retry(reason);
+            self.judge.worker.control.count_retry(reason);
         }
         retried
     }
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame_guard;
 mod guard_layer;
 mod head;
+mod judge;
 mod listener;
 mod protocol_reply;
 mod reply;
--- a/crates/kws-forward/src/protocol_reply.rs
+++ b/crates/kws-forward/src/protocol_reply.rs
@@ -1,6 +1,7 @@
-//! Answers to requests that cannot be read.
+//! Answers that come before a request's body, or instead of reading it.
 
 use crate::{
+    exchange::refused_early,
     reply::{Refused, refusal_response},
     worker::WorkerState,
 };
@@ -14,7 +15,8 @@
 };
 use std::io;
 
-/// Answers what the HTTP server could not read, and lets everything else go its usual way.
+/// Answers what the HTTP server could not read, refuses a body before it is sent where the head
+/// suffices, and lets everything else go its usual way.
 pub(crate) fn answer_control<F: Filter>(
     worker: &WorkerState,
     control: Control<F, io::Error>,
@@ -29,6 +31,13 @@
             let response = refusal_response(Refused::not_run(reason), &worker.ids.next_id());
             failure.fail_with(response)
         }
+        Control::Expect(expect) => match refused_early(worker, expect.get_ref()) {
+            Some(refused) => {
+                worker.control.count_refusal(refused.reason);
+                expect.fail_with(refusal_response(refused, &worker.ids.next_id()))
+            }
+            None => expect.ack(),
+        },
         other => other.ack(),
     }
 }
--- /dev/null
+++ b/crates/kws-forward/tests/at_most_once.rs
@@ -0,0 +1,156 @@
+//! A request that may not be repeated runs at most once, and "not run" is true.
+
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, get, request};
+use kws_forward::{RetryVerdict, TryClass};
+use kws_protocol::RetryReason;
+use kws_standin::backend::{BackendFault, BackendScript};
+use rstest::rstest;
+use std::time::Duration;
+
+fn faulty(fault: BackendFault) -> BackendScript {
+    BackendScript::with_fault(fault)
+}
+
+fn book(body: &str) -> String {
+    request(
+        "POST",
+        "/till",
+        &format!("content-length: {}\r\n", body.len()),
+        body,
+    )
+}
+
+#[rstest]
+#[case::shed(faulty(BackendFault::NotRun), "", 200, "")]
+#[case::shed_with_body(faulty(BackendFault::NotRun), "slot=4", 503, "not run")]
+#[case::lost(faulty(BackendFault::CutHead), "", 502, "unknown")]
+#[case::server_error(BackendScript { status: 500, ..BackendScript::default() }, "", 500, "")]
+#[case::plain_unavailable(BackendScript { status: 503, ..BackendScript::default() }, "", 503, "")]
+#[tokio::test]
+async fn failed_first(
+    #[case] first: BackendScript,
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] run: &str,
+) {
+    let fleet = Fleet::start([first, BackendScript::default()]).await;
+    let answer = fleet.send(&book(body)).await;
+    assert_eq!((answer.status(), answer.run()), (status, run));
+    let elsewhere = usize::from(status == 200);
+    assert_eq!(fleet.backends[1].seen().len(), elsewhere);
+}
+
+#[rstest]
+#[case::repeatable(get("/listing"))]
+#[case::once(book(""))]
+#[case::once_with_body(book("slot=4"))]
+#[tokio::test]
+async fn refused_connection(#[case] text: String) {
+    let fleet = Fleet::start([BackendScript::default(), BackendScript::default()]).await;
+    fleet.backends[0].stop();
+    tokio::task::yield_now().await;
+    let answer = fleet.send(&text).await;
+    assert_eq!(answer.status(), 200);
+    assert_eq!(
+        fleet.classes(2).await,
+        [TryClass::ConnectFailed, TryClass::Good]
+    );
+    assert_eq!(
+        *fleet.control.retries.lock().unwrap(),
+        [RetryReason::ConnectFailed]
+    );
+    assert!(fleet.backends[1].seen()[0].whole);
+}
+
+#[tokio::test]
+async fn no_server_left() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    fleet.backends[0].stop();
+    tokio::task::yield_now().await;
+    let answer = fleet.send(&book("slot=4")).await;
+    assert_eq!(
+        (answer.status(), answer.reason(), answer.run()),
+        (503, "no_server", "not run")
+    );
+    assert_eq!(answer.header("retry-after"), Some("1"));
+    let id = answer.header("x-request-id").expect("has an id");
+    let body = format!(r#"{{"reason":"no_server","run":"not run","request_id":"{id}"}}"#);
+    assert_eq!(answer.body(), body);
+}
+
+#[rstest]
+#[case::second_unreachable(true)]
+#[case::none_left(false)]
+#[tokio::test]
+async fn unknown_history(#[case] second: bool) {
+    let scripts = [faulty(BackendFault::CutHead), BackendScript::default()];
+    let fleet = Fleet::start(scripts.into_iter().take(1 + usize::from(second))).await;
+    if second {
+        fleet.backends[1].stop();
+        tokio::task::yield_now().await;
+    }
+    let answer = fleet.get("/listing").await;
+    assert_eq!((answer.reason(), answer.run()), ("no_server", "unknown"));
+}
+
+#[tokio::test]
+async fn denied_retry() {
+    let fleet = Fleet::start([faulty(BackendFault::CutHead), BackendScript::default()]).await;
+    *fleet.control.verdict.lock().unwrap() = RetryVerdict::Stop;
+    assert_eq!(fleet.get("/listing").await.status(), 502);
+    assert_eq!(fleet.arrivals(), 1);
+    assert!(fleet.control.retries.lock().unwrap().is_empty());
+}
+
+#[rstest]
+#[case::at_once(Duration::ZERO, true, [0, 0])]
+#[case::long_idle(Duration::from_millis(2500), true, [0, 1])]
+#[case::unnamed(Duration::ZERO, false, [0, 1])]
+#[tokio::test]
+async fn fresh_connection(
+    #[case] idle: Duration,
+    #[case] echo_id: bool,
+    #[case] connections: [u64; 2],
+) {
+    let script = BackendScript {
+        echo_id,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([script]).await;
+    // An answer that names its request makes the server known as one that does.
+    let asked = fleet.send(&book("")).await;
+    assert_eq!(asked.status(), 200);
+    let before = fleet.send(&book("")).await;
+    assert_eq!(before.status(), 200);
+    tokio::time::sleep(idle).await;
+    assert_eq!(fleet.send(&book("")).await.status(), 200);
+    let seen: Vec<_> = fleet.backends[0]
+        .seen()
+        .iter()
+        .map(|seen| seen.connection)
+        .collect();
+    let base = seen[1];
+    assert_eq!([seen[1] - base, seen[2] - base], connections);
+}
+
+#[rstest]
+#[case::drains(true)]
+#[case::stays(false)]
+#[tokio::test]
+async fn drain_signal(#[case] draining: bool) {
+    let fleet = Fleet::start([BackendScript {
+        draining,
+        ..BackendScript::default()
+    }])
+    .await;
+    let answer = fleet.get("/listing").await;
+    assert_eq!(
+        (answer.status(), answer.header("knapweedseam-drain")),
+        (200, None)
+    );
+    fleet.classes(1).await;
+    assert_eq!(fleet.control.ends.lock().unwrap()[0].draining, draining);
+}
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -23,7 +23,7 @@
     time::Duration,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::watch,
     time::timeout,
@@ -43,7 +43,9 @@
     pub admits: Mutex<Result<(), Refusal>>,
     /// Grants are held back while this is false.
     pub open: watch::Sender<bool>,
-    pub waiting: AtomicU64,
+    /// Calls for a server that are neither answered nor dropped.
+    pub waiting: Arc<AtomicU64>,
+    pub verdict: Mutex<RetryVerdict>,
     pub next: AtomicU64,
     pub ends: Mutex<Vec<TryOutcome>>,
     pub refusals: Mutex<Vec<RefusalReason>>,
@@ -80,8 +82,9 @@
                 ticket,
             });
         let mut open = self.open.subscribe();
-        self.waiting.fetch_add(1, Ordering::SeqCst);
+        let gauge = WaitGauge::new(&self.waiting);
         async move {
+            let _gauge = gauge;
             let _ = open.wait_for(|open| *open).await;
             grant.ok_or(RefusalReason::NoServer)
         }
@@ -89,7 +92,7 @@
     }
 
     fn retry(&self, _: &TryReport) -> RetryVerdict {
-        RetryVerdict::Retry
+        *self.verdict.lock().unwrap()
     }
 
     fn finish(&self, _: GrantTicket, outcome: TryOutcome) {
@@ -109,6 +112,22 @@
     }
 }
 
+/// Counts one waiting call as long as it lives.
+struct WaitGauge(Arc<AtomicU64>);
+
+impl WaitGauge {
+    fn new(waiting: &Arc<AtomicU64>) -> Self {
+        waiting.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(waiting))
+    }
+}
+
+impl Drop for WaitGauge {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// A route with the path and the changes that a test needs.
 pub fn route(path: &str, change: impl FnOnce(&mut RouteSettings)) -> RouteSettings {
     let mut route = RouteSettings {
@@ -192,7 +211,8 @@
             current: AtomicBool::new(true),
             admits: Mutex::new(Ok(())),
             open: watch::Sender::new(true),
-            waiting: AtomicU64::new(0),
+            waiting: Arc::default(),
+            verdict: Mutex::new(RetryVerdict::Retry),
             next: AtomicU64::new(0),
             ends: Mutex::default(),
             refusals: Mutex::default(),
@@ -333,7 +353,7 @@
 }
 
 /// Reads until the connection ends, by a close or by a reset.
-pub async fn read_to_end(stream: &mut TcpStream) -> Answer {
+pub async fn read_to_end(stream: &mut (impl AsyncRead + Unpin)) -> Answer {
     let mut bytes = Vec::new();
     let mut buffer = vec![0; 64 * 1024];
     let read = async {
--- /dev/null
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -0,0 +1,74 @@
+//! A stop cuts no request in flight.
+
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, PATIENCE, get, read_to_end, request, until};
+use kws_standin::backend::BackendScript;
+use std::time::Duration;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+fn slow() -> BackendScript {
+    BackendScript {
+        body_bytes: 1000,
+        piece_bytes: 100,
+        piece_delay_ms: 100,
+        ..BackendScript::default()
+    }
+}
+
+async fn trickle(mut stream: TcpStream) -> fleet::Answer {
+    for _ in 0..5 {
+        sleep(Duration::from_millis(100)).await;
+        stream.write_all(b"a").await.expect("writes");
+    }
+    read_to_end(&mut stream).await
+}
+
+#[tokio::test]
+async fn requests_in_flight() {
+    let fleet = Fleet::start([slow()]).await;
+    let mut download = fleet.connect().await;
+    download
+        .write_all(get("/listing").as_bytes())
+        .await
+        .expect("writes");
+    let mut upload = fleet.connect().await;
+    let head = request("POST", "/till", "content-length: 5\r\n", "");
+    upload.write_all(head.as_bytes()).await.expect("writes");
+    let idle = fleet.connect().await;
+    until(|| fleet.arrivals() == 2).await;
+    let address = fleet.listener.address();
+    let stop = timeout(PATIENCE, fleet.listener.stop());
+    let (stopped, download, upload) =
+        tokio::join!(stop, read_to_end(&mut download), trickle(upload));
+    stopped.expect("stops");
+    for answer in [download, upload] {
+        assert_eq!(
+            (answer.status(), answer.is_whole()),
+            (200, true),
+            "{answer:?}"
+        );
+    }
+    assert!(TcpStream::connect(address).await.is_err());
+    drop(idle);
+}
+
+#[tokio::test]
+async fn drained_connection() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let mut stream = fleet.connect().await;
+    let text = get("/listing").replace("connection: close\r\n", "");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    let mut first = [0; 12];
+    stream.read_exact(&mut first).await.expect("reads");
+    fleet.listener.drain();
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    let rest = read_to_end(&mut stream).await.text;
+    assert!(rest.contains("connection: close"), "{rest}");
+    assert_eq!(fleet.get("/listing").await.status(), 200);
+}
--- a/crates/kws-standin/src/backend/answer.rs
+++ b/crates/kws-standin/src/backend/answer.rs
@@ -38,7 +38,7 @@
     match script.fault {
         BackendFault::CutHead => return Ok(AfterAnswer::Close),
         BackendFault::SilentHead => return pending().await,
-        BackendFault::NotRun => return write_shed(writer).await,
+        BackendFault::NotRun => return write_shed(writer, script, subject).await,
         _ => {}
     }
     writer.write_all(head(script, subject).as_bytes()).await?;
@@ -48,9 +48,20 @@
     write_body(writer, script, subject).await
 }
 
-async fn write_shed<W: AsyncWrite + Unpin>(writer: &mut W) -> io::Result<AfterAnswer> {
-    let answer = "HTTP/1.1 503 Service Unavailable\r\nknapweedseam-run: not run\r\n\
-                  content-length: 0\r\n\r\n";
+async fn write_shed<W>(
+    writer: &mut W,
+    script: &BackendScript,
+    subject: &AnswerSubject,
+) -> io::Result<AfterAnswer>
+where
+    W: AsyncWrite + Unpin,
+{
+    let mut answer = "HTTP/1.1 503 Service Unavailable\r\n".to_owned();
+    answer.push_str("knapweedseam-run: not run\r\ncontent-length: 0\r\n");
+    if script.echo_id {
+        let _ = write!(answer, "x-request-id: {}\r\n", subject.id);
+    }
+    answer.push_str("\r\n");
     writer.write_all(answer.as_bytes()).await?;
     Ok(AfterAnswer::Reuse)
 }
@@ -64,7 +75,7 @@
     };
     match script.framing {
         BodyFraming::Length | BodyFraming::OldLength => {
-            add("content-length", &script.body_bytes.to_string())
+            add("content-length", &script.body_bytes.to_string());
         }
         BodyFraming::Chunked => add("transfer-encoding", "chunked"),
         BodyFraming::Close => add("connection", "close"),
--- a/crates/kws-standin/src/backend/request.rs
+++ b/crates/kws-standin/src/backend/request.rs
@@ -67,12 +67,21 @@
 where
     R: AsyncBufRead + Unpin,
 {
-    let chunked = seen.header("transfer-encoding").is_some();
-    let length = seen.header("content-length");
-    let length = length.map_or(Ok(0), str::parse).map_err(io::Error::other)?;
-    if !chunked {
-        return read_sized(reader, seen, length).await;
+    if seen.header("transfer-encoding").is_some() {
+        read_chunks(reader, seen).await?;
+    } else {
+        let length = seen.header("content-length");
+        let length = length.map_or(Ok(0), str::parse).map_err(io::Error::other)?;
+        read_sized(reader, seen, length).await?;
     }
+    seen.whole = true;
+    Ok(())
+}
+
+async fn read_chunks<R>(reader: &mut R, seen: &mut SeenRequest) -> io::Result<()>
+where
+    R: AsyncBufRead + Unpin,
+{
     loop {
         let size = read_chunk_size(reader).await?;
         read_sized(reader, seen, size).await?;
@@ -94,7 +103,6 @@
 where
     R: AsyncRead + Unpin,
 {
-    seen.whole = false;
     let mut buffer = vec![0; 16 * 1024];
     let mut missing = size;
     while missing > 0 {
@@ -106,6 +114,5 @@
         seen.keep(&buffer[..count]);
         missing -= count as u64;
     }
-    seen.whole = true;
     Ok(())
 }
