Tests that tell a stalled caller and a hard stop apart

Without the deadline watch a caller that does not read kept its slot for good (the wait of 20 s ran out); with a hard stop the listener returned before the two requests in flight had ended.

--- a/crates/kws-forward/tests/at_most_once.rs
+++ b/crates/kws-forward/tests/at_most_once.rs
@@ -50,8 +50,7 @@
 #[tokio::test]
 async fn refused_connection(#[case] text: String) {
     let fleet = Fleet::start([BackendScript::default(), BackendScript::default()]).await;
-    fleet.backends[0].stop();
-    tokio::task::yield_now().await;
+    fleet.backends[0].stop().await;
     let answer = fleet.send(&text).await;
     assert_eq!(answer.status(), 200);
     assert_eq!(
@@ -68,8 +67,7 @@
 #[tokio::test]
 async fn no_server_left() {
     let fleet = Fleet::start([BackendScript::default()]).await;
-    fleet.backends[0].stop();
-    tokio::task::yield_now().await;
+    fleet.backends[0].stop().await;
     let answer = fleet.send(&book("slot=4")).await;
     assert_eq!(
         (answer.status(), answer.reason(), answer.run()),
@@ -89,8 +87,7 @@
     let scripts = [faulty(BackendFault::CutHead), BackendScript::default()];
     let fleet = Fleet::start(scripts.into_iter().take(1 + usize::from(second))).await;
     if second {
-        fleet.backends[1].stop();
-        tokio::task::yield_now().await;
+        fleet.backends[1].stop().await;
     }
     let answer = fleet.get("/listing").await;
     assert_eq!((answer.reason(), answer.run()), ("no_server", "unknown"));
--- a/crates/kws-forward/tests/body_flow.rs
+++ b/crates/kws-forward/tests/body_flow.rs
@@ -8,7 +8,10 @@
 use kws_standin::backend::{BackendFault, BackendScript};
 use rstest::rstest;
 use std::{sync::atomic::Ordering, time::Duration};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpSocket,
+};
 
 async fn limited(script: BackendScript) -> Fleet {
     let limited = route("/upload", |route| {
@@ -120,14 +123,19 @@
 #[tokio::test]
 async fn stalled_caller() {
     let short = route("/short", |route| {
-        route.deadline = Duration::from_millis(300);
+        route.deadline = Duration::from_millis(1500);
     });
     let endless = BackendScript {
         body_bytes: 1 << 40,
         ..BackendScript::default()
     };
     let fleet = Fleet::with_routes([short], [endless]).await;
-    let mut stream = fleet.connect().await;
+    let socket = TcpSocket::new_v4().expect("opens");
+    socket.set_recv_buffer_size(4096).expect("shrinks");
+    let mut stream = socket
+        .connect(fleet.listener.address())
+        .await
+        .expect("connects");
     stream
         .write_all(fleet::get("/short").as_bytes())
         .await
--- a/crates/kws-forward/tests/graceful_stop.rs
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Fleet, PATIENCE, get, read_to_end, request, until};
 use kws_standin::backend::BackendScript;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -43,10 +43,15 @@
     let idle = fleet.connect().await;
     until(|| fleet.arrivals() == 2).await;
     let address = fleet.listener.address();
-    let stop = timeout(PATIENCE, fleet.listener.stop());
-    let (stopped, download, upload) =
-        tokio::join!(stop, read_to_end(&mut download), trickle(upload));
-    stopped.expect("stops");
+    let control = Arc::clone(&fleet.control);
+    let stop = async {
+        timeout(PATIENCE, fleet.listener.stop())
+            .await
+            .expect("stops");
+        control.ends.lock().unwrap().len()
+    };
+    let (ended, download, upload) = tokio::join!(stop, read_to_end(&mut download), trickle(upload));
+    assert_eq!(ended, 2);
     for answer in [download, upload] {
         assert_eq!(
             (answer.status(), answer.is_whole()),
--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -14,7 +14,7 @@
     io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     sync::oneshot,
-    task::{AbortHandle, JoinSet, spawn},
+    task::{AbortHandle, JoinSet, spawn, yield_now},
 };
 
 /// Starts backend servers.
@@ -81,15 +81,18 @@
         *lock(&self.state.script) = script;
     }
 
-    /// Ends the listener and every connection.
-    pub fn stop(&self) {
+    /// Ends the listener and every connection; new connections are refused from then on.
+    pub async fn stop(&self) {
         self.task.abort();
+        while !self.task.is_finished() {
+            yield_now().await;
+        }
     }
 }
 
 impl Drop for BackendHandle {
     fn drop(&mut self) {
-        self.stop();
+        self.task.abort();
     }
 }
 
