--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod silence;
 mod single_try;
 mod target;
+mod tries;
 mod try_guard;
 mod upstream;
 mod worker;
--- a/crates/kws-forward/src/request_body.rs
+++ b/crates/kws-forward/src/request_body.rs
@@ -81,6 +81,11 @@
         self.0.borrow().failure
     }
 
+    /// Whether there is nothing to send.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
     /// Whether the request states no body at all.
     pub(crate) fn is_absent(&self) -> bool {
         self.0.borrow().length == BodyLength::None
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -12,7 +12,7 @@
     upstream::SendError,
     worker::WorkerState,
 };
-use kws_protocol::{RefusalReason, RetryReason, RouteSettings, TeamName};
+use kws_protocol::{RefusalReason, RetryReason, RouteSettings, RunState, TeamName};
 use ntex::{
     client::{Client, ClientRequest, ClientResponse},
     http::{Response, body::Body},
@@ -67,6 +67,14 @@
             retry: Some(retry),
         }
     }
+
+    /// Two failures: the last one, which may have run when either may have.
+    pub(crate) fn and(self, mut last: Self) -> Self {
+        if self.refused.run == RunState::Unknown {
+            last.refused.run = RunState::Unknown;
+        }
+        last
+    }
 }
 
 /// Sends the request and reads the head of the answer.
