--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -12,7 +12,7 @@
     upstream::SendError,
     worker::WorkerState,
 };
-use kws_protocol::{RefusalReason, RetryReason, RouteSettings, TeamName};
+use kws_protocol::{RefusalReason, RetryReason, RouteSettings, RunState, TeamName};
 use ntex::{
     client::{Client, ClientRequest, ClientResponse},
     http::{Response, body::Body},
@@ -67,6 +67,14 @@
             retry: Some(retry),
         }
     }
+
+    /// Two failures: the last one, which may have run when either may have.
+    pub(crate) fn and(self, mut last: Self) -> Self {
+        if self.refused.run == RunState::Unknown {
+            last.refused.run = RunState::Unknown;
+        }
+        last
+    }
 }
 
 /// Sends the request and reads the head of the answer.
@@ -124,7 +132,11 @@
     let address = context.grant.address;
     let repeatable = crate::route::is_repeatable(context.route, context.parts.method.as_str());
     let client = context.worker.pool.client(address, repeatable).await;
-    let request = build_request(context, &client.ok_or(SendError::Connect)?);
+    let mut request = build_request(context, &client.ok_or(SendError::Connect)?);
+    if !repeatable && !context.worker.pool.names_requests(address) {
+        // Nothing would tell a late answer on a reused connection from the answer to this request.
+        request = request.force_close();
+    }
     let body = if body.is_absent() {
         Body::None
     } else {
