TLS towards callers and backend servers

Certificate files are read again every ten seconds; the certificate in use stays when they cannot be used. Backend servers are trusted by a file of authorities, without which none over TLS is reached.

--- /dev/null
+++ b/crates/kws-forward/src/caller_service.rs
@@ -0,0 +1,70 @@
+//! The way of a caller's connection through the HTTP server.
+
+use crate::{
+    exchange::serve,
+    guard_layer::GuardLayer,
+    protocol_reply::answer_control,
+    worker::{WorkerParts, WorkerState},
+};
+use ntex::{
+    SharedCfg, fn_service,
+    http::{HttpService, Request, error::DispatchError},
+    io::{Filter, Io},
+    service::{ServiceFactory, chain_factory, fn_factory},
+    tls::rustls::TlsAcceptor,
+};
+use rustls::ServerConfig;
+use std::{cell::OnceCell, error::Error, io, rc::Rc, sync::Arc};
+
+/// Connections in plain HTTP.
+pub(crate) fn plain_service(
+    max_head: usize,
+    parts: WorkerParts,
+) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = DispatchError, InitError = ()> {
+    guarded_service(max_head, parts)
+}
+
+/// Connections over TLS.
+pub(crate) fn tls_service(
+    config: Arc<ServerConfig>,
+    max_head: usize,
+    parts: WorkerParts,
+) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = DispatchError, InitError = ()> {
+    chain_factory(TlsAcceptor::new(config))
+        .map_err(|error| DispatchError::Control(Rc::new(error) as Rc<dyn Error>))
+        .and_then(guarded_service(max_head, parts))
+}
+
+/// The guard of the bytes, then the HTTP server.
+fn guarded_service<F: Filter>(
+    max_head: usize,
+    parts: WorkerParts,
+) -> impl ServiceFactory<Io<F>, SharedCfg, Response = (), Error = DispatchError, InitError = ()> {
+    // The request and control services are made one after the other on the worker's own thread.
+    let worker = Rc::new(OnceCell::<Rc<WorkerState>>::new());
+    let shared = move || {
+        let state = worker.get_or_init(|| Rc::new(WorkerState::new(parts.clone())));
+        Rc::clone(state)
+    };
+    let served = shared.clone();
+    let http = HttpService::h1(fn_factory(async move || {
+        let worker = served();
+        Ok::<_, ()>(fn_service(move |request: Request| {
+            let worker = Rc::clone(&worker);
+            async move { Ok::<_, io::Error>(serve(worker, request).await) }
+        }))
+    }))
+    .control(fn_factory(async move || {
+        let worker = shared();
+        Ok::<_, ()>(fn_service(move |control| {
+            let ack = answer_control(&worker, control);
+            async move { Ok::<_, io::Error>(ack) }
+        }))
+    }));
+    chain_factory(fn_service(move |io: Io<F>| {
+        let guarded = io.add_filter(GuardLayer::new(max_head));
+        async move { Ok::<_, DispatchError>(guarded) }
+    }))
+    .map_init_err(|(): ()| ())
+    .and_then(http)
+}
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -127,6 +127,7 @@
             max_bytes: route.max_body,
             idle: route.idle,
         };
+        let service = snapshot.settings.services.get(&route.service);
         let series = TrySeries {
             judge: self.judge,
             route,
@@ -134,6 +135,7 @@
             request_id: self.request_id,
             caller: self.caller,
             deadline,
+            tls: service.is_some_and(|service| service.tls),
             body: RequestBody::new(payload, self.judge.parts.length, limits),
         };
         series.run(&mut self.log.tried).await
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod answer_body;
+mod caller_service;
 mod control;
 mod credential;
 mod exchange;
@@ -18,6 +19,7 @@
 mod silence;
 mod single_try;
 mod target;
+mod tls;
 mod tries;
 mod try_guard;
 mod upstream;
@@ -29,3 +31,4 @@
 };
 pub use listener::{ListenerHandle, ListenerSettings, run_listener};
 pub use route::{find_route, is_repeatable};
+pub use tls::{BackendTrust, CertificateFiles, CertificateStore, TlsError};
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -1,23 +1,21 @@
 //! The listener for callers.
 
 use crate::{
-    control::ForwardControl, exchange::serve, guard_layer::GuardLayer,
-    protocol_reply::answer_control, worker::WorkerState,
+    caller_service::{plain_service, tls_service},
+    control::ForwardControl,
+    tls::{BackendTrust, CertificateStore, server_config},
+    worker::WorkerParts,
 };
 use ntex::{
-    SharedCfg, fn_service,
-    http::{HttpService, HttpServiceConfig, Request, error::DispatchError},
-    io::Io,
+    SharedCfg,
+    http::HttpServiceConfig,
     rt::{DefaultRuntime, System},
     server::{self, Server},
-    service::{ServiceFactory, chain_factory, fn_factory},
     time::{Millis, Seconds},
 };
 use std::{
-    cell::OnceCell,
     io,
-    net::SocketAddr,
-    rc::Rc,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -25,8 +23,10 @@
     thread,
     time::Duration,
 };
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::interval};
 
+/// How often the files of the certificate are read again.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
 /// The name of the service in the HTTP server.
 const SERVICE_NAME: &str = "callers";
 /// Connections that may wait to be accepted.
@@ -35,7 +35,7 @@
 const MAX_HEADERS: usize = 128;
 
 /// The settings of a listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ListenerSettings {
     /// Where it listens; port 0 takes a free one.
     pub address: SocketAddr,
@@ -51,6 +51,10 @@
     pub head_timeout: Duration,
     /// After this long a graceful stop cuts what is still in flight; above every route's deadline.
     pub stop_timeout: Duration,
+    /// The certificate for callers; without one they speak plain HTTP.
+    pub certificate: Option<Arc<CertificateStore>>,
+    /// Whom to trust where a service's servers speak TLS; without it none of them is reached.
+    pub backend_trust: Option<BackendTrust>,
 }
 
 impl ListenerSettings {
@@ -64,6 +68,8 @@
             keep_alive: Duration::from_secs(75),
             head_timeout: Duration::from_secs(5),
             stop_timeout: Duration::from_hours(1),
+            certificate: None,
+            backend_trust: None,
         }
     }
 }
@@ -119,9 +125,9 @@
         .spawn(move || {
             let system = System::new("kws-callers", DefaultRuntime);
             system.block_on(async move {
-                match start_server(settings, listener, control, flag) {
+                match start_server(&settings, listener, control, flag) {
                     Ok(server) => {
-                        let _ = stop_asked.await;
+                        wait_for_stop(stop_asked, settings.certificate.as_deref()).await;
                         server.stop(true).await;
                     }
                     Err(error) => log::error!("caller listener: {error}"),
@@ -137,9 +143,24 @@
     })
 }
 
+/// Waits, and reads the certificate's files again from time to time.
+async fn wait_for_stop(mut stop: oneshot::Receiver<()>, certificate: Option<&CertificateStore>) {
+    let mut reload = interval(RELOAD_INTERVAL);
+    loop {
+        tokio::select! {
+            biased;
+            _ = &mut stop => return,
+            _ = reload.tick() => {}
+        }
+        if let Some(Err(error)) = certificate.map(CertificateStore::reload) {
+            log::warn!("the certificate in use stays: {error}");
+        }
+    }
+}
+
 fn start_server(
-    settings: ListenerSettings,
-    listener: std::net::TcpListener,
+    settings: &ListenerSettings,
+    listener: TcpListener,
     control: Arc<dyn ForwardControl>,
     draining: Arc<AtomicBool>,
 ) -> io::Result<Server> {
@@ -147,48 +168,28 @@
         .workers(settings.workers)
         .maxconn(settings.connections)
         .disable_signals()
-        .shutdown_timeout(Millis(settings.stop_timeout.as_millis() as u32))
-        .listen(SERVICE_NAME, listener, async move |_| {
-            let (control, draining) = (Arc::clone(&control), Arc::clone(&draining));
-            let worker = move || WorkerState::new(Arc::clone(&control), Arc::clone(&draining));
-            caller_service(settings.max_head, worker)
-        })?;
+        .shutdown_timeout(Millis(settings.stop_timeout.as_millis() as u32));
+    let max_head = settings.max_head;
+    let parts = WorkerParts {
+        control,
+        draining,
+        trust: settings.backend_trust.clone(),
+    };
+    let builder = match &settings.certificate {
+        Some(store) => {
+            let tls = server_config(Arc::clone(store)).map_err(io::Error::other)?;
+            builder.listen(SERVICE_NAME, listener, async move |_| {
+                tls_service(Arc::clone(&tls), max_head, parts.clone())
+            })?
+        }
+        None => builder.listen(SERVICE_NAME, listener, async move |_| {
+            plain_service(max_head, parts.clone())
+        })?,
+    };
     Ok(builder.config(SERVICE_NAME, http_config(settings)).run())
 }
 
-/// The way of a connection: the guard of its bytes, then the HTTP server.
-fn caller_service(
-    max_head: usize,
-    new_worker: impl Fn() -> WorkerState + 'static,
-) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = DispatchError, InitError = ()> {
-    // The two services are made one after the other on the worker's own thread.
-    let worker = Rc::new(OnceCell::<Rc<WorkerState>>::new());
-    let new_worker = Rc::new(new_worker);
-    let shared = move || Rc::clone(worker.get_or_init(|| Rc::new(new_worker())));
-    let served = shared.clone();
-    let http = HttpService::h1(fn_factory(async move || {
-        let worker = served();
-        Ok::<_, ()>(fn_service(move |request: Request| {
-            let worker = Rc::clone(&worker);
-            async move { Ok::<_, io::Error>(serve(worker, request).await) }
-        }))
-    }))
-    .control(fn_factory(async move || {
-        let worker = shared();
-        Ok::<_, ()>(fn_service(move |control| {
-            let ack = answer_control(&worker, control);
-            async move { Ok::<_, io::Error>(ack) }
-        }))
-    }));
-    chain_factory(fn_service(move |io: Io| {
-        let guarded = io.add_filter(GuardLayer::new(max_head));
-        async move { Ok::<_, DispatchError>(guarded) }
-    }))
-    .map_init_err(|(): ()| ())
-    .and_then(http)
-}
-
-fn http_config(settings: ListenerSettings) -> SharedCfg {
+fn http_config(settings: &ListenerSettings) -> SharedCfg {
     let seconds = |time: Duration| Seconds(time.as_secs().max(1) as u16);
     SharedCfg::new("CALLERS")
         .add(
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -9,7 +9,7 @@
     request_body::RequestBody,
     request_id::trace_parent,
     try_guard::TryGuard,
-    upstream::SendError,
+    upstream::{SendError, UpstreamAddress},
     worker::WorkerState,
 };
 use kws_protocol::{RefusalReason, RetryReason, RouteSettings, RunState, TeamName};
@@ -36,12 +36,23 @@
     pub(crate) grant: &'a ServerGrant,
     /// Its identifier.
     pub(crate) request_id: &'a str,
+    /// Whether the server speaks TLS.
+    pub(crate) tls: bool,
     /// When it must have ended.
     pub(crate) deadline: Instant,
     /// The caller's connection.
     pub(crate) caller: &'a IoRef,
 }
 
+impl TryContext<'_> {
+    fn upstream(&self) -> UpstreamAddress {
+        UpstreamAddress {
+            address: self.grant.address,
+            tls: self.tls,
+        }
+    }
+}
+
 /// A try without an answer for the caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct TryFailure {
@@ -94,7 +105,7 @@
         }
         Ok(Err(error)) => Err(send_failure(error, &body, &mut guard)),
         Err(_) => {
-            context.worker.pool.doubt(context.grant.address);
+            context.worker.pool.doubt(context.upstream());
             guard.finish(TryClass::Late);
             Err(TryFailure {
                 refused: Refused::unknown(RefusalReason::DeadlinePassed),
@@ -131,7 +142,11 @@
 async fn send(context: TryContext<'_>, body: RequestBody) -> Result<ClientResponse, SendError> {
     let address = context.grant.address;
     let repeatable = crate::route::is_repeatable(context.route, context.parts.method.as_str());
-    let client = context.worker.pool.client(address, repeatable).await;
+    let client = context
+        .worker
+        .pool
+        .client(context.upstream(), repeatable)
+        .await;
     let mut request = build_request(context, &client.ok_or(SendError::Connect)?);
     if !repeatable && !context.worker.pool.names_requests(address) {
         // Nothing would tell a late answer on a reused connection from the answer to this request.
@@ -148,7 +163,7 @@
 
 fn build_request(context: TryContext<'_>, client: &Client) -> ClientRequest {
     let parts = context.parts;
-    let url = format!("http://{}{}", context.grant.address, parts.target());
+    let url = context.upstream().url(&parts.target());
     let mut request = client
         .request(parts.method.clone(), url.as_str())
         .no_decompress();
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -61,6 +61,8 @@
     pub(crate) caller: &'a IoRef,
     /// When it must have ended.
     pub(crate) deadline: Instant,
+    /// Whether the service's servers speak TLS.
+    pub(crate) tls: bool,
     /// Its body.
     pub(crate) body: RequestBody,
 }
@@ -121,6 +123,7 @@
             team: self.team,
             grant,
             request_id: self.request_id,
+            tls: self.tls,
             deadline: self.deadline,
             caller: self.caller,
         };
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -1,15 +1,15 @@
 //! Connections to backend servers.
 
+use crate::tls::BackendTrust;
 use ntex::{
     SharedCfg,
     client::{
         Client, Connector,
         error::{ClientError, ConnectError as ClientConnectError},
     },
-    connect::{Connect, ConnectError, Connector as TcpConnector},
+    connect::{Connect, ConnectError, Connector as TcpConnector, rustls::TlsConnector},
     http::Uri,
-    io::Io,
-    service::apply_fn_factory,
+    service::{ServiceFactory, apply_fn_factory},
     time::Seconds,
 };
 use std::{
@@ -64,16 +64,47 @@
     fresh: Client,
 }
 
+/// Where a server listens, and how it is spoken to.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct UpstreamAddress {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// Whether it speaks TLS.
+    pub(crate) tls: bool,
+}
+
+impl UpstreamAddress {
+    /// The address of a target on the server.
+    pub(crate) fn url(self, target: &str) -> String {
+        let scheme = if self.tls { "https" } else { "http" };
+        format!("{scheme}://{}{target}", self.address)
+    }
+}
+
 /// The connections of one worker.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UpstreamPool {
-    clients: RefCell<HashMap<SocketAddr, Rc<ServerClients>>>,
+    clients: RefCell<HashMap<UpstreamAddress, Rc<ServerClients>>>,
+    trust: Option<BackendTrust>,
     naming: RefCell<HashSet<SocketAddr>>,
 }
 
 impl UpstreamPool {
-    /// The client for a request to `address`.
-    pub(crate) async fn client(&self, address: SocketAddr, repeatable: bool) -> Option<Client> {
+    /// A pool without connections.
+    pub(crate) fn new(trust: Option<BackendTrust>) -> Self {
+        Self {
+            clients: RefCell::default(),
+            trust,
+            naming: RefCell::default(),
+        }
+    }
+
+    /// The client for a request to `address`; absent when it cannot be spoken to.
+    pub(crate) async fn client(
+        &self,
+        address: UpstreamAddress,
+        repeatable: bool,
+    ) -> Option<Client> {
         let known = self.clients.borrow().get(&address).map(Rc::clone);
         let clients = match known {
             Some(clients) => clients,
@@ -87,7 +118,7 @@
     }
 
     /// Forgets the idle connections to `address`, after one of them went silent.
-    pub(crate) fn doubt(&self, address: SocketAddr) {
+    pub(crate) fn doubt(&self, address: UpstreamAddress) {
         self.clients.borrow_mut().remove(&address);
     }
 
@@ -103,10 +134,14 @@
         }
     }
 
-    async fn add_server(&self, address: SocketAddr) -> Option<Rc<ServerClients>> {
+    async fn add_server(&self, address: UpstreamAddress) -> Option<Rc<ServerClients>> {
+        let trust = self.trust.as_ref().filter(|_| address.tls);
+        if address.tls && trust.is_none() {
+            return None;
+        }
         let clients = Rc::new(ServerClients {
-            repeatable: build_client(REPEATABLE_IDLE).await?,
-            fresh: build_client(FRESH_IDLE).await?,
+            repeatable: build_client(REPEATABLE_IDLE, trust).await?,
+            fresh: build_client(FRESH_IDLE, trust).await?,
         });
         let mut known = self.clients.borrow_mut();
         // Another request may have added the server during the wait; its connections are kept.
@@ -115,20 +150,15 @@
 }
 
 /// A client that sends each request once, unchanged, and without timeouts of its own.
-async fn build_client(idle: Seconds) -> Option<Client> {
-    let connector = Connector::new()
-        .connector(apply_fn_factory(
-            TcpConnector::<Uri>::new(),
-            async |request: Connect<Uri>, service| -> Result<Io, ConnectError> {
-                match timeout(CONNECT_TIMEOUT, service.call(request)).await {
-                    Ok(Ok(io)) => Ok(io),
-                    Ok(Err(_)) | Err(_) => Err(ConnectError::Unresolved),
-                }
-            },
-        ))
+async fn build_client(idle: Seconds, trust: Option<&BackendTrust>) -> Option<Client> {
+    let mut connector = Connector::new()
+        .connector(bounded(TcpConnector::<Uri>::new()))
         .limit(CONNECTION_LIMIT)
         .keep_alive(idle)
         .lifetime(CONNECTION_LIFETIME);
+    if let Some(trust) = trust {
+        connector = connector.secure_connector(bounded(TlsConnector::from(trust.config())));
+    }
     Client::builder()
         .connector::<()>(connector)
         .disable_timeout()
@@ -138,3 +168,27 @@
         .await
         .ok()
 }
+
+/// A connector that has a timeout, and one error for every way to fail.
+fn bounded<T>(
+    connector: T,
+) -> impl ServiceFactory<
+    Connect<Uri>,
+    SharedCfg,
+    Response = T::Response,
+    Error = ConnectError,
+    InitError = T::InitError,
+>
+where
+    T: ServiceFactory<Connect<Uri>, SharedCfg, Error = ConnectError>,
+{
+    apply_fn_factory(
+        connector,
+        async |request: Connect<Uri>, service| match timeout(CONNECT_TIMEOUT, service.call(request))
+            .await
+        {
+            Ok(Ok(io)) => Ok(io),
+            Ok(Err(_)) | Err(_) => Err(ConnectError::Unresolved),
+        },
+    )
+}
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,13 +1,25 @@
 //! What the requests of one worker share.
 
 use crate::{
-    control::ForwardControl, credential::KeyTable, request_id::IdSource, upstream::UpstreamPool,
+    control::ForwardControl, credential::KeyTable, request_id::IdSource, tls::BackendTrust,
+    upstream::UpstreamPool,
 };
 use std::sync::{
     Arc,
     atomic::{AtomicBool, Ordering},
 };
 
+/// What workers are made of.
+#[derive(Clone)]
+pub(crate) struct WorkerParts {
+    /// The decisions.
+    pub(crate) control: Arc<dyn ForwardControl>,
+    /// Set when callers are asked to leave.
+    pub(crate) draining: Arc<AtomicBool>,
+    /// Whom to trust among backend servers.
+    pub(crate) trust: Option<BackendTrust>,
+}
+
 /// The state of one worker thread.
 pub(crate) struct WorkerState {
     /// The decisions.
@@ -23,13 +35,13 @@
 
 impl WorkerState {
     /// The state of a new worker.
-    pub(crate) fn new(control: Arc<dyn ForwardControl>, draining: Arc<AtomicBool>) -> Self {
+    pub(crate) fn new(parts: WorkerParts) -> Self {
         Self {
-            control,
-            pool: UpstreamPool::default(),
+            control: parts.control,
+            pool: UpstreamPool::new(parts.trust),
             keys: KeyTable::default(),
             ids: IdSource::new(),
-            draining,
+            draining: parts.draining,
         }
     }
 
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -205,9 +205,20 @@
             .iter()
             .enumerate()
             .map(|(at, backend)| (ServerName::new(&format!("server-{at}")), backend.address()));
+        let servers = servers.collect();
+        Self::with_servers(settings(routes), backends, servers, |_| ())
+    }
+
+    /// A fleet before servers of any kind, with a changed listener.
+    pub fn with_servers(
+        settings: FleetSettings,
+        backends: Vec<BackendHandle>,
+        servers: Vec<(ServerName, SocketAddr)>,
+        change: impl FnOnce(&mut ListenerSettings),
+    ) -> Self {
         let control = Arc::new(FakeControl {
-            snapshot: Mutex::new(snapshot(settings(routes))),
-            servers: servers.collect(),
+            snapshot: Mutex::new(snapshot(settings)),
+            servers,
             current: AtomicBool::new(true),
             admits: Mutex::new(Ok(())),
             open: watch::Sender::new(true),
@@ -219,12 +230,13 @@
             retries: Mutex::default(),
             records: Mutex::default(),
         });
-        let address = (Ipv4Addr::LOCALHOST, 0).into();
-        let listener = run_listener(ListenerSettings::new(address, 1), control.clone());
+        let mut listening = ListenerSettings::new((Ipv4Addr::LOCALHOST, 0).into(), 1);
+        change(&mut listening);
+        let listener = run_listener(listening, control.clone()).expect("listener starts");
         Self {
             backends,
             control,
-            listener: listener.expect("listener starts"),
+            listener,
         }
     }
 
--- /dev/null
+++ b/crates/kws-forward/tests/tls_connections.rs
@@ -0,0 +1,150 @@
+//! TLS towards callers and backend servers.
+
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, get, route, settings};
+use kws_forward::{BackendTrust, CertificateFiles, CertificateStore};
+use kws_protocol::{EjectionSettings, FleetSettings, ServerName, ServiceName, ServiceSettings};
+use rstest::rstest;
+use rustls::{
+    ClientConfig, ClientConnection, RootCertStore, ServerConfig, ServerConnection, Stream,
+    crypto::ring,
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
+};
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/certificates")
+        .join(name)
+}
+
+fn certificate(name: &str) -> CertificateDer<'static> {
+    CertificateDer::from_pem_file(file(name)).expect("reads")
+}
+
+/// The certificate that a listener shows, and its answer.
+fn ask(address: SocketAddr) -> (CertificateDer<'static>, String) {
+    let mut roots = RootCertStore::empty();
+    roots.add(certificate("root.pem")).expect("is a root");
+    let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()
+        .expect("has versions")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let name = "127.0.0.1".try_into().expect("is a name");
+    let mut tls = ClientConnection::new(Arc::new(config), name).expect("starts");
+    let mut tcp = TcpStream::connect(address).expect("connects");
+    let mut answer = Vec::new();
+    let mut stream = Stream::new(&mut tls, &mut tcp);
+    stream.write_all(get("/open").as_bytes()).expect("writes");
+    let _ = stream.read_to_end(&mut answer);
+    let shown = tls.peer_certificates().expect("shows one")[0]
+        .clone()
+        .into_owned();
+    (shown, String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// A backend server that answers one request over TLS.
+fn tls_server() -> SocketAddr {
+    let key = PrivateKeyDer::from_pem_file(file("first.key")).expect("reads");
+    let config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()
+        .expect("has versions")
+        .with_no_client_auth()
+        .with_single_cert(vec![certificate("first.pem")], key)
+        .expect("fits");
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    thread::spawn(move || {
+        let (mut tcp, _) = listener.accept().expect("accepts");
+        let mut tls = ServerConnection::new(Arc::new(config)).expect("starts");
+        let mut stream = Stream::new(&mut tls, &mut tcp);
+        let mut request = [0; 4096];
+        if stream.read(&mut request).is_ok_and(|count| count > 0) {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        }
+    });
+    address
+}
+
+fn tls_settings() -> FleetSettings {
+    let service = ServiceSettings {
+        name: ServiceName::new("service"),
+        floor: 0.5,
+        slow_start: Duration::ZERO,
+        queue: 1,
+        retry_budget: 0.1,
+        ejection: EjectionSettings {
+            base: Duration::from_secs(1),
+            max: Duration::from_secs(1),
+            slow_factor: 3.0,
+            bad_share: 0.5,
+        },
+        tls: true,
+        servers: BTreeMap::new(),
+    };
+    let mut settings = settings([route("/open", |_| ())]);
+    settings.services.insert(service.name.clone(), service);
+    settings
+}
+
+#[tokio::test]
+async fn renewed_certificate() {
+    let directory = std::env::temp_dir().join(format!("kws-tls-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("makes");
+    let files = CertificateFiles {
+        chain: directory.join("chain.pem"),
+        key: directory.join("key.pem"),
+    };
+    let publish = |name: &str| {
+        fs::copy(file(&format!("{name}.pem")), &files.chain).expect("copies");
+        fs::copy(file(&format!("{name}.key")), &files.key).expect("copies");
+    };
+    publish("first");
+    let store = Arc::new(CertificateStore::load(files.clone()).expect("loads"));
+    let shown = Arc::clone(&store);
+    let settings = settings([route("/other", |_| ())]);
+    let fleet = Fleet::with_servers(settings, Vec::new(), Vec::new(), |listening| {
+        listening.certificate = Some(shown);
+    });
+    let address = fleet.listener.address();
+    let asked = || tokio::task::spawn_blocking(move || ask(address));
+    let (first, answer) = asked().await.expect("asks");
+    assert_eq!(
+        (first, answer.contains("404")),
+        (certificate("first.pem"), true)
+    );
+    publish("second");
+    store.reload().expect("reloads");
+    assert_eq!(asked().await.expect("asks").0, certificate("second.pem"));
+    // A chain without its key leaves the one in use.
+    fs::copy(file("first.pem"), &files.chain).expect("copies");
+    assert!(store.reload().is_err());
+    assert_eq!(asked().await.expect("asks").0, certificate("second.pem"));
+    fs::remove_dir_all(&directory).expect("removes");
+}
+
+#[rstest]
+#[case::trusted(Some("root.pem"), 200, "")]
+#[case::other_authority(Some("other-root.pem"), 503, "not run")]
+#[case::no_authority(None, 503, "not run")]
+#[tokio::test]
+async fn backend_trust(#[case] root: Option<&str>, #[case] status: u16, #[case] run: &str) {
+    let servers = vec![(ServerName::new("server"), tls_server())];
+    let fleet = Fleet::with_servers(tls_settings(), Vec::new(), servers, |listening| {
+        listening.backend_trust = root.map(|root| BackendTrust::load(&file(root)).expect("loads"));
+    });
+    let answer = fleet.get("/open").await;
+    assert_eq!((answer.status(), answer.run()), (status, run));
+}
