--- a/crates/kws-tree/src/merge.rs
+++ b/crates/kws-tree/src/merge.rs
@@ -36,8 +36,10 @@
             .cloned()
             .unwrap_or_else(empty_map),
         regions: root
-            .map(|root| entries(root, "regions"))
-            .unwrap_or_default(),
+            .into_iter()
+            .flat_map(|root| entries(root, "regions"))
+            .map(|(name, region)| (name.clone(), region.clone()))
+            .collect(),
         routes: merge_kind(branches, "routes", "route", findings),
         services: services
             .into_iter()
@@ -63,11 +65,11 @@
     for (key, branch) in &branches.files {
         let defaults = inherited_defaults(branches, key, singular);
         for (name, entry) in entries(branch, plural) {
-            if let Some(first) = merged.get(&name) {
-                findings.push(duplicate_name(&name, first, &entry));
+            if let Some(first) = merged.get(name) {
+                findings.push(duplicate_name(name, first, entry));
                 continue;
             }
-            merged.insert(name, defaults.overlaid(&entry));
+            merged.insert(name.clone(), with_defaults(&defaults, entry));
         }
     }
     merged
@@ -82,23 +84,30 @@
         .fold(empty_map(), |defaults, over| defaults.overlaid(over))
 }
 
-/// The members of the section `plural`; an entry that sets nothing counts as an empty map.
-fn entries(branch: &TreeNode, plural: &str) -> MergedEntries {
+/// The members of the section `plural`.
+fn entries<'a>(
+    branch: &'a TreeNode,
+    plural: &str,
+) -> impl Iterator<Item = (&'a Arc<str>, &'a TreeNode)> {
     let members = branch.member(plural).and_then(TreeNode::members);
-    let mut entries = members.cloned().unwrap_or_default();
-    for entry in entries.values_mut() {
-        if entry.members().is_none() {
-            entry.value = NodeValue::Map(BTreeMap::new());
-        }
+    members.into_iter().flatten()
+}
+
+/// `entry` above the `defaults`; one that is no map sets nothing.
+fn with_defaults(defaults: &TreeNode, entry: &TreeNode) -> TreeNode {
+    if entry.members().is_some() {
+        return defaults.overlaid(entry);
+    }
+    TreeNode {
+        value: defaults.value.clone(),
+        ..entry.clone()
     }
-    entries
 }
 
 fn with_server_defaults(mut service: TreeNode) -> TreeNode {
     let defaults = service.member("server").cloned().unwrap_or_else(empty_map);
     let servers: MergedEntries = entries(&service, "servers")
-        .into_iter()
-        .map(|(name, server)| (name, defaults.overlaid(&server)))
+        .map(|(name, server)| (name.clone(), with_defaults(&defaults, server)))
         .collect();
     if let NodeValue::Map(members) = &mut service.value
         && let Some(member) = members.get_mut("servers")
--- a/crates/kws-tree/src/parse.rs
+++ b/crates/kws-tree/src/parse.rs
@@ -9,7 +9,8 @@
     de::{Error, MapAccess, SeqAccess, Visitor},
 };
 use serde_saphyr::{
-    Location, NonFiniteFloatPolicy, Options, Spanned, alias_limits, budget, options,
+    Location, NonFiniteFloatPolicy, Options, Spanned, UserMessageFormatter, alias_limits, budget,
+    options,
 };
 use std::{fmt, sync::Arc};
 
@@ -56,7 +57,9 @@
         place.line = location.line();
         place.column = location.column();
     }
-    let message = error.without_snippet().to_string();
+    let message = error
+        .without_snippet()
+        .render_with_formatter(&UserMessageFormatter);
     let line = message.lines().next().unwrap_or_default();
     let line = line.split(" at line ").next().unwrap_or_default();
     Finding {
--- a/crates/kws-tree/src/references/region.rs
+++ b/crates/kws-tree/src/references/region.rs
@@ -1,4 +1,4 @@
-//! Checks of regions: their weights are a division of one whole, their data centres their own.
+//! Checks of regions and freshness: weights divide one whole, and a data centre has one region.
 
 use super::field_finding;
 use crate::{
@@ -17,6 +17,10 @@
     findings: &mut Vec<Finding>,
 ) {
     check_weights(tree, settings, findings);
+    if settings.freshness.stale_region < settings.freshness.lease {
+        let problem = Problem::Contradiction("`stale_region` is shorter than `lease`");
+        findings.push(field_finding(&tree.freshness, "stale_region", problem));
+    }
     let mut owners: BTreeMap<&CenterName, &RegionName> = BTreeMap::new();
     for (name, region) in &settings.regions {
         for center in &region.centers {
--- a/crates/kws-tree/tests/bad_trees.rs
+++ b/crates/kws-tree/tests/bad_trees.rs
@@ -236,6 +236,20 @@
     &[("root.yaml", "regions: {a: {weight: 100%, centers: [x]}}\nfreshness: {lease: 1m}")],
     &["root.yaml:2:20: error: freshness.lease: `1m` is out of range"],
 )]
+#[case::short_stale(
+    &[("root.yaml", "regions: {a: {weight: 100%, centers: [x]}}\nfreshness: {stale_region: 1s}")],
+    &["root.yaml:2:27: error: freshness.stale_region: `stale_region` is shorter than `lease`"],
+)]
+#[case::not_a_section(
+    &[("root.yaml", "regions: {a: {weight: 100%, centers: [x]}}\nteams: {shop: 5, stall: }")],
+    &[
+        "root.yaml:2:9: error: teams.shop: `burst` is missing",
+        "root.yaml:2:9: error: teams.shop: `rate` is missing",
+        "root.yaml:2:15: error: teams.shop: expected a map, found the number 5",
+        "root.yaml:2:18: error: teams.stall: `burst` is missing",
+        "root.yaml:2:18: error: teams.stall: `rate` is missing",
+    ],
+)]
 #[case::no_regions(&[("root.yaml", "")], &["root.yaml: error: regions: the weights of the regions sum to 0%"])]
 #[case::shared_center(
     &[("root.yaml", "regions: {a: {weight: 50%, centers: [x]}, b: {weight: 50%, centers: [x]}}")],
