--- a/crates/kws-client/src/check.rs
+++ b/crates/kws-client/src/check.rs
@@ -5,8 +5,9 @@
     output::{CommandOutput, OutputFormat},
 };
 use clap::Args;
-use kws_tree::{check, read_directory, resolve};
-use std::path::PathBuf;
+use kws_protocol::FleetSnapshot;
+use kws_tree::{read_directory, review};
+use std::{io, path::PathBuf};
 
 /// Report everything that is wrong with a tree
 #[derive(Args, Debug)]
@@ -26,26 +27,31 @@
             Ok(published) => published,
             Err(findings) => return output.findings(&findings),
         };
-        let status = output.findings(&check(&published))?;
-        if let (OutputFormat::Human, Ok(snapshot)) = (output.format, resolve(&published)) {
-            let settings = &snapshot.settings;
-            let servers: usize = settings
-                .services
-                .values()
-                .map(|service| service.servers.len())
-                .sum();
-            writeln!(
-                output.writer,
-                "revision {}: {} regions, {} services, {servers} servers, {} routes, {} teams, \
-                 {} listed hosts",
-                snapshot.revision,
-                settings.regions.len(),
-                settings.services.len(),
-                settings.routes.len(),
-                settings.teams.len(),
-                snapshot.hosts.hosts.len(),
-            )?;
+        let review = review(&published);
+        let status = output.findings(&review.findings)?;
+        if let (OutputFormat::Human, Some(snapshot)) = (output.format, review.snapshot) {
+            write_sizes(output, &snapshot)?;
         }
         Ok(status)
     }
 }
+
+fn write_sizes(output: &mut CommandOutput<'_>, snapshot: &FleetSnapshot) -> io::Result<()> {
+    let settings = &snapshot.settings;
+    let servers: usize = settings
+        .services
+        .values()
+        .map(|service| service.servers.len())
+        .sum();
+    writeln!(
+        output.writer,
+        "revision {}: {} regions, {} services, {servers} servers, {} routes, {} teams, {} listed \
+         hosts",
+        snapshot.revision,
+        settings.regions.len(),
+        settings.services.len(),
+        settings.routes.len(),
+        settings.teams.len(),
+        snapshot.hosts.hosts.len(),
+    )
+}
--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -1,12 +1,13 @@
 //! The settings of one entry host, a small YAML file beside the daemon.
 
 use crate::{
-    Finding, FindingSeverity, Problem, SourcePlace,
+    Finding, Problem, SourcePlace,
     decode::SectionReader,
     fields::{check_section, name_finding, value_finding},
     node::TreeNode,
     parse::parse_yaml,
     references::report_missing,
+    resolve::has_errors,
     schema::{HOST, TLS},
 };
 use kws_protocol::{CenterName, RegionName};
@@ -75,10 +76,7 @@
     if let Some(tls) = node.member("tls") {
         report_missing(tls, &TLS, &mut findings);
     }
-    if findings
-        .iter()
-        .any(|finding| finding.severity() == FindingSeverity::Error)
-    {
+    if has_errors(&findings) {
         findings.sort();
         findings.dedup();
         return Err(findings);
--- a/crates/kws-tree/src/lib.rs
+++ b/crates/kws-tree/src/lib.rs
@@ -27,4 +27,4 @@
 pub use host::{HostSettings, PlatformSource, TlsFiles, parse_host};
 pub use place::SourcePlace;
 pub use reference::{host_reference, tree_reference};
-pub use resolve::{check, resolve};
+pub use resolve::{TreeReview, resolve, review};
--- a/crates/kws-tree/src/resolve.rs
+++ b/crates/kws-tree/src/resolve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Finding, FindingSeverity, Problem, SourcePlace,
-    branch::{BranchFiles, HOSTS_KEY, ROOT_KEY, file_finding, load_branches},
+    branch::{HOSTS_KEY, ROOT_KEY, file_finding, load_branches},
     decode::decode_tree,
     fields::check_section,
     merge::{MergedTree, merge_branches},
@@ -10,65 +10,77 @@
     schema::BRANCH,
 };
 use kws_protocol::{FleetSettings, FleetSnapshot, HostList, PublishedValues};
+use std::collections::BTreeSet;
+
+/// What became of a tree.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TreeReview {
+    /// All findings in the order of their places.
+    pub findings: Vec<Finding>,
+    /// The resolved tree; none when a finding is an error.
+    pub snapshot: Option<FleetSnapshot>,
+}
 
 /// Resolves inheritance and checks everything.
 ///
 /// # Errors
 /// All findings together, warnings included, when one of them is an error.
 pub fn resolve(published: &PublishedValues) -> Result<FleetSnapshot, Vec<Finding>> {
-    let (snapshot, findings) = resolve_with_findings(published);
-    if has_errors(&findings) {
-        return Err(findings);
-    }
-    Ok(snapshot)
+    let review = review(published);
+    review.snapshot.ok_or(review.findings)
 }
 
-/// All findings of a tree in the order of their places; none of them may be an error.
-pub fn check(published: &PublishedValues) -> Vec<Finding> {
-    resolve_with_findings(published).1
+/// Resolves inheritance and checks everything; warnings are given also for an accepted tree.
+pub fn review(published: &PublishedValues) -> TreeReview {
+    let (tree, findings) = merge_tree(published);
+    let snapshot = tree.map(|tree| tree.snapshot);
+    TreeReview { findings, snapshot }
 }
 
 /// The tree after inheritance, when nothing is wrong with it.
 pub(crate) fn merge_checked(published: &PublishedValues) -> Result<MergedTree, Vec<Finding>> {
-    resolve(published)?;
-    let mut findings = Vec::new();
-    let branches = load_branches(published, &mut findings);
-    Ok(merge_branches(&branches, &mut findings))
+    let (tree, findings) = merge_tree(published);
+    tree.map(|tree| tree.merged).ok_or(findings)
 }
 
-fn has_errors(findings: &[Finding]) -> bool {
-    findings
-        .iter()
-        .any(|finding| finding.severity() == FindingSeverity::Error)
+/// An accepted tree before and after its values are read.
+struct AcceptedTree {
+    merged: MergedTree,
+    snapshot: FleetSnapshot,
 }
 
-fn resolve_with_findings(published: &PublishedValues) -> (FleetSnapshot, Vec<Finding>) {
+fn merge_tree(published: &PublishedValues) -> (Option<AcceptedTree>, Vec<Finding>) {
     let mut findings = Vec::new();
     let branches = load_branches(published, &mut findings);
-    let settings = resolve_settings(&branches, &mut findings);
+    for (key, branch) in &branches.files {
+        check_section(branch, &BRANCH, key == ROOT_KEY, &mut findings);
+    }
+    let merged = merge_branches(&branches, &mut findings);
+    let settings = decode_tree(&merged);
+    // What an unreadable branch would have defined must not be reported as missing.
+    if branches.complete {
+        check_references(&merged, &settings, &mut findings);
+    }
     let hosts = resolve_hosts(published, &settings, &mut findings);
     // A default with a fault comes up once for each thing that inherits it.
     findings.sort();
     findings.dedup();
+    if has_errors(&findings) {
+        return (None, findings);
+    }
     let snapshot = FleetSnapshot {
         revision: published.revision,
         settings,
         hosts,
     };
-    (snapshot, findings)
+    (Some(AcceptedTree { merged, snapshot }), findings)
 }
 
-fn resolve_settings(branches: &BranchFiles, findings: &mut Vec<Finding>) -> FleetSettings {
-    for (key, branch) in &branches.files {
-        check_section(branch, &BRANCH, key == ROOT_KEY, findings);
-    }
-    let tree = merge_branches(branches, findings);
-    let settings = decode_tree(&tree);
-    // What an unreadable branch would have defined must not be reported as missing.
-    if branches.complete {
-        check_references(&tree, &settings, findings);
-    }
-    settings
+/// Whether one of `findings` keeps the settings from being accepted.
+pub(crate) fn has_errors(findings: &[Finding]) -> bool {
+    findings
+        .iter()
+        .any(|finding| finding.severity() == FindingSeverity::Error)
 }
 
 fn resolve_hosts(
@@ -103,7 +115,7 @@
 }
 
 fn check_hosts(list: &HostList, settings: &FleetSettings, findings: &mut Vec<Finding>) {
-    let mut names = std::collections::BTreeSet::new();
+    let mut names = BTreeSet::new();
     for host in &list.hosts {
         if !names.insert(&host.name) {
             let problem = Problem::DuplicateName {
--- a/crates/kws-tree/tests/bad_trees.rs
+++ b/crates/kws-tree/tests/bad_trees.rs
@@ -1,7 +1,7 @@
 //! Each fault of a tree has a finding with its place, and all come together.
 
 use kws_protocol::{PublishedValues, TreeRevision};
-use kws_tree::{Finding, FindingSeverity, check, resolve};
+use kws_tree::{Finding, FindingSeverity, resolve, review};
 use rstest::rstest;
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -54,7 +54,11 @@
 #[test]
 fn good_tree() {
     let files = published(&[("root.yaml", ROOT), ("shop.yaml", SHOP)]);
-    assert!(check(&files).is_empty(), "{:?}", check(&files));
+    assert!(
+        review(&files).findings.is_empty(),
+        "{:?}",
+        review(&files).findings
+    );
 }
 
 #[rstest]
@@ -282,7 +286,7 @@
     &["hosts.json:1:21: error: the host list cannot be read: invalid type: integer `3`, expected a string at line 1 column 21"],
 )]
 fn whole_tree(#[case] files: &[(&str, &str)], #[case] expected: &[&str]) {
-    assert_eq!(texts(&check(&published(files))), expected);
+    assert_eq!(texts(&review(&published(files)).findings), expected);
 }
 
 #[test]
@@ -297,7 +301,7 @@
         ("stall.yaml", second),
     ];
     assert_eq!(
-        texts(&check(&published(&files))),
+        texts(&review(&published(&files)).findings),
         [
             "stall.yaml:3:38: error: teams.stall.keys: the key `sha256:111111111111..` belongs to team `shop` already"
         ],
@@ -309,7 +313,7 @@
     let text = format!("# {}\n", "x".repeat(1_000_000));
     let files = [("root.yaml", ROOT), ("shop.yaml", text.as_str())];
     assert_eq!(
-        texts(&check(&published(&files))),
+        texts(&review(&published(&files)).findings),
         ["shop.yaml: error: 1000003 bytes are more than the 1000000 that one value may hold"],
     );
 }
@@ -323,7 +327,7 @@
         ("shop.yaml", SHOP),
         ("hosts.json", hosts),
     ]);
-    let findings = check(&files);
+    let findings = review(&files).findings;
     assert_eq!(findings[0].severity(), FindingSeverity::Warning);
     assert_eq!(
         resolve(&files).expect("a warning only").hosts.hosts.len(),
--- a/crates/kws-tree/tests/example_trees.rs
+++ b/crates/kws-tree/tests/example_trees.rs
@@ -1,7 +1,7 @@
 //! The example trees are whole, without findings, and open to their demo keys.
 
 use kws_protocol::{FleetSnapshot, KeyDigest};
-use kws_tree::{HostSettings, PlatformSource, check, parse_host, read_directory, resolve};
+use kws_tree::{HostSettings, PlatformSource, parse_host, read_directory, resolve, review};
 use rstest::rstest;
 use sha2::{Digest, Sha256};
 use std::{
@@ -17,7 +17,7 @@
 
 fn resolved(name: &str) -> FleetSnapshot {
     let published = read_directory(&example(name).join("tree")).expect("readable");
-    assert_eq!(check(&published), []);
+    assert_eq!(review(&published).findings, []);
     resolve(&published).expect("no findings")
 }
 
--- a/crates/kws-tree/tests/malformed_yaml.rs
+++ b/crates/kws-tree/tests/malformed_yaml.rs
@@ -1,7 +1,7 @@
 //! No text makes the parser panic, recurse without bound or expand aliases without bound.
 
 use kws_protocol::{PublishedValues, TreeRevision};
-use kws_tree::{check, parse_host, resolve};
+use kws_tree::{parse_host, resolve, review};
 use proptest::{prelude::*, test_runner::RngSeed};
 use rstest::rstest;
 
@@ -53,7 +53,7 @@
     let text = TREE
         .replace("regions:", "regions: &r")
         .replace("\ndefaults:", "\ndefaults: &d");
-    assert!(check(&published(&text)).is_empty());
+    assert!(review(&published(&text)).findings.is_empty());
 }
 
 fn same_every_run() -> ProptestConfig {
@@ -70,12 +70,12 @@
 
     #[test]
     fn any_text(text in "\\PC{0,200}") {
-        let _ = check(&published(&text));
+        let _ = review(&published(&text)).findings;
     }
 
     #[test]
     fn yaml_letters(text in "[-\\[\\]{}:,&*!|>'\"#%@`? \na0<]{0,120}") {
-        let _ = check(&published(&text));
+        let _ = review(&published(&text)).findings;
         let _ = parse_host(&text, "host.yaml");
     }
 
@@ -87,7 +87,7 @@
     ) {
         let end = (start + length).min(TREE.len());
         let text = format!("{}{instead}{}", &TREE[..start], &TREE[end..]);
-        let findings = check(&published(&text));
+        let findings = review(&published(&text)).findings;
         prop_assert!(findings.iter().all(|finding| !finding.to_string().is_empty()));
     }
 }
