--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -39,7 +39,7 @@
 /// The settings of one entry host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HostSettings {
-    /// The prefix of the host's name.
+    /// Its name in the platform's list, new for each life of the daemon.
     pub name: Option<String>,
     /// Its region.
     pub region: RegionName,
--- a/crates/kws-tree/src/resolve.rs
+++ b/crates/kws-tree/src/resolve.rs
@@ -1,16 +1,16 @@
 //! Published values to checked settings.
 
 use crate::{
-    Finding, FindingSeverity, Problem, SourcePlace,
-    branch::{HOSTS_KEY, ROOT_KEY, file_finding, load_branches},
+    Finding, FindingSeverity,
+    branch::{ROOT_KEY, load_branches},
     decode::decode_tree,
     fields::check_section,
+    hosts::{check_places, read_hosts},
     merge::{MergedTree, merge_branches},
     references::check_references,
     schema::BRANCH,
 };
-use kws_protocol::{FleetSettings, FleetSnapshot, HostList, PublishedValues};
-use std::collections::BTreeSet;
+use kws_protocol::{FleetSnapshot, PublishedValues};
 
 /// What became of a tree.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,7 +61,8 @@
     if branches.complete {
         check_references(&merged, &settings, &mut findings);
     }
-    let hosts = resolve_hosts(published, &settings, &mut findings);
+    let hosts = read_hosts(published, &mut findings);
+    check_places(&hosts, &settings, &mut findings);
     // A default with a fault comes up once for each thing that inherits it.
     findings.sort();
     findings.dedup();
@@ -82,62 +83,3 @@
         .iter()
         .any(|finding| finding.severity() == FindingSeverity::Error)
 }
-
-fn resolve_hosts(
-    published: &PublishedValues,
-    settings: &FleetSettings,
-    findings: &mut Vec<Finding>,
-) -> HostList {
-    let Some(text) = published.values.get(HOSTS_KEY) else {
-        return HostList::default();
-    };
-    let list: HostList = match serde_json::from_str(text) {
-        Ok(list) => list,
-        Err(error) => {
-            findings.push(list_finding(&error));
-            return HostList::default();
-        }
-    };
-    check_hosts(&list, settings, findings);
-    list
-}
-
-fn list_finding(error: &serde_json::Error) -> Finding {
-    Finding {
-        place: SourcePlace {
-            line: error.line() as u64,
-            column: error.column() as u64,
-            ..SourcePlace::whole_file(HOSTS_KEY)
-        },
-        path: String::new(),
-        problem: Problem::HostList(error.to_string()),
-    }
-}
-
-fn check_hosts(list: &HostList, settings: &FleetSettings, findings: &mut Vec<Finding>) {
-    let mut names = BTreeSet::new();
-    for host in &list.hosts {
-        if !names.insert(&host.name) {
-            let problem = Problem::DuplicateName {
-                name: host.name.to_string(),
-                first: SourcePlace::whole_file(HOSTS_KEY),
-            };
-            findings.push(host_finding(host.name.as_str(), problem));
-        }
-        let region = settings.regions.get(&host.region);
-        if !region.is_some_and(|region| region.centers.contains(&host.center)) {
-            let problem = Problem::HostPlace {
-                region: host.region.to_string(),
-                center: host.center.to_string(),
-            };
-            findings.push(host_finding(host.name.as_str(), problem));
-        }
-    }
-}
-
-fn host_finding(name: &str, problem: Problem) -> Finding {
-    Finding {
-        path: format!("hosts.{name}"),
-        ..file_finding(HOSTS_KEY, problem)
-    }
-}
--- a/crates/kws-tree/src/schema/host.rs
+++ b/crates/kws-tree/src/schema/host.rs
@@ -34,8 +34,8 @@
             "name",
             ValueKind::Name,
             Absent,
-            "The prefix of the host's name; the rest differs in each life of the daemon. Absent \
-             means that only the platform's list names it.",
+            "Its name in the platform's list, new for each life of the daemon. Absent means the \
+             address of `peer`.",
         ),
         value(
             "peer",
