--- a/crates/kws-tree/src/unit.rs
+++ b/crates/kws-tree/src/unit.rs
@@ -112,7 +112,10 @@
 
 /// Writes a duration.
 pub(crate) fn format_duration(duration: Duration) -> String {
-    if duration < Duration::from_secs(1) && duration.as_nanos().is_multiple_of(MILLI_NANOS) {
+    if !duration.is_zero()
+        && duration < Duration::from_secs(1)
+        && duration.as_nanos().is_multiple_of(MILLI_NANOS)
+    {
         return format!("{}ms", duration.as_millis());
     }
     humantime::format_duration(duration).to_string()
