--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -1,1 +1,4 @@
 //! Tables of measurements over the product and its baselines.
+
+pub mod backends;
+pub mod limits;
--- a/crates/kws-membership/src/action.rs
+++ b/crates/kws-membership/src/action.rs
@@ -1,7 +1,7 @@
 //! What the view decides, and what it counts.
 
 use crate::Readiness;
-use kws_protocol::{FleetSnapshot, HostName, PeerMessage};
+use kws_protocol::{FleetSnapshot, HostName, ListedHost, PeerMessage, TreeRevision};
 use std::sync::Arc;
 
 /// One decision of [`crate::FleetView`].
@@ -14,8 +14,18 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Peers that may be sent to although no snapshot is in force yet: the tree read first is
+    /// broken, but its host list is not.
+    Contact(Vec<ListedHost>),
     /// A new snapshot is in force.
     Publish(Arc<FleetSnapshot>),
+    /// A newer revision failed its check; the last good snapshot stays in force.
+    Refuse {
+        /// The revision.
+        revision: TreeRevision,
+        /// All findings, as one text.
+        findings: String,
+    },
     /// The readiness changed.
     Readiness(Readiness),
 }
--- a/crates/kws-standin/src/backend/answer.rs
+++ b/crates/kws-standin/src/backend/answer.rs
@@ -38,7 +38,7 @@
     match script.fault {
         BackendFault::CutHead => return Ok(AfterAnswer::Close),
         BackendFault::SilentHead => return pending().await,
-        BackendFault::NotRun => return write_shed(writer).await,
+        BackendFault::NotRun => return write_shed(writer, script, subject).await,
         _ => {}
     }
     writer.write_all(head(script, subject).as_bytes()).await?;
@@ -48,20 +48,35 @@
     write_body(writer, script, subject).await
 }
 
-async fn write_shed<W: AsyncWrite + Unpin>(writer: &mut W) -> io::Result<AfterAnswer> {
-    let answer = "HTTP/1.1 503 Service Unavailable\r\nknapweedseam-run: not run\r\n\
-                  content-length: 0\r\n\r\n";
+async fn write_shed<W>(
+    writer: &mut W,
+    script: &BackendScript,
+    subject: &AnswerSubject,
+) -> io::Result<AfterAnswer>
+where
+    W: AsyncWrite + Unpin,
+{
+    let mut answer = "HTTP/1.1 503 Service Unavailable\r\n".to_owned();
+    answer.push_str("knapweedseam-run: not run\r\ncontent-length: 0\r\n");
+    if script.echo_id {
+        let _ = write!(answer, "x-request-id: {}\r\n", subject.id);
+    }
+    answer.push_str("\r\n");
     writer.write_all(answer.as_bytes()).await?;
     Ok(AfterAnswer::Reuse)
 }
 
 fn head(script: &BackendScript, subject: &AnswerSubject) -> String {
-    let mut head = format!("HTTP/1.1 {} Scripted\r\n", script.status);
+    let old = script.framing == BodyFraming::OldLength;
+    let version = if old { "1.0" } else { "1.1" };
+    let mut head = format!("HTTP/{version} {} Scripted\r\n", script.status);
     let mut add = |name: &str, value: &str| {
         let _ = write!(head, "{name}: {value}\r\n");
     };
     match script.framing {
-        BodyFraming::Length => add("content-length", &script.body_bytes.to_string()),
+        BodyFraming::Length | BodyFraming::OldLength => {
+            add("content-length", &script.body_bytes.to_string());
+        }
         BodyFraming::Chunked => add("transfer-encoding", "chunked"),
         BodyFraming::Close => add("connection", "close"),
     }
@@ -142,7 +157,7 @@
         let extra = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra";
         writer.write_all(extra.as_bytes()).await?;
     }
-    let closes = script.framing == BodyFraming::Close
+    let closes = matches!(script.framing, BodyFraming::Close | BodyFraming::OldLength)
         || script.draining
         || script.fault == BackendFault::Early;
     Ok(if closes {
--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -14,7 +14,7 @@
     io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     sync::oneshot,
-    task::{AbortHandle, JoinSet, spawn},
+    task::{AbortHandle, JoinSet, spawn, yield_now},
 };
 
 /// Starts backend servers.
@@ -49,7 +49,15 @@
     /// # Errors
     /// When no port can be had.
     pub async fn start(script: BackendScript) -> io::Result<BackendHandle> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), script).await
+    }
+
+    /// Starts a server at an address.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start_at(address: SocketAddr, script: BackendScript) -> io::Result<BackendHandle> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(ServerState {
             script: Mutex::new(script),
@@ -81,15 +89,18 @@
         *lock(&self.state.script) = script;
     }
 
-    /// Ends the listener and every connection.
-    pub fn stop(&self) {
+    /// Ends the listener and every connection; new connections are refused from then on.
+    pub async fn stop(&self) {
         self.task.abort();
+        while !self.task.is_finished() {
+            yield_now().await;
+        }
     }
 }
 
 impl Drop for BackendHandle {
     fn drop(&mut self) {
-        self.stop();
+        self.task.abort();
     }
 }
 
