--- a/crates/kws-client/tests/check_command.rs
+++ b/crates/kws-client/tests/check_command.rs
@@ -91,6 +91,33 @@
     assert!(output.contains(expected), "{output}");
 }
 
+#[test]
+fn host_files() {
+    let directory = directory(&[("tree/root.yaml", ROOT), ("a.yaml", b"log: loud")]);
+    let (tree, host) = (
+        directory.path().join("tree"),
+        directory.path().join("a.yaml"),
+    );
+    let arguments = [
+        "check",
+        text(&tree),
+        "--host",
+        text(&host),
+        "--host",
+        "/none.yaml",
+    ];
+    let (status, output) = run(&arguments);
+    assert_eq!(status, ExitStatus::Findings);
+    for expected in [
+        "a.yaml:1:6: error: log: `loud` is not",
+        "a.yaml:1:1: error: `peer` is missing",
+        "/none.yaml: error: cannot be read",
+        "revision 1: 1 regions",
+    ] {
+        assert!(output.contains(expected), "{output}");
+    }
+}
+
 #[test]
 fn no_directory() {
     let (status, output) = run(&["check", "/nonexistent"]);
