--- a/crates/kws-dispatch/src/concurrency.rs
+++ b/crates/kws-dispatch/src/concurrency.rs
@@ -10,10 +10,17 @@
 /// The smallest window, in requests: a pace of one request in 64 service times.
 const MIN_WINDOW: f64 = 1.0 / 64.0;
 
-/// A peer's requests in flight.
+/// The weight of a peer's newest count in its average, between 0 and 1.
+const LOAD_GAIN: f64 = 0.2;
+
+/// An average below this is nothing, in requests.
+const LEAST_LOAD: f64 = 0.01;
+
+/// A peer's requests in flight. A request is over long before the next digest, so that one count says
+/// little and only the average tells how full the server is.
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
-    in_flight: u32,
+    in_flight: f64,
     at: Instant,
 }
 
@@ -52,11 +59,15 @@
 
     /// Takes a peer's requests in flight.
     pub(crate) fn set_peer(&mut self, peer: &HostName, in_flight: u32, at: Instant) {
-        if in_flight == 0 {
-            self.peers.remove(peer);
-        } else {
-            self.peers.insert(peer.clone(), PeerLoad { in_flight, at });
-        }
+        let newest = f64::from(in_flight);
+        let average = self.peers.get(peer).map_or(newest, |load| {
+            load.in_flight + LOAD_GAIN * (newest - load.in_flight)
+        });
+        let load = PeerLoad {
+            in_flight: average,
+            at,
+        };
+        self.peers.insert(peer.clone(), load);
     }
 
     /// Forgets what peers said too long ago.
@@ -65,14 +76,19 @@
             .retain(|_, load| now.duration_since(load.at) <= IN_FLIGHT_AGE);
     }
 
-    /// Peers with requests in flight.
+    /// Peers that use the server.
     pub(crate) fn peers(&self) -> impl Iterator<Item = &HostName> {
-        self.peers.keys()
+        let using = self
+            .peers
+            .iter()
+            .filter(|(_, load)| load.in_flight > LEAST_LOAD);
+        using.map(|(peer, _)| peer)
     }
 
     /// Requests in flight of all hosts, as far as known.
-    pub(crate) fn total(&self) -> u32 {
-        self.in_flight + self.peers.values().map(|load| load.in_flight).sum::<u32>()
+    pub(crate) fn total(&self) -> f64 {
+        let peers: f64 = self.peers.values().map(|load| load.in_flight).sum();
+        f64::from(self.in_flight) + peers
     }
 
     /// Whether one more request fits.
@@ -83,7 +99,7 @@
         if f64::from(self.in_flight) + 1.0 > self.window {
             return false;
         }
-        if f64::from(self.total()) + 1.0 <= query.usable.max(1.0) {
+        if self.total() < query.usable.max(1.0) {
             return true;
         }
         // Peers seem to fill the server. All hosts together may still keep its slots in use.
--- a/crates/kws-dispatch/src/dispatcher.rs
+++ b/crates/kws-dispatch/src/dispatcher.rs
@@ -114,17 +114,14 @@
     /// Takes a peer's requests in flight; servers that the digest lacks have none.
     pub fn receive(&mut self, from: &HostName, message: &HealthMessage, now: Instant) {
         let HealthMessage::Digest(digests) = message;
-        for dispatch in self.services.values_mut() {
-            for entry in dispatch.servers.values_mut() {
-                entry.limit.set_peer(from, 0, now);
-            }
-        }
-        for digest in digests {
-            let dispatch = self.services.get_mut(&digest.service);
-            if let Some(entry) =
-                dispatch.and_then(|dispatch| dispatch.servers.get_mut(&digest.server))
-            {
-                entry.limit.set_peer(from, digest.in_flight, now);
+        let counts: BTreeMap<(&ServiceName, &ServerName), u32> = digests
+            .iter()
+            .map(|digest| ((&digest.service, &digest.server), digest.in_flight))
+            .collect();
+        for (service, dispatch) in &mut self.services {
+            for (server, entry) in &mut dispatch.servers {
+                let count = counts.get(&(service, server)).copied().unwrap_or(0);
+                entry.limit.set_peer(from, count, now);
             }
         }
     }
--- a/crates/kws-dispatch/src/service.rs
+++ b/crates/kws-dispatch/src/service.rs
@@ -246,7 +246,7 @@
                 entry.limit.admits(&query).then(|| ServerOption {
                     server: name.clone(),
                     usable,
-                    load: f64::from(entry.limit.total()) + standing.penalty,
+                    load: entry.limit.total() + standing.penalty,
                 })
             })
             .collect()
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -19,9 +19,18 @@
 /// The bad share at which one host acts alone, between 0 and 1.
 const STRONG_BAD_SHARE: f64 = 0.5;
 
+/// By how much slower than `slow_factor` a server must be for one host to act alone.
+const STRONG_SLOW_FACTOR: f64 = 2.0;
+
 /// The part of answers that must be slow, between 0 and 1.
 const SLOW_SHARE: f64 = 0.5;
 
+/// Answers of one host in a region below which it has no measure of what is usual there.
+const MIN_REFERENCE_ANSWERS: u32 = 15;
+
+/// Compared answers of a data centre below which it has no say on latency.
+const MIN_COMPARED_ANSWERS: f64 = 10.0;
+
 /// Servers that a host must have seen before it compares them.
 const MIN_COMPARED: usize = 3;
 
@@ -47,6 +56,8 @@
     bad: f64,
     /// `None` when the host cannot compare.
     slow: Option<bool>,
+    /// Slow enough for one host to act alone.
+    very_slow: bool,
     summary: AnswerSummary,
 }
 
@@ -78,7 +89,7 @@
     }
 
     fn slow_share(&self) -> f64 {
-        self.slow / self.compared.max(f64::from(MIN_ANSWERS))
+        self.slow / self.compared.max(MIN_COMPARED_ANSWERS)
     }
 
     /// Whether the server stands out from what is typical for the service.
@@ -144,15 +155,18 @@
             .map(|(server, window)| (server, window.summary(None)))
             .filter(|(server, summary)| summary.answers > 0 && regions.contains_key(server))
             .collect();
-        let mut latencies: BTreeMap<&RegionName, Vec<Duration>> = BTreeMap::new();
+        let mut latencies: BTreeMap<&RegionName, (u32, Vec<Duration>)> = BTreeMap::new();
         for (server, summary) in &summaries {
             if let Some(median) = summary.median {
-                latencies.entry(regions[server]).or_default().push(median);
+                let (answers, medians) = latencies.entry(regions[server]).or_default();
+                *answers += summary.answers;
+                medians.push(median);
             }
         }
         let references = latencies
             .into_iter()
-            .filter_map(|(region, medians)| Some((region, lower_median(medians)?)))
+            .filter(|(_, (answers, _))| *answers >= MIN_REFERENCE_ANSWERS)
+            .filter_map(|(region, (_, medians))| Some((region, lower_median(medians)?)))
             .collect();
         let shares = summaries.values().map(|summary| Share(summary.bad_share()));
         let typical = lower_median(shares.collect());
@@ -174,14 +188,16 @@
             return None;
         }
         let scale = (MAX_ANSWERS_A_HOST / f64::from(summary.answers)).min(1.0);
-        let slow = match (summary.median, self.references.get(region)) {
-            (Some(median), Some(reference)) => Some(slower(median, *reference, settings)),
-            _ => None,
-        };
+        let compared = summary.median.zip(self.references.get(region).copied());
+        let slow = compared.map(|(median, reference)| slower(median, reference, settings));
+        let very_slow = compared.is_some_and(|(median, reference)| {
+            slower(median, reference.mul_f64(STRONG_SLOW_FACTOR), settings)
+        });
         Some(HostVote {
             answers: f64::from(summary.answers) * scale,
             bad: f64::from(summary.bad) * scale,
             slow,
+            very_slow,
             summary,
         })
     }
@@ -301,6 +317,6 @@
     let summary = &vote.summary;
     let share = summary.bad_share();
     let bad = summary.answers >= MIN_ANSWERS && share >= settings.bad_share.max(STRONG_BAD_SHARE);
-    let slow = summary.answers >= MIN_SLOW_ANSWERS && vote.slow == Some(true);
+    let slow = summary.answers >= MIN_SLOW_ANSWERS && vote.very_slow;
     (bad || slow).then_some(share + if slow { 1.0 } else { 0.0 })
 }
