--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -13,9 +13,6 @@
 /// Rounding that may be missing from a whole token; the level then goes below 0 by as much.
 const ROUNDING: f64 = 1e-9;
 
-/// A lender that stays short is spared for at most this long.
-const MAX_DRY_PAUSE: Duration = Duration::from_millis(400);
-
 /// A request that waits.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
@@ -251,11 +248,23 @@
         self.expects_near(now) || self.in_hand() + self.expected(now) >= wanted - ROUNDING
     }
 
-    /// Spares a lender for `pause`, or longer when it was marked just before.
-    pub(crate) fn mark_dry(&mut self, lender: &HostName, pause: Duration, now: Instant) {
+    /// Whether every lender of the own region was short or silent lately.
+    pub(crate) fn is_near_dry(&self, now: Instant) -> bool {
+        let mut near = self.lenders.local.iter();
+        near.all(|source| self.is_spared(&source.lender, now))
+    }
+
+    /// Spares a lender for `pause`, or for longer, up to `most`, when it was marked just before.
+    pub(crate) fn mark_dry(
+        &mut self,
+        lender: &HostName,
+        pause: Duration,
+        most: Duration,
+        now: Instant,
+    ) {
         let marked = self.dry.iter().find(|dry| &dry.lender == lender);
         let again = marked.filter(|dry| now < dry.until + dry.pause);
-        let pause = again.map_or(pause, |dry| (dry.pause * 2).min(MAX_DRY_PAUSE).max(pause));
+        let pause = again.map_or(pause, |dry| (dry.pause * 2).min(most).max(pause));
         self.dry
             .retain(|dry| now < dry.until + dry.pause && &dry.lender != lender);
         self.dry.push(DryLender {
--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -11,8 +11,17 @@
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// How many waits long a lender that did not answer is spared.
-const SILENT_WAITS: u32 = 10;
+/// A lender that did not answer is spared for this long at first, and for longer each time.
+const SILENT_PAUSE: Duration = Duration::from_millis(500);
+
+/// The longest time for which a silent lender is spared.
+const MAX_SILENT_PAUSE: Duration = Duration::from_secs(4);
+
+/// A lender that stays short is spared for at most this long.
+const MAX_DRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Other regions are asked when this share of what is kept ahead of them is left.
+const REMOTE_LOW: f64 = 0.75;
 
 impl LimitsLedger {
     /// Lets a request wait for tokens asked for, or refuses it when no one is left to ask.
@@ -39,7 +48,8 @@
         AdmitDecision::Waiting(ticket)
     }
 
-    /// Asks for tokens before they are needed, from the demand seen.
+    /// Asks for tokens before they are needed, from the demand seen. Other regions are asked
+    /// earlier, since their answer takes longer, but only while the own region has none.
     pub(super) fn borrow_ahead(
         &mut self,
         team: &TeamName,
@@ -47,9 +57,13 @@
         now: Instant,
     ) {
         let demand = account.demand.value(now) - account.allotment().rate;
-        let low = demand * self.policy.region_ahead.as_secs_f64();
-        if low >= 1.0 && account.in_hand() + account.expected(now) < low {
-            self.borrow(team, account, low, now);
+        let near = demand * self.policy.region_ahead.as_secs_f64();
+        let far = demand * self.policy.remote_ahead.as_secs_f64();
+        let at_hand = account.in_hand() + account.expected(now);
+        if near >= 1.0 && at_hand < near {
+            self.borrow(team, account, near, now);
+        } else if far >= 1.0 && at_hand < far * REMOTE_LOW && account.is_near_dry(now) {
+            self.borrow_far(team, account, far, now);
         }
     }
 
@@ -57,16 +71,39 @@
     fn borrow(&mut self, team: &TeamName, account: &mut TeamAccount, missing: f64, now: Instant) {
         self.renew_lenders(team, account);
         let lenders = Arc::clone(&account.lenders);
-        let demand = account.demand.value(now);
-        let local = missing.max(demand * self.policy.region_ahead.as_secs_f64());
+        let ahead = account.demand.value(now) * self.policy.region_ahead.as_secs_f64();
         let wait = self.policy.region_wait;
-        self.ask(team, account, &lenders.local, (local, wait), now);
-        if account.expected(now) >= missing || account.expects_near(now) {
-            return;
+        self.ask(
+            team,
+            account,
+            &lenders.local,
+            (missing.max(ahead), wait),
+            now,
+        );
+        if account.expected(now) < missing && !account.expects_near(now) {
+            self.borrow_far(team, account, missing, now);
         }
-        let remote = missing.max(demand * self.policy.remote_ahead.as_secs_f64());
+    }
+
+    /// Asks lenders of other regions.
+    fn borrow_far(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        missing: f64,
+        now: Instant,
+    ) {
+        self.renew_lenders(team, account);
+        let lenders = Arc::clone(&account.lenders);
+        let ahead = account.demand.value(now) * self.policy.remote_ahead.as_secs_f64();
         let wait = self.policy.remote_wait;
-        self.ask(team, account, &lenders.remote, (remote, wait), now);
+        self.ask(
+            team,
+            account,
+            &lenders.remote,
+            (missing.max(ahead), wait),
+            now,
+        );
     }
 
     /// Asks lenders in turn, each for no more than it can have, until `wanted` is on its way.
@@ -97,6 +134,7 @@
                 tokens,
                 sent: now,
                 near: source.near,
+                overdue: false,
                 expected: now + wait,
                 dry_pause: source.dry_pause,
             });
@@ -159,7 +197,7 @@
 
     /// Ends waits, forgets silent lenders and returns idle loans.
     pub(super) fn tick_loans(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
-        self.spare_silent(account, now);
+        spare_silent(account, now);
         if !account.waiting.is_empty() && self.is_current(now) {
             self.serve_waiting(team, account, now);
         }
@@ -168,21 +206,6 @@
         self.return_loans(team, account, |loan| now >= loan.used + idle);
     }
 
-    /// Spares lenders whose answer is overdue; it is still taken while the term lasts.
-    fn spare_silent(&mut self, account: &mut TeamAccount, now: Instant) {
-        let pause = self.policy.region_wait * SILENT_WAITS;
-        let overdue: Vec<HostName> = account
-            .pending
-            .iter()
-            .filter(|loan| loan.expected <= now && now < loan.expected + pause)
-            .map(|loan| loan.lender.clone())
-            .collect();
-        for lender in &overdue {
-            account.mark_dry(lender, pause, now);
-        }
-        account.pending.retain(|loan| now < loan.sent + LOAN_TERM);
-    }
-
     /// Refuses the requests that `is_over` picks.
     pub(super) fn refuse_waiting(
         &mut self,
@@ -285,6 +308,23 @@
         });
     }
     if tokens < asked.tokens {
-        account.mark_dry(&asked.lender, asked.dry_pause, now);
+        account.mark_dry(&asked.lender, asked.dry_pause, MAX_DRY_PAUSE, now);
+    }
+}
+
+/// Spares lenders whose answer is overdue; it is still taken while the term lasts.
+fn spare_silent(account: &mut TeamAccount, now: Instant) {
+    let overdue: Vec<HostName> = account
+        .pending
+        .iter_mut()
+        .filter(|loan| loan.expected <= now && !loan.overdue)
+        .map(|loan| {
+            loan.overdue = true;
+            loan.lender.clone()
+        })
+        .collect();
+    for lender in &overdue {
+        account.mark_dry(lender, SILENT_PAUSE, MAX_SILENT_PAUSE, now);
     }
+    account.pending.retain(|loan| now < loan.sent + LOAN_TERM);
 }
--- a/crates/kws-limits/src/loan.rs
+++ b/crates/kws-limits/src/loan.rs
@@ -105,6 +105,8 @@
     pub(crate) sent: Instant,
     /// Whether the lender is in the own region.
     pub(crate) near: bool,
+    /// Whether the lender was found silent.
+    pub(crate) overdue: bool,
     /// How long the lender is spared when it is short.
     pub(crate) dry_pause: Duration,
     /// Until when an answer is counted on; a later one is still taken within the term.
