--- a/crates/kws-limits/tests/common/fleet.rs
+++ b/crates/kws-limits/tests/common/fleet.rs
@@ -1,5 +1,7 @@
 //! Snapshots of small fleets.
+#![allow(dead_code, reason = "not every test file uses all of it")]
 
+use kws_limits::LOAN_TERM;
 use kws_protocol::{
     FleetSettings, FleetSnapshot, FreshnessSettings, HostList, HostName, HostState, ListedHost,
     RegionName, RegionSettings, TeamName, TeamSettings, TreeRevision,
@@ -10,10 +12,20 @@
     time::Duration,
 };
 
-pub const LEASE: Duration = Duration::from_secs(2);
-pub const LIST_LAG: Duration = Duration::from_secs(1);
-pub const STALE_REGION: Duration = Duration::from_mins(1);
-pub const DRIFT_PPM: u32 = 10_000;
+const LEASE: Duration = Duration::from_secs(2);
+const LIST_LAG: Duration = Duration::from_secs(1);
+const STALE_REGION: Duration = Duration::from_mins(1);
+const DRIFT_PPM: u32 = 10_000;
+
+/// Longer than a superseded revision may be used.
+pub fn window() -> Duration {
+    (LEASE + LIST_LAG + LOAN_TERM).mul_f64(1.0 + 3.0 * f64::from(DRIFT_PPM) / 1e6)
+}
+
+/// Longer than a region without the platform goes on, and a superseded revision after it.
+pub fn stale() -> Duration {
+    STALE_REGION.mul_f64(1.0 + 3.0 * f64::from(DRIFT_PPM) / 1e6) + window()
+}
 
 /// One revision: hosts as (region, name), teams as (name, rate, burst), weights by region.
 pub fn snapshot(
--- a/crates/kws-limits/tests/own_share.rs
+++ b/crates/kws-limits/tests/own_share.rs
@@ -4,18 +4,13 @@
     pub mod fleet;
 }
 
-use common::fleet::{DRIFT_PPM, LEASE, LIST_LAG, snapshot};
-use kws_limits::{AdmitDecision, LOAN_TERM, LimitsLedger, RefusalCause};
+use common::fleet::{snapshot, window};
+use kws_limits::{AdmitDecision, LimitsLedger, RefusalCause};
 use kws_protocol::{HostName, RegionName, TeamName};
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The longest time in which a superseded revision may be used.
-fn window() -> Duration {
-    (LEASE + LIST_LAG + LOAN_TERM).mul_f64(1.0 + 3.0 * f64::from(DRIFT_PPM) / 1e6)
-}
-
 fn admitted(ledger: &mut LimitsLedger, now: Instant) -> usize {
     let team = TeamName::new("shop");
     (0..100)
--- /dev/null
+++ b/crates/kws-limits/tests/revision_window.rs
@@ -0,0 +1,135 @@
+//! A share is the least over the revisions that some host may still use.
+
+mod common {
+    pub mod fleet;
+}
+
+use common::fleet::{snapshot, stale, window};
+use kws_limits::{AdmitDecision, LimitsLedger, LimitsPolicy};
+use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RegionName, TeamName, TreeRevision};
+use rstest::rstest;
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Fills any bucket of these tests.
+const FULL: Duration = Duration::from_secs(5);
+
+/// What the host learns after its first revision, which lists 3 hosts with 4 tokens each.
+enum News {
+    /// Revision with that number and the first so many hosts; the total is 12.
+    Adopt(u64, usize),
+    /// The same with the weight of the region.
+    Weigh(u64, f64),
+    /// A revision failed its check.
+    Refuse(u64),
+    /// A peer holds a revision.
+    Peer(&'static str, u64),
+    /// The region's or another region's retained mark.
+    Mark(&'static str, u64),
+    /// Time passes.
+    Wait(Duration),
+}
+use News::{Adopt, Mark, Peer, Refuse, Wait, Weigh};
+
+fn published(revision: u64, hosts: usize, weight: f64) -> Arc<FleetSnapshot> {
+    let hosts = &[("a", "a1"), ("a", "a2"), ("a", "a3")][..hosts];
+    let weights = [("a", weight), ("b", 1.0 - weight)];
+    let regions = if weight < 1.0 { 2 } else { 1 };
+    snapshot(
+        revision,
+        hosts,
+        &[("shop", 12.0, 12.0)],
+        &weights[..regions],
+    )
+}
+
+fn learn(ledger: &mut LimitsLedger, news: &News, now: Instant) {
+    match *news {
+        Adopt(revision, hosts) => ledger.adopt(&published(revision, hosts, 1.0), now),
+        Weigh(revision, weight) => ledger.adopt(&published(revision, 3, weight), now),
+        Refuse(revision) => ledger.refuse_revision(TreeRevision(revision), now),
+        Peer(peer, revision) => {
+            ledger.peer_revision(&HostName::new(peer), TreeRevision(revision), now);
+        }
+        Mark(region, oldest) => {
+            let (region, oldest) = (RegionName::new(region), TreeRevision(oldest));
+            let message = LoanMessage::Retained { region, oldest };
+            ledger.receive(&HostName::new("a2"), &message, now);
+        }
+        Wait(_) => ledger.tick(now),
+    }
+}
+
+#[rstest]
+#[case::first(vec![], 4)]
+#[case::fewer_hosts(vec![Adopt(2, 2)], 4)]
+#[case::unheard_majority(vec![Adopt(2, 2), Wait(window())], 4)]
+#[case::heard_lately(vec![Adopt(2, 2), Wait(window()), Peer("a2", 2)], 4)]
+#[case::heard_majority(vec![Adopt(2, 2), Peer("a2", 2), Wait(window())], 6)]
+#[case::heard_stranger(vec![Adopt(2, 2), Peer("a7", 2), Wait(window())], 4)]
+#[case::cut_off_too_long(vec![Adopt(2, 2), Wait(stale())], 6)]
+#[case::marked(vec![Adopt(2, 2), Mark("a", 2)], 6)]
+#[case::marked_early(vec![Mark("a", 2), Adopt(2, 2)], 6)]
+#[case::marked_old(vec![Adopt(2, 2), Mark("a", 1)], 4)]
+#[case::unlisted(vec![Adopt(2, 0)], 0)]
+#[case::listed_again(vec![Adopt(2, 0), Adopt(3, 3)], 0)]
+#[case::skipped(vec![Adopt(3, 3)], 0)]
+#[case::skipped_marked(vec![Adopt(3, 3), Mark("a", 3)], 4)]
+#[case::skipped_long_ago(vec![Adopt(3, 3), Wait(stale())], 4)]
+#[case::older(vec![Adopt(2, 3), Mark("a", 2), Adopt(1, 1)], 4)]
+#[case::refused(vec![Refuse(2)], 4)]
+#[case::refused_then_good(vec![Refuse(2), Adopt(3, 3)], 4)]
+#[case::refused_after_gap(vec![Refuse(3)], 0)]
+#[case::left_behind(vec![Mark("a", 2)], 0)]
+#[case::less_weight(vec![Weigh(2, 0.5)], 2)]
+#[case::more_weight(vec![Weigh(2, 0.5), Mark("a", 2), Mark("b", 2), Weigh(3, 0.9), Mark("a", 3)], 2)]
+#[case::weight_marked(vec![Weigh(2, 0.5), Mark("a", 2), Mark("b", 2), Weigh(3, 0.9), Mark("a", 3),
+    Mark("b", 3)], 3)]
+#[tokio::test(start_paused = true)]
+async fn least_share(#[case] news: Vec<News>, #[case] expected: usize) {
+    let mut now = Instant::now();
+    let policy = LimitsPolicy {
+        min_holders: 3,
+        burst_per_holder: 1.0,
+        ..LimitsPolicy::default()
+    };
+    let mut ledger = LimitsLedger::with_policy("a1".into(), "a".into(), now, policy);
+    ledger.set_current(now + Duration::from_hours(1), now);
+    ledger.adopt(&published(1, 3, 1.0), now);
+    learn(&mut ledger, &Mark("a", 1), now);
+    for news in &news {
+        if let Wait(time) = news {
+            now += *time;
+        }
+        learn(&mut ledger, news, now);
+    }
+    now += FULL;
+    let team = TeamName::new("shop");
+    let admitted = (0..50).filter(|_| ledger.admit(&team, now) == AdmitDecision::Admitted);
+    assert_eq!(admitted.count(), expected);
+}
+
+/// A new host asks its region; it settles by a peer's mark, or when the whole region is new.
+#[rstest]
+#[case::silence(&[], false)]
+#[case::one_new(&[("a2", 0)], false)]
+#[case::all_new(&[("a2", 0), ("a3", 0)], true)]
+#[case::one_settled(&[("a2", 1)], true)]
+#[case::older_in_use(&[("a2", 0), ("a3", 0), ("a3", 1)], false)]
+#[tokio::test(start_paused = true)]
+async fn newborn(#[case] answers: &[(&str, u64)], #[case] expected: bool) {
+    let now = Instant::now();
+    let first = if answers.len() == 3 { 2 } else { 1 };
+    let mut ledger = LimitsLedger::new("a1".into(), "a".into(), now);
+    ledger.adopt(&published(first, 3, 1.0), now);
+    ledger.tick(now);
+    assert_eq!(ledger.take_actions().len(), 2, "both peers are asked");
+    for (peer, oldest) in answers {
+        let (peer, oldest) = (HostName::new(peer), TreeRevision(*oldest));
+        let region = RegionName::new("a");
+        ledger.peer_revision(&peer, TreeRevision(first), now);
+        ledger.receive(&peer, &LoanMessage::Retained { region, oldest }, now);
+    }
+    ledger.tick(now + window());
+    assert_eq!(ledger.is_settled(), expected);
+}
