--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Tables of measurements over the product and its baselines.
+
+pub mod fleet;
