--- a/crates/kws-bench/src/fleet/meter.rs
+++ b/crates/kws-bench/src/fleet/meter.rs
@@ -226,4 +226,8 @@
     fn watch_grace(&self) -> Duration {
         self.view.watch_grace()
     }
+
+    fn retry_pause(&self) -> Duration {
+        self.view.retry_pause()
+    }
 }
--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -1,12 +1,13 @@
 //! What this host knows of the other hosts: from the list, and from their own words.
 
 mod plan;
+mod roster;
 
 use kws_protocol::{
-    FleetSnapshot, HostList, HostName, HostState, ListedHost, RegionName, RevisionView,
-    TreeRevision,
+    HostList, HostName, HostState, ListedHost, RegionName, RevisionView, TreeRevision,
 };
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use roster::HostRoster;
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Which host this is.
@@ -78,7 +79,7 @@
 #[derive(Clone, Debug)]
 pub struct FleetMembers {
     identity: HostIdentity,
-    snapshot: Option<Arc<FleetSnapshot>>,
+    roster: Option<HostRoster>,
     seeds: Vec<HostName>,
     peers: BTreeMap<HostName, PeerRecord>,
 }
@@ -87,7 +88,7 @@
     pub(crate) fn new(identity: HostIdentity) -> Self {
         Self {
             identity,
-            snapshot: None,
+            roster: None,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
         }
@@ -100,10 +101,7 @@
 
     /// What is known of `name` at `now`, under a lease of `lease`.
     pub fn state(&self, name: &HostName, now: Instant, lease: Duration) -> MemberState {
-        if self
-            .listed(name)
-            .is_some_and(|host| host.state == HostState::Leaving)
-        {
+        if self.listed_state(name) == Some(HostState::Leaving) {
             return MemberState::Leaving;
         }
         let Some(peer) = self.peers.get(name) else {
@@ -119,8 +117,8 @@
         }
     }
 
-    pub(crate) fn set_list(&mut self, snapshot: &Arc<FleetSnapshot>) {
-        self.snapshot = Some(Arc::clone(snapshot));
+    pub(crate) fn set_list(&mut self, list: &HostList) {
+        self.roster = Some(HostRoster::new(list, &self.identity));
     }
 
     pub(crate) fn add_seed(&mut self, name: HostName) {
@@ -141,8 +139,7 @@
 
     /// Whether the list says that this host is leaving.
     pub(crate) fn leaving(&self) -> bool {
-        self.listed(&self.identity.name)
-            .is_some_and(|host| host.state == HostState::Leaving)
+        self.listed_state(&self.identity.name) == Some(HostState::Leaving)
     }
 
     pub(crate) fn note_asked(&mut self, name: &HostName, now: Instant) {
@@ -174,11 +171,11 @@
 
     /// Forgets hosts that are neither listed nor lately heard, so that memory stays bounded.
     pub(crate) fn prune(&mut self, now: Instant, lease: Duration) {
-        let Some(snapshot) = self.snapshot.clone() else {
+        let Some(roster) = &self.roster else {
             return;
         };
         self.peers
-            .retain(|name, peer| peer.heard(now, lease) || snapshot.hosts.host(name).is_some());
+            .retain(|name, peer| peer.heard(now, lease) || roster.state(name).is_some());
     }
 
     /// When the oldest question was sent of those whose answers make up a majority of the region
@@ -246,35 +243,28 @@
         Some(self.peers.get(name)?.news?.revision)
     }
 
-    fn listed(&self, name: &HostName) -> Option<&ListedHost> {
-        self.snapshot.as_ref()?.hosts.host(name)
+    /// Whether `name` has left a question open for `time` or longer.
+    pub(crate) fn waits(&self, name: &HostName, now: Instant, time: Duration) -> bool {
+        self.peers
+            .get(name)
+            .is_some_and(|peer| peer.waits(now, time))
     }
 
-    /// The live listed hosts of the region, this one included when it is listed.
-    fn voters(&self) -> impl Iterator<Item = &HostName> {
-        self.live_hosts()
-            .filter(|host| host.region == self.identity.region)
-            .map(|host| &host.name)
+    fn listed_state(&self, name: &HostName) -> Option<HostState> {
+        self.roster.as_ref()?.state(name)
     }
 
-    fn live_hosts(&self) -> impl Iterator<Item = &ListedHost> {
-        let hosts = self
-            .snapshot
-            .iter()
-            .flat_map(|snapshot| &snapshot.hosts.hosts);
-        hosts.filter(|host| host.state == HostState::Live)
+    /// The other live listed hosts of the region.
+    fn region_peers(&self) -> &[HostName] {
+        self.roster.as_ref().map_or(&[], HostRoster::peers)
     }
 
     fn voter_words(&self) -> impl Iterator<Item = PeerWord> {
-        self.voters()
-            .filter(|name| **name != self.identity.name)
-            .filter_map(|name| self.peers.get(name)?.word)
+        let peers = self.region_peers().iter();
+        peers.filter_map(|name| self.peers.get(name)?.word)
     }
 
-    /// Answers needed for a majority; none when the list names no live host of the region.
     fn answers_needed(&self) -> Option<usize> {
-        let voters = self.voters().count();
-        let own = self.voters().any(|name| *name == self.identity.name);
-        (voters > 0).then(|| voters / 2 + 1 - usize::from(own))
+        self.roster.as_ref()?.answers_needed()
     }
 }
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -21,7 +21,7 @@
 /// With less than this part of the lease left, the platform counts as silent.
 const SILENT_PART: u32 = 4;
 
-/// A watch that is this part of the lease late, or failed, is asked again.
+/// A watch that is this part of the lease late has failed.
 const RETRY_PART: u32 = 12;
 
 /// What the platform last said.
@@ -41,7 +41,7 @@
     spread: SpreadState,
     counters: FleetCounters,
     platform: Option<PlatformWord>,
-    platform_failed: bool,
+    platform_failures: u32,
     born: Instant,
     round: u64,
     next_round: Instant,
@@ -67,7 +67,7 @@
             spread: SpreadState::default(),
             counters: FleetCounters::default(),
             platform: None,
-            platform_failed: false,
+            platform_failures: 0,
             born: now,
             round: 0,
             next_round: now,
@@ -134,11 +134,23 @@
         self.terms.lease / ROUNDS_PER_LEASE
     }
 
-    /// How late a watch may be before it counts as failed, and the pause before the next try.
+    /// How late a watch may be before it counts as failed.
     pub fn watch_grace(&self) -> Duration {
         self.terms.lease / RETRY_PART
     }
 
+    /// The pause before the next call: none after an answer, and after failures one that doubles up
+    /// to a whole wait, so that a platform that is down gets no more calls than one that is up. The
+    /// call after a failure must not wait.
+    pub fn retry_pause(&self) -> Duration {
+        let Some(doublings) = self.platform_failures.checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        let longest = self.watch_wait();
+        let factor = 2_u32.saturating_pow(doublings);
+        self.watch_grace().saturating_mul(factor).min(longest)
+    }
+
     /// The platform answered with whole values, to a question sent at `sent`.
     pub fn platform_answer(
         &mut self,
@@ -148,7 +160,7 @@
     ) -> Vec<FleetAction> {
         let mut actions = Vec::new();
         let revision = values.revision;
-        self.platform_failed = false;
+        self.platform_failures = 0;
         let outcome = self.store.offer(values);
         let conflict = outcome == StoreOutcome::Conflict;
         self.settle(outcome, now, &mut actions);
@@ -165,7 +177,7 @@
         sent: Instant,
         now: Instant,
     ) -> Vec<FleetAction> {
-        self.platform_failed = false;
+        self.platform_failures = 0;
         self.note_platform(revision, sent);
         self.drive(now, Vec::new())
     }
@@ -173,10 +185,10 @@
     /// A call to the platform failed or timed out.
     pub fn platform_failed(&mut self, now: Instant) -> Vec<FleetAction> {
         self.counters.failed_platform += 1;
-        if !self.platform_failed {
-            self.platform_failed = true;
+        if self.platform_failures == 0 {
             self.next_round = now;
         }
+        self.platform_failures = self.platform_failures.saturating_add(1);
         self.drive(now, Vec::new())
     }
 
@@ -229,6 +241,9 @@
         if let Some(word) = self.platform.filter(|word| word.revision == newest) {
             self.lease.confirm_platform(word.sent, &self.terms);
         }
+        if !self.platform_silent(now) {
+            return;
+        }
         let store = &self.store;
         let agrees = |view: &RevisionView| {
             !store.lacks(view.revision) && !store.conflicts(view.revision, view.digest)
@@ -267,7 +282,7 @@
 
     fn platform_silent(&self, now: Instant) -> bool {
         let needed = now + self.terms.lease / SILENT_PART;
-        self.platform_failed
+        self.platform_failures > 0
             || self
                 .lease
                 .platform_until()
@@ -360,13 +375,12 @@
         self.counters.adopted += 1;
         self.terms = LeaseTerms::new(&snapshot.settings.freshness);
         self.lease.change_terms(&self.terms, now);
-        self.members.set_list(snapshot);
+        self.members.set_list(&snapshot.hosts);
         self.spread.adopted(now, self.terms.lease);
-        if self.join_deadline.is_none() {
-            // The peers of the first list are asked at once.
-            self.join_deadline = Some(now + self.terms.lease);
-            self.next_round = now;
-        }
+        // Asked at once, peers learn of the revision by the question, and a new host of theirs.
+        self.next_round = now;
+        let deadline = now + self.terms.lease;
+        self.join_deadline = self.join_deadline.or(Some(deadline));
         actions.push(FleetAction::Publish(Arc::clone(snapshot)));
     }
 
--- a/crates/kws-membership/src/view/spread.rs
+++ b/crates/kws-membership/src/view/spread.rs
@@ -9,6 +9,9 @@
 /// A fetch without result is tried again after this part of the lease.
 const FETCH_PART: u32 = 6;
 
+/// A change is pushed to peers that have left a question open for this part of the lease.
+const PUSH_PART: u32 = 6;
+
 /// What is under way.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SpreadState {
@@ -25,12 +28,12 @@
 }
 
 impl SpreadState {
-    /// A revision came into force: nothing is being fetched, and peers not heard at it within a
-    /// lease get it pushed.
+    /// A revision came into force: nothing is being fetched, and silent peers get it pushed
+    /// soon.
     pub(super) fn adopted(&mut self, now: Instant, lease: Duration) {
         self.fetch = None;
         self.whole_copy = false;
-        self.push_at = Some(now + lease / 2);
+        self.push_at = Some(now + lease / PUSH_PART);
     }
 }
 
@@ -75,14 +78,19 @@
         })
     }
 
-    /// Pushes the change in force, once, to some peers that were not heard at it.
+    /// Pushes the change in force, once, to some peers that do not answer and were not heard at it:
+    /// they may hear this host although it does not hear them.
     pub(super) fn push(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         if self.spread.push_at.is_none_or(|at| now < at) {
             return;
         }
         self.spread.push_at = None;
         let held = self.store.held();
-        let lags = |name: &HostName| self.members.heard_revision(name) < Some(held);
+        let patience = self.terms.lease / PUSH_PART;
+        let lags = |name: &HostName| {
+            self.members.waits(name, now, patience)
+                && self.members.heard_revision(name) < Some(held)
+        };
         for to in self.members.push_targets(lags) {
             let since = self.members.heard_revision(&to).unwrap_or_default();
             if let Some(delta) = self.store.delta_since(since) {
--- a/crates/kws-membership/tests/fleet_view.rs
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -384,5 +384,30 @@
         removed: Vec::new(),
     };
     let actions = host.receive("b", PeerMessage::Config(delta));
-    assert!(matches!(&actions[..], [FleetAction::Publish(snapshot)] if snapshot.revision.0 == 6));
+    let (publish, questions) = actions.split_first().expect("actions");
+    assert!(matches!(publish, FleetAction::Publish(snapshot) if snapshot.revision.0 == 6));
+    // Every peer hears of the new revision at once.
+    let told = questions.iter().filter_map(|action| match action {
+        FleetAction::Send {
+            to,
+            message: PeerMessage::Lease(LeaseMessage::Question { view, .. }),
+        } if view.revision.0 == 6 => Some(to.as_str()),
+        _ => None,
+    });
+    assert_eq!(told.collect::<Vec<_>>(), PEERS);
+    assert_eq!(questions.len(), PEERS.len());
+}
+
+#[rstest]
+#[case::answered(0, 0)]
+#[case::failed_once(1, 225)]
+#[case::failed_twice(2, 450)]
+#[case::longest(9, 900)]
+#[tokio::test(start_paused = true)]
+async fn retry_pause(#[case] failures: usize, #[case] millis: u64) {
+    let mut host = TestHost::joined();
+    for _ in 0..failures {
+        host.view.platform_failed(Instant::now());
+    }
+    assert_eq!(host.view.retry_pause(), Duration::from_millis(millis));
 }
--- a/crates/kws-replay/src/fleet/host.rs
+++ b/crates/kws-replay/src/fleet/host.rs
@@ -100,10 +100,6 @@
 
     /// The pause before the next call.
     pub(super) fn next_call(&self) -> Duration {
-        if self.failed {
-            self.node.watch_grace()
-        } else {
-            Duration::ZERO
-        }
+        self.node.retry_pause()
     }
 }
--- a/crates/kws-replay/src/fleet/node.rs
+++ b/crates/kws-replay/src/fleet/node.rs
@@ -55,6 +55,8 @@
     fn watch_wait(&self) -> Duration;
     /// How late a watch may be before it counts as failed.
     fn watch_grace(&self) -> Duration;
+    /// The pause before the next call to the platform.
+    fn retry_pause(&self) -> Duration;
 }
 
 impl FleetNode for FleetView {
@@ -107,6 +109,10 @@
     fn watch_grace(&self) -> Duration {
         self.watch_grace()
     }
+
+    fn retry_pause(&self) -> Duration {
+        self.retry_pause()
+    }
 }
 
 /// The rules of this build.
--- a/crates/kws-replay/tests/fleet_traces.rs
+++ b/crates/kws-replay/tests/fleet_traces.rs
@@ -92,6 +92,10 @@
     fn watch_grace(&self) -> Duration {
         LEASE / 12
     }
+
+    fn retry_pause(&self) -> Duration {
+        LEASE / 12
+    }
 }
 
 #[rstest]
