--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -1,7 +1,7 @@
 //! Prints tables of measurements.
 
 use clap::{Parser, Subcommand};
-use kws_bench::{backends::BackendsArgs, limits::LimitsArgs};
+use kws_bench::{backends::BackendsArgs, fleet::FleetArgs, limits::LimitsArgs};
 
 /// Measurements over the product and its baselines.
 #[derive(Debug, Parser)]
@@ -17,11 +17,14 @@
     Backends(BackendsArgs),
     /// Limits: admitted over entitled, refusals within the rate, loans, waits.
     Limits(LimitsArgs),
+    /// Freshness: time until a withdrawal is in force, and control traffic.
+    Fleet(FleetArgs),
 }
 
 fn main() -> eyre::Result<()> {
     match BenchArgs::parse().table {
         BenchTable::Backends(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
+        BenchTable::Fleet(args) => args.run(),
     }
 }
--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -53,6 +53,8 @@
     pub peer: SocketAddr,
     /// The file with the secret that the daemons share.
     pub peer_secret_file: Option<PathBuf>,
+    /// The file with the certificate authorities of backend servers.
+    pub backend_ca_file: Option<PathBuf>,
     /// Where the platform publishes.
     pub platform: PlatformSource,
     /// TLS towards callers.
@@ -95,6 +97,7 @@
         admin: reader.address("admin"),
         peer: reader.address("peer"),
         peer_secret_file: reader.text("peer_secret_file").map(PathBuf::from),
+        backend_ca_file: reader.text("backend_ca_file").map(PathBuf::from),
         platform: match platform.text("directory") {
             Some(directory) => PlatformSource::Directory(PathBuf::from(directory)),
             None => PlatformSource::Service {
--- a/crates/kws-tree/src/schema/host.rs
+++ b/crates/kws-tree/src/schema/host.rs
@@ -17,6 +17,13 @@
             Required,
             "Where operators, scrapers and the balancer read status, metrics and readiness.",
         ),
+        value(
+            "backend_ca_file",
+            ValueKind::FilePath,
+            Absent,
+            "The file with the certificate authorities of backend servers, in PEM. Needed for \
+             services with `tls`.",
+        ),
         value("center", ValueKind::Name, Required, "Its data centre."),
         value(
             "listen",
--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -239,9 +239,7 @@
         .map(|line| serde_json::from_str(&line.expect("a line")).expect("a JSON line"))
         .find(|line: &LogLine| line.message == "started")
         .expect("the daemon says where it listens");
-    thread::spawn(move || {
-        lines.for_each(|l| eprintln!("{}", l.unwrap().replace("attributes", "\n ATTR")))
-    });
+    thread::spawn(move || lines.count());
     serde_json::from_value(started.attributes).expect("addresses")
 }
 
