--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -126,6 +126,7 @@
         }
     }
     if let Some(peer) = node.member("peer")
+        && reader.value("peer").is_some()
         && !reader.address("peer").ip().is_loopback()
         && node.member("peer_secret_file").is_none()
     {
