--- a/crates/kws-daemon/src/checker.rs
+++ b/crates/kws-daemon/src/checker.rs
@@ -1,11 +1,9 @@
 //! The check of published values by the tree's own rules.
 
 use kws_membership::{CheckedTree, TreeChecker, TreeRejection};
-use kws_protocol::{HostList, PublishedValues};
-use kws_tree::{Finding, resolve};
+use kws_protocol::PublishedValues;
+use kws_tree::{Finding, resolve, resolve_hosts};
 
-/// The key of the platform's list.
-const HOSTS_KEY: &str = "hosts.json";
 /// Findings of a refused tree that are kept; the client's `check` shows all of them.
 const MAX_FINDINGS: usize = 20;
 
@@ -22,17 +20,12 @@
             }),
             Err(findings) => Err(TreeRejection {
                 findings: findings_text(&findings),
-                hosts: read_hosts(values),
+                hosts: resolve_hosts(values).ok(),
             }),
         }
     }
 }
 
-/// The list alone, which may be sound although the tree is not.
-fn read_hosts(values: &PublishedValues) -> Option<HostList> {
-    serde_json::from_str(values.values.get(HOSTS_KEY)?).ok()
-}
-
 fn findings_text(findings: &[Finding]) -> String {
     let lines: Vec<String> = findings
         .iter()
