--- a/crates/kws-bench/src/limits.rs
+++ b/crates/kws-bench/src/limits.rs
@@ -1,5 +1,6 @@
 //! The table of limits: the product against naive rules, in virtual time.
 
+pub mod cost;
 pub mod lease;
 pub mod model;
 pub mod rule;
@@ -9,7 +10,7 @@
 use clap::Args;
 use kws_limits::LimitsPolicy;
 use scenario::{ArrivalKind, FaultKind, RuleKind, SCORED_SECONDS, TableRun};
-use std::thread;
+use std::{thread, time::Duration};
 
 const ARRIVALS: [ArrivalKind; 3] = [ArrivalKind::Even, ArrivalKind::Skewed, ArrivalKind::Single];
 
@@ -43,6 +44,12 @@
     /// Milliseconds of demand that are borrowed ahead within a region.
     #[arg(long, default_value_t = LimitsPolicy::default().region_ahead.as_millis() as u64)]
     region_ahead: u64,
+    /// Milliseconds of demand that are borrowed ahead from other regions.
+    #[arg(long, default_value_t = LimitsPolicy::default().remote_ahead.as_millis() as u64)]
+    remote_ahead: u64,
+    /// Measure the cost of the ledger with 570 hosts and 54,000 teams instead.
+    #[arg(long)]
+    cost: bool,
 }
 
 impl LimitsArgs {
@@ -51,6 +58,10 @@
     /// # Errors
     /// None; the signature is that of every table.
     pub fn run(&self) -> eyre::Result<()> {
+        if self.cost {
+            println!("{:#?}", cost::measure());
+            return Ok(());
+        }
         println!(
             "{:8} {:7} {:11} {:>9} {:>10} {:>11} {:>8} {:>8} {:>8}",
             "rule",
@@ -91,7 +102,8 @@
             policy: LimitsPolicy {
                 rate_per_holder: self.rate_per_holder,
                 min_holders: self.min_holders,
-                region_ahead: std::time::Duration::from_millis(self.region_ahead),
+                region_ahead: Duration::from_millis(self.region_ahead),
+                remote_ahead: Duration::from_millis(self.remote_ahead),
                 ..LimitsPolicy::default()
             },
             arrival,
--- a/crates/kws-bench/tests/limits_schedules.rs
+++ b/crates/kws-bench/tests/limits_schedules.rs
@@ -145,7 +145,7 @@
 fn run(seed: u64, rule: RuleKind, odds: f64, faults: &[(u64, Fault)]) -> RunScore {
     let teams = vec![
         (TeamName::new("large"), 40.0, 20.0),
-        (TeamName::new("small"), 6.0, 6.0),
+        (TeamName::new("small"), 1.0, 8.0),
     ];
     let plan = FleetPlan {
         freshness: FreshnessSettings {
--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -13,6 +13,10 @@
 /// Rounding that may be missing from a whole token; the level then goes below 0 by as much.
 const ROUNDING: f64 = 1e-9;
 
+/// Requests for loans to one lender of another region that may be under way at once; one of the
+/// own region answers so soon that the next can wait.
+const MAX_FAR_LOANS: usize = 4;
+
 /// A request that waits.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
@@ -37,15 +41,22 @@
     pub(crate) dry_pause: Duration,
 }
 
-/// Who may be asked for a loan, best first.
-#[derive(Debug, Default)]
+/// Who may be asked for a loan.
+#[derive(Debug)]
 pub(crate) struct LenderList {
     /// The revision that named them.
     pub(crate) revision: TreeRevision,
-    /// Holders in the own region.
-    pub(crate) local: Vec<LoanSource>,
-    /// Holders in other regions.
-    pub(crate) remote: Vec<LoanSource>,
+    /// The hosts.
+    pub(crate) sources: Arc<[LoanSource]>,
+}
+
+impl LenderList {
+    fn new() -> Self {
+        Self {
+            revision: TreeRevision(0),
+            sources: Arc::new([]),
+        }
+    }
 }
 
 /// What the account's tokens depend on.
@@ -80,8 +91,10 @@
     pub(crate) waiting: VecDeque<WaitingRequest>,
     /// The demand seen.
     pub(crate) demand: DemandRate,
-    /// Who may lend.
-    pub(crate) lenders: Arc<LenderList>,
+    /// Who may lend in the own region.
+    pub(crate) near: LenderList,
+    /// Who may lend in other regions.
+    pub(crate) far: LenderList,
     /// Whose turn it is to be asked.
     pub(crate) turn: usize,
 }
@@ -102,7 +115,8 @@
             dry: Vec::new(),
             waiting: VecDeque::new(),
             demand: DemandRate::new(now),
-            lenders: Arc::default(),
+            near: LenderList::new(),
+            far: LenderList::new(),
             turn: 0,
         }
     }
@@ -223,15 +237,19 @@
     }
 
     /// Whether the lender is asked already or was short or silent lately.
-    pub(crate) fn is_spared(&self, lender: &HostName, now: Instant) -> bool {
-        let dry = self
-            .dry
-            .iter()
-            .any(|dry| &dry.lender == lender && dry.until > now);
-        dry || self
+    pub(crate) fn is_spared(&self, source: &LoanSource, now: Instant) -> bool {
+        let lender = &source.lender;
+        let asked = self
             .pending
             .iter()
-            .any(|loan| &loan.lender == lender && loan.expected > now)
+            .filter(|loan| &loan.lender == lender && loan.expected > now)
+            .count();
+        let most = if source.near { 1 } else { MAX_FAR_LOANS };
+        asked >= most
+            || self
+                .dry
+                .iter()
+                .any(|dry| &dry.lender == lender && dry.until > now)
     }
 
     /// Whether an answer from the own region may still be counted on.
@@ -250,8 +268,8 @@
 
     /// Whether every lender of the own region was short or silent lately.
     pub(crate) fn is_near_dry(&self, now: Instant) -> bool {
-        let mut near = self.lenders.local.iter();
-        near.all(|source| self.is_spared(&source.lender, now))
+        let mut near = self.near.sources.iter();
+        near.all(|source| self.is_spared(source, now))
     }
 
     /// Spares a lender for `pause`, or for longer, up to `most`, when it was marked just before.
--- a/crates/kws-limits/src/ledger.rs
+++ b/crates/kws-limits/src/ledger.rs
@@ -2,6 +2,7 @@
 
 mod borrowing;
 mod gossip;
+mod lenders;
 mod lending;
 
 use crate::{
--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -3,12 +3,11 @@
 use super::{LimitsLedger, MIN_RETRY, refuse, refuse_rate};
 use crate::{
     AdmitDecision, LOAN_TERM, RefusalCause,
-    account::{LenderList, LoanSource, TeamAccount, WaitingRequest},
+    account::{LoanSource, TeamAccount, WaitingRequest},
     loan::{BorrowedLoan, PendingLoan},
-    placement::{region_holders, region_weight},
 };
-use kws_protocol::{HostName, LoanId, LoanMessage, TeamName, rendezvous_score};
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use kws_protocol::{HostName, LoanId, LoanMessage, TeamName};
+use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
 /// A lender that did not answer is spared for this long at first, and for longer each time.
@@ -20,6 +19,9 @@
 /// A lender that stays short is spared for at most this long.
 const MAX_DRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// Hosts keep a token at hand when the team's burst has so many for each of them.
+const SPARE_SHARE: f64 = 2.0;
+
 /// Other regions are asked when this share of what is kept ahead of them is left.
 const REMOTE_LOW: f64 = 0.75;
 
@@ -56,8 +58,14 @@
         account: &mut TeamAccount,
         now: Instant,
     ) {
-        let demand = account.demand.value(now) - account.allotment().rate;
-        let near = demand * self.policy.region_ahead.as_secs_f64();
+        let seen = account.demand.value(now);
+        let demand = seen - account.allotment().rate;
+        let spare = if self.may_keep_spare(team, seen) {
+            1.0
+        } else {
+            0.0
+        };
+        let near = (demand * self.policy.region_ahead.as_secs_f64()).max(spare);
         let far = demand * self.policy.remote_ahead.as_secs_f64();
         let at_hand = account.in_hand() + account.expected(now);
         if near >= 1.0 && at_hand < near {
@@ -67,19 +75,26 @@
         }
     }
 
+    /// Whether the burst is large enough for every host to keep a token at hand, and the demand so
+    /// high that it is soon used.
+    fn may_keep_spare(&self, team: &TeamName, demand: f64) -> bool {
+        let hosts = self
+            .window
+            .newest()
+            .map_or(0, |newest| newest.hosts.hosts.len());
+        let burst = self
+            .window
+            .team(team)
+            .map_or(0.0, |settings| settings.burst);
+        demand * self.policy.idle_return.as_secs_f64() >= 1.0 && burst >= SPARE_SHARE * hosts as f64
+    }
+
     /// Asks lenders of the region, and others only when those were all short or silent lately.
     fn borrow(&mut self, team: &TeamName, account: &mut TeamAccount, missing: f64, now: Instant) {
-        self.renew_lenders(team, account);
-        let lenders = Arc::clone(&account.lenders);
+        let sources = self.sources(team, &mut account.near, |region| region == &self.region);
         let ahead = account.demand.value(now) * self.policy.region_ahead.as_secs_f64();
         let wait = self.policy.region_wait;
-        self.ask(
-            team,
-            account,
-            &lenders.local,
-            (missing.max(ahead), wait),
-            now,
-        );
+        self.ask(team, account, &sources, (missing.max(ahead), wait), now);
         if account.expected(now) < missing && !account.expects_near(now) {
             self.borrow_far(team, account, missing, now);
         }
@@ -93,17 +108,10 @@
         missing: f64,
         now: Instant,
     ) {
-        self.renew_lenders(team, account);
-        let lenders = Arc::clone(&account.lenders);
+        let sources = self.sources(team, &mut account.far, |region| region != &self.region);
         let ahead = account.demand.value(now) * self.policy.remote_ahead.as_secs_f64();
         let wait = self.policy.remote_wait;
-        self.ask(
-            team,
-            account,
-            &lenders.remote,
-            (missing.max(ahead), wait),
-            now,
-        );
+        self.ask(team, account, &sources, (missing.max(ahead), wait), now);
     }
 
     /// Asks lenders in turn, each for no more than it can have, until `wanted` is on its way.
@@ -122,12 +130,12 @@
             }
             account.turn += 1;
             let source = &lenders[account.turn % lenders.len()];
-            if account.is_spared(&source.lender, now) {
+            if account.is_spared(source, now) {
                 continue;
             }
             self.next_loan += 1;
             let id = LoanId(self.next_loan);
-            let tokens = open.min(source.burst).max(1.0);
+            let tokens = open.min(source.burst.max(1.0));
             account.pending.push(PendingLoan {
                 id,
                 lender: source.lender.clone(),
@@ -202,8 +210,16 @@
             self.serve_waiting(team, account, now);
         }
         self.refuse_waiting(team, account, now, |waiting| waiting.deadline <= now);
-        let idle = self.policy.idle_return;
-        self.return_loans(team, account, |loan| now >= loan.used + idle);
+        // What the demand seen will not use soon is of more use to others.
+        let soon = account.demand.value(now) * self.policy.idle_return.as_secs_f64() >= 1.0;
+        let idle = if soon {
+            self.policy.idle_return
+        } else {
+            Duration::ZERO
+        };
+        if account.waiting.is_empty() {
+            self.return_loans(team, account, |loan| now >= loan.used + idle);
+        }
     }
 
     /// Refuses the requests that `is_over` picks.
@@ -252,48 +268,6 @@
             self.send(&loan.lender, message);
         }
     }
-
-    /// Names the holders anew after a change of revision.
-    fn renew_lenders(&self, team: &TeamName, account: &mut TeamAccount) {
-        let Some(newest) = self.window.newest() else {
-            return;
-        };
-        let revision = self.window.newest_revision();
-        if account.lenders.revision == revision {
-            return;
-        }
-        let Some(settings) = newest.settings.teams.get(team) else {
-            return;
-        };
-        let mut lenders = LenderList {
-            revision,
-            ..LenderList::default()
-        };
-        for region in newest.settings.regions.keys() {
-            let weight = region_weight(newest, region);
-            let holders = region_holders(&self.policy, newest, region, team);
-            let share = weight / holders.len().max(1) as f64;
-            let mut holders: Vec<LoanSource> = holders
-                .into_iter()
-                .filter(|holder| weight > 0.0 && holder != &self.host)
-                .map(|lender| LoanSource {
-                    lender,
-                    near: region == &self.region,
-                    burst: settings.burst * share,
-                    dry_pause: self.policy.dry_pause(settings.rate * share),
-                })
-                .collect();
-            // Each borrower has its own order, so that no holder is asked first by all.
-            holders
-                .sort_by_key(|source| rendezvous_score(self.host.as_str(), source.lender.as_str()));
-            if region == &self.region {
-                lenders.local = holders;
-            } else {
-                lenders.remote.append(&mut holders);
-            }
-        }
-        account.lenders = Arc::new(lenders);
-    }
 }
 
 fn take_loan(account: &mut TeamAccount, asked: &PendingLoan, tokens: f64, now: Instant) {
@@ -308,7 +282,12 @@
         });
     }
     if tokens < asked.tokens {
-        account.mark_dry(&asked.lender, asked.dry_pause, MAX_DRY_PAUSE, now);
+        let most = if tokens > 0.0 {
+            asked.dry_pause
+        } else {
+            MAX_DRY_PAUSE
+        };
+        account.mark_dry(&asked.lender, asked.dry_pause, most, now);
     }
 }
 
