--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -17,6 +17,12 @@
 /// own region answers so soon that the next can wait.
 const MAX_FAR_LOANS: usize = 4;
 
+/// The weight of the newest answer in the share of tokens asked for that is lent.
+const FULFILLED_STEP: f64 = 0.2;
+
+/// Several requests wait for the own region only when so much of what is asked for is lent.
+const MIN_FULFILLED: f64 = 0.25;
+
 /// A request that waits.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
@@ -95,6 +101,8 @@
     pub(crate) near: LenderList,
     /// Who may lend in other regions.
     pub(crate) far: LenderList,
+    /// How much of what is asked for is lent, lately, between 0 and 1.
+    fulfilled: f64,
     /// Whose turn it is to be asked.
     pub(crate) turn: usize,
 }
@@ -117,6 +125,7 @@
             demand: DemandRate::new(now),
             near: LenderList::new(),
             far: LenderList::new(),
+            fulfilled: 1.0,
             turn: 0,
         }
     }
@@ -260,10 +269,21 @@
     }
 
     /// Whether all that wait and `more` requests may still get tokens. An answer from the own region
-    /// is waited for in any case, since others can be asked in time after it.
+    /// is waited for in any case, since others can be asked in time after it; of other answers as
+    /// much is counted on as lately came. One request may always wait for an answer.
     pub(crate) fn covers(&self, more: usize, now: Instant) -> bool {
         let wanted = (self.waiting.len() + more) as f64;
-        self.expects_near(now) || self.in_hand() + self.expected(now) >= wanted - ROUNDING
+        let expected = self.expected(now);
+        if wanted <= 1.0 {
+            return self.expects_near(now) || self.in_hand() + expected >= wanted - ROUNDING;
+        }
+        let likely = self.in_hand() + expected * self.fulfilled;
+        likely >= wanted - ROUNDING || self.expects_near(now) && self.fulfilled >= MIN_FULFILLED
+    }
+
+    /// Learns how much of what was asked for was lent.
+    pub(crate) fn note_fulfilled(&mut self, share: f64) {
+        self.fulfilled += FULFILLED_STEP * (share - self.fulfilled);
     }
 
     /// Whether every lender of the own region was short or silent lately.
@@ -281,6 +301,10 @@
         now: Instant,
     ) {
         let marked = self.dry.iter().find(|dry| &dry.lender == lender);
+        if marked.is_some_and(|dry| now < dry.until) {
+            // Another answer of the same round is no news.
+            return;
+        }
         let again = marked.filter(|dry| now < dry.until + dry.pause);
         let pause = again.map_or(pause, |dry| (dry.pause * 2).min(most).max(pause));
         self.dry
--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -281,6 +281,7 @@
             used: now,
         });
     }
+    account.note_fulfilled((tokens / asked.tokens).min(1.0));
     if tokens < asked.tokens {
         let most = if tokens > 0.0 {
             asked.dry_pause
--- a/crates/kws-limits/tests/revision_window.rs
+++ b/crates/kws-limits/tests/revision_window.rs
@@ -5,7 +5,7 @@
 }
 
 use common::fleet::{snapshot, stale, window};
-use kws_limits::{AdmitDecision, LimitsLedger, LimitsPolicy};
+use kws_limits::{AdmitDecision, LOAN_TERM, LimitsLedger, LimitsPolicy};
 use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RegionName, TeamName, TreeRevision};
 use rstest::rstest;
 use std::{sync::Arc, time::Duration};
@@ -66,6 +66,7 @@
 #[case::unheard_majority(vec![Adopt(2, 2), Wait(window())], 4)]
 #[case::heard_lately(vec![Adopt(2, 2), Wait(window()), Peer("a2", 2)], 4)]
 #[case::heard_majority(vec![Adopt(2, 2), Peer("a2", 2), Wait(window())], 6)]
+#[case::heard_too_short(vec![Adopt(2, 2), Peer("a2", 2), Wait(window().saturating_sub(LOAN_TERM))], 4)]
 #[case::heard_stranger(vec![Adopt(2, 2), Peer("a7", 2), Wait(window())], 4)]
 #[case::cut_off_too_long(vec![Adopt(2, 2), Wait(stale())], 6)]
 #[case::marked(vec![Adopt(2, 2), Mark("a", 2)], 6)]
