--- a/crates/kws-client/src/client.rs
+++ b/crates/kws-client/src/client.rs
@@ -8,6 +8,7 @@
     explain::ExplainCommand,
     key::KeyCommand,
     output::{CommandOutput, OutputFormat},
+    replay::ReplayCommand,
     status::StatusCommand,
 };
 use clap::{Parser, Subcommand};
@@ -20,7 +21,7 @@
     version,
     after_help = "Exit codes:
   0  done
-  1  the settings have findings
+  1  the settings have findings, or an outcome of a trace does not hold
   2  the command line is wrong, or the output cannot be written
   3  a host gave no answer"
 )]
@@ -39,6 +40,7 @@
     Diff(DiffCommand),
     Explain(ExplainCommand),
     Key(KeyCommand),
+    Replay(ReplayCommand),
     Status(StatusCommand),
 }
 
@@ -74,6 +76,7 @@
         ClientCommand::Diff(command) => command.run(&mut output),
         ClientCommand::Explain(command) => command.run(&mut output),
         ClientCommand::Key(command) => command.run(&mut output),
+        ClientCommand::Replay(command) => command.run(&mut output),
         ClientCommand::Status(command) => command.run(&mut output),
     }?;
     output.writer.flush()?;
--- a/crates/kws-client/src/lib.rs
+++ b/crates/kws-client/src/lib.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod key;
 mod output;
+mod replay;
 mod status;
 mod table;
 
