--- a/crates/kws-replay/tests/random_faults.rs
+++ b/crates/kws-replay/tests/random_faults.rs
@@ -71,6 +71,23 @@
     ]
 }
 
+/// The minority is alone, or its two hosts of one region see only each other.
+fn split() -> impl Strategy<Value = String> {
+    let majority: Vec<&str> = all_hosts()
+        .into_iter()
+        .filter(|host| !MINORITY.contains(host))
+        .chain(["platform"])
+        .collect();
+    let (minority, majority) = (MINORITY.join(", "), majority.join(", "));
+    let sides = [
+        format!("from: [{minority}], to: [{majority}]"),
+        format!("from: [{majority}], to: [{minority}]"),
+    ];
+    let step = prop::sample::select(vec!["cut", "cut", "heal"]);
+    (prop::sample::select(sides.to_vec()), step)
+        .prop_map(|(side, step)| format!("{step}: {{{side}}}"))
+}
+
 fn outage() -> impl Strategy<Value = String> {
     prop::sample::select(vec!["platform_down", "platform_up"]).prop_map(String::from)
 }
@@ -141,7 +158,7 @@
     #[test]
     fn minority_faults(
         withdrawn in 8_u32..25,
-        steps in steps(fault(&MINORITY, &all_hosts()), 50..399),
+        steps in steps(prop_oneof![2 => fault(&MINORITY, &all_hosts()), 1 => split()], 50..399),
         platform_cuts in steps(fault(&MINORITY, &["platform"]), 50..399),
     ) {
         let down = f64::from(withdrawn) + TRAVEL;
