--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -190,10 +190,14 @@
             .filter(|word| word.counts && agrees(&word.view))
             .map(|word| word.sent)
             .collect();
-        sent.sort_unstable_by(|left, right| right.cmp(left));
         match self.answers_needed()? {
             0 => Some(now),
-            needed => sent.get(needed - 1).copied(),
+            needed if needed > sent.len() => None,
+            needed => {
+                let (_, oldest, _) =
+                    sent.select_nth_unstable_by(needed - 1, |left, right| right.cmp(left));
+                Some(*oldest)
+            }
         }
     }
 
--- a/crates/kws-membership/src/questions.rs
+++ b/crates/kws-membership/src/questions.rs
@@ -40,6 +40,11 @@
         self.next_nonce
     }
 
+    /// When the latest round was opened.
+    pub(crate) fn last_sent(&self) -> Option<Instant> {
+        self.rounds.back().map(|round| round.sent)
+    }
+
     /// When the questions with `nonce` were sent, if they are still open.
     pub(crate) fn sent(&self, nonce: u64) -> Option<Instant> {
         self.rounds
--- a/crates/kws-membership/src/store.rs
+++ b/crates/kws-membership/src/store.rs
@@ -92,6 +92,11 @@
             .map_or(TreeRevision::default(), |held| held.values.revision)
     }
 
+    /// The revision that was in force before; 0 when there was none.
+    pub fn previous(&self) -> TreeRevision {
+        self.history.last_base().unwrap_or_default()
+    }
+
     /// The digest of the values in force; 0 when there are none.
     pub fn digest(&self) -> u64 {
         self.held.as_ref().map_or(0, |held| held.digest)
--- a/crates/kws-membership/src/store/history.rs
+++ b/crates/kws-membership/src/store/history.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// The revision before the latest change.
+    pub(super) fn last_base(&self) -> Option<TreeRevision> {
+        self.records.back().map(|record| record.base)
+    }
+
     /// The keys that changed after `since`, when every step since then is remembered.
     pub(super) fn changed_since(&self, since: TreeRevision) -> Option<BTreeSet<String>> {
         let first = self
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -241,7 +241,7 @@
         if let Some(word) = self.platform.filter(|word| word.revision == newest) {
             self.lease.confirm_platform(word.sent, &self.terms);
         }
-        if !self.platform_silent(now) {
+        if !self.platform_silent(now) || self.renewed_by_last_round() {
             return;
         }
         let store = &self.store;
@@ -253,6 +253,15 @@
         }
     }
 
+    /// Whether answers to the latest questions cannot lengthen the lease any more.
+    fn renewed_by_last_round(&self) -> bool {
+        let longest = self
+            .questions
+            .last_sent()
+            .map(|sent| sent + self.terms.lease);
+        longest.is_some() && self.lease.until() >= longest
+    }
+
     /// Whether a host heard within the lease holds values that are missing here.
     fn is_behind(&self, now: Instant) -> bool {
         let lacks = |revision| self.store.lacks(revision);
--- a/crates/kws-membership/src/view/spread.rs
+++ b/crates/kws-membership/src/view/spread.rs
@@ -92,7 +92,9 @@
                 && self.members.heard_revision(name) < Some(held)
         };
         for to in self.members.push_targets(lags) {
-            let since = self.members.heard_revision(&to).unwrap_or_default();
+            // Of a host never heard the likeliest is that it lacks the last change only.
+            let heard = self.members.heard_revision(&to);
+            let since = heard.unwrap_or(self.store.previous());
             if let Some(delta) = self.store.delta_since(since) {
                 self.counters.pushes += 1;
                 let message = PeerMessage::Config(delta);
