--- a/crates/kws-bench/src/fleet.rs
+++ b/crates/kws-bench/src/fleet.rs
@@ -2,6 +2,7 @@
 
 pub mod fault;
 pub mod meter;
+pub mod overlay;
 
 use clap::Args;
 use eyre::eyre;
@@ -19,6 +20,12 @@
     /// The faults; all when absent.
     #[arg(long, value_enum)]
     fault: Vec<FaultKind>,
+    /// Measure a greedy overlay in place of the table.
+    #[arg(long)]
+    overlay: bool,
+    /// The seed of the overlay.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
 }
 
 impl FleetArgs {
@@ -27,6 +34,10 @@
     /// # Errors
     /// When a trace does not parse.
     pub fn run(&self) -> eyre::Result<()> {
+        if self.overlay {
+            self.print_overlays();
+            return Ok(());
+        }
         println!(
             "hosts  fault          in_force_ms  last_old_ms  lagging  msgs/host/s  bytes/host/s  busiest_bytes/s  cross_kbit/s  change_bytes/host  platform_calls/s"
         );
@@ -38,6 +49,17 @@
         Ok(())
     }
 
+    fn print_overlays(&self) {
+        println!("hosts  links/host  most_links  hops/message  lost");
+        for hosts in &self.hosts {
+            let totals = overlay::measure(*hosts, self.seed);
+            println!(
+                "{hosts:<6} {:>10.1}  {:>10}  {:>12.2}  {:>4.2}",
+                totals.links, totals.most_links, totals.hops, totals.lost
+            );
+        }
+    }
+
     fn faults(&self) -> Vec<FaultKind> {
         if self.fault.is_empty() {
             return FaultKind::ALL.to_vec();
--- a/crates/kws-bench/src/fleet/fault.rs
+++ b/crates/kws-bench/src/fleet/fault.rs
@@ -31,6 +31,8 @@
     Dead,
     /// One host sends but hears nothing.
     Deaf,
+    /// One host goes deaf just before the withdrawal.
+    JustDeaf,
     /// A tenth of the hosts sleeps across the withdrawal.
     Paused,
     /// Half of the hosts read replicas that stopped before the withdrawal.
@@ -43,11 +45,12 @@
 
 impl FaultKind {
     /// Every fault.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Calm,
         Self::Loss,
         Self::Dead,
         Self::Deaf,
+        Self::JustDeaf,
         Self::Paused,
         Self::StaleReplicas,
         Self::RegionBlind,
@@ -61,6 +64,7 @@
             Self::Loss => "loss",
             Self::Dead => "dead",
             Self::Deaf => "deaf",
+            Self::JustDeaf => "just_deaf",
             Self::Paused => "paused",
             Self::StaleReplicas => "stale_replicas",
             Self::RegionBlind => "region_blind",
@@ -76,10 +80,8 @@
                 "lossy: {from: [all, platform], to: [all, platform], every: 3}",
             )],
             Self::Dead => vec![at_fault(&format!("kill: [{}]", every(&all, 10)))],
-            Self::Deaf => vec![at_fault(&format!(
-                "cut: {{from: [all, platform], to: [{}]}}",
-                all[0]
-            ))],
+            Self::Deaf => vec![at_fault(&deafen(&all[0]))],
+            Self::JustDeaf => vec![at(PUBLISH_SECONDS, &deafen(&all[0]))],
             Self::Paused => vec![
                 at_fault(&format!("pause: [{}]", every(&all, 10))),
                 at(24, &format!("resume: [{}]", every(&all, 10))),
@@ -161,6 +163,10 @@
     ]
 }
 
+fn deafen(host: &str) -> String {
+    format!("cut: {{from: [all, platform], to: [{host}]}}")
+}
+
 fn every(names: &[String], step: usize) -> String {
     let chosen: Vec<&str> = names.iter().step_by(step).map(String::as_str).collect();
     chosen.join(", ")
