--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Forgets every answer.
+    pub(crate) fn forget_words(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.word = None;
+        }
+    }
+
     /// Forgets hosts that are neither listed nor lately heard, so that memory stays bounded.
     pub(crate) fn prune(&mut self, now: Instant, lease: Duration) {
         let Some(roster) = &self.roster else {
--- a/crates/kws-membership/src/questions.rs
+++ b/crates/kws-membership/src/questions.rs
@@ -40,6 +40,11 @@
         self.next_nonce
     }
 
+    /// Closes every round, so that no answer to it counts.
+    pub(crate) fn void(&mut self) {
+        self.rounds.clear();
+    }
+
     /// When the latest round was opened.
     pub(crate) fn last_sent(&self) -> Option<Instant> {
         self.rounds.back().map(|round| round.sent)
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -21,6 +21,9 @@
 /// With less than this part of the lease left, the platform counts as silent.
 const SILENT_PART: u32 = 4;
 
+/// Ticks in one lease.
+const TICKS_PER_LEASE: u32 = 12;
+
 /// A watch that is this part of the lease late has failed.
 const RETRY_PART: u32 = 12;
 
@@ -139,6 +142,11 @@
         self.terms.lease / RETRY_PART
     }
 
+    /// How often to call [`Self::tick`].
+    pub fn tick_interval(&self) -> Duration {
+        self.terms.lease / TICKS_PER_LEASE
+    }
+
     /// The pause before the next call: none after an answer, and after failures one that doubles up
     /// to a whole wait, so that a platform that is down gets no more calls than one that is up. The
     /// call after a failure must not wait.
@@ -216,7 +224,18 @@
         self.drive(now, actions)
     }
 
-    /// Time passed; call several times within a round (a twelfth of the lease is enough).
+    /// The machine slept while its monotonic clock stood still: nothing measured by it holds, so the
+    /// lease ends and every open question is void.
+    pub fn clock_stood_still(&mut self, now: Instant) -> Vec<FleetAction> {
+        self.lease = FreshnessLease::default();
+        self.platform = None;
+        self.questions.void();
+        self.members.forget_words();
+        self.next_round = now;
+        self.drive(now, Vec::new())
+    }
+
+    /// Time passed; call it every [`Self::tick_interval`].
     pub fn tick(&mut self, now: Instant) -> Vec<FleetAction> {
         self.members.prune(now, self.terms.lease);
         self.drive(now, Vec::new())
--- a/crates/kws-membership/tests/fleet_view.rs
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -411,3 +411,20 @@
     }
     assert_eq!(host.view.retry_pause(), Duration::from_millis(millis));
 }
+
+#[tokio::test(start_paused = true)]
+async fn clock_stood_still() {
+    let mut host = TestHost::joined();
+    let open = host.nonce;
+    let actions = host.view.clock_stood_still(Instant::now());
+    host.note_nonce(&actions);
+    assert!(!host.is_current());
+    for peer in PEERS {
+        host.answer(peer, open, view_of(5), true);
+    }
+    assert!(!host.is_current());
+    for peer in PEERS {
+        host.answer(peer, host.nonce, view_of(5), true);
+    }
+    assert!(host.is_current());
+}
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -10,6 +10,13 @@
 
 #[rstest]
 #[case::fetch(PeerMessage::Config(ConfigMessage::Fetch { since: TreeRevision(7) }))]
+#[case::delta(PeerMessage::Config(ConfigMessage::Delta {
+    base: TreeRevision(6),
+    revision: TreeRevision(8),
+    digest: u64::MAX,
+    set: vec![("teams.yaml".to_owned(), "orchard: {}".into())],
+    removed: vec!["old.yaml".to_owned()],
+}))]
 #[case::borrow(PeerMessage::Loan(LoanMessage::Borrow {
     id: LoanId(9),
     team: TeamName::new("orchard"),
