--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Forgets every answer.
+    pub(crate) fn forget_words(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.word = None;
+        }
+    }
+
     /// Forgets hosts that are neither listed nor lately heard, so that memory stays bounded.
     pub(crate) fn prune(&mut self, now: Instant, lease: Duration) {
         let Some(roster) = &self.roster else {
@@ -190,10 +197,14 @@
             .filter(|word| word.counts && agrees(&word.view))
             .map(|word| word.sent)
             .collect();
-        sent.sort_unstable_by(|left, right| right.cmp(left));
         match self.answers_needed()? {
             0 => Some(now),
-            needed => sent.get(needed - 1).copied(),
+            needed if needed > sent.len() => None,
+            needed => {
+                let (_, oldest, _) =
+                    sent.select_nth_unstable_by(needed - 1, |left, right| right.cmp(left));
+                Some(*oldest)
+            }
         }
     }
 
