Shorter health digests on the wire

Cause: digests are most of the control traffic; each named its service and seven fields in full. Conclusion: grouped by service, one-letter keys, zeros left out; the codec's tests pass.

--- a/crates/kws-protocol/src/wire/health.rs
+++ b/crates/kws-protocol/src/wire/health.rs
@@ -1,4 +1,5 @@
-//! Wire types of health digests.
+//! Wire types of health digests: grouped by service, with short keys and without zeros, since they
+//! are most of the control traffic.
 
 use crate::{HealthMessage, ServerDigest, ServerName, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -6,25 +7,38 @@
 
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct WireDigest {
-    service: ServiceName,
+    #[serde(rename = "n")]
     server: ServerName,
+    #[serde(default, rename = "a", skip_serializing_if = "is_zero")]
     answers: u32,
+    #[serde(default, rename = "b", skip_serializing_if = "is_zero")]
     bad: u32,
+    #[serde(default, rename = "m", skip_serializing_if = "is_instant")]
     median_us: u64,
+    #[serde(default, rename = "f", skip_serializing_if = "is_zero")]
     in_flight: u32,
+    #[serde(default, rename = "d", skip_serializing_if = "is_false")]
     draining: bool,
+    #[serde(default, rename = "e", skip_serializing_if = "is_false")]
     ejected: bool,
 }
 
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct WireService {
+    #[serde(rename = "s")]
+    service: ServiceName,
+    #[serde(rename = "d")]
+    digests: Vec<WireDigest>,
+}
+
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) enum WireHealth {
-    Digest(Vec<WireDigest>),
+    Digest(Vec<WireService>),
 }
 
 impl From<&ServerDigest> for WireDigest {
     fn from(digest: &ServerDigest) -> Self {
         Self {
-            service: digest.service.clone(),
             server: digest.server.clone(),
             answers: digest.answers,
             bad: digest.bad,
@@ -36,37 +50,63 @@
     }
 }
 
-impl From<WireDigest> for ServerDigest {
-    fn from(wire: WireDigest) -> Self {
-        Self {
-            service: wire.service,
-            server: wire.server,
-            answers: wire.answers,
-            bad: wire.bad,
-            median: Duration::from_micros(wire.median_us),
-            in_flight: wire.in_flight,
-            draining: wire.draining,
-            ejected: wire.ejected,
+impl WireDigest {
+    fn into_digest(self, service: &ServiceName) -> ServerDigest {
+        ServerDigest {
+            service: service.clone(),
+            server: self.server,
+            answers: self.answers,
+            bad: self.bad,
+            median: Duration::from_micros(self.median_us),
+            in_flight: self.in_flight,
+            draining: self.draining,
+            ejected: self.ejected,
         }
     }
 }
 
 impl From<&HealthMessage> for WireHealth {
     fn from(message: &HealthMessage) -> Self {
-        match message {
-            HealthMessage::Digest(digests) => {
-                Self::Digest(digests.iter().map(Into::into).collect())
+        let HealthMessage::Digest(digests) = message;
+        let mut services: Vec<WireService> = Vec::new();
+        for digest in digests {
+            match services.last_mut() {
+                Some(last) if last.service == digest.service => last.digests.push(digest.into()),
+                _ => services.push(WireService {
+                    service: digest.service.clone(),
+                    digests: vec![digest.into()],
+                }),
             }
         }
+        Self::Digest(services)
     }
 }
 
 impl From<WireHealth> for HealthMessage {
     fn from(wire: WireHealth) -> Self {
-        match wire {
-            WireHealth::Digest(digests) => {
-                Self::Digest(digests.into_iter().map(Into::into).collect())
-            }
-        }
+        let WireHealth::Digest(services) = wire;
+        let digests = services.into_iter().flat_map(|group| {
+            let WireService { service, digests } = group;
+            digests
+                .into_iter()
+                .map(move |digest| digest.into_digest(&service))
+        });
+        Self::Digest(digests.collect())
     }
 }
+
+// serde calls these with a reference to the field.
+#[expect(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref)]
+fn is_instant(micros: &u64) -> bool {
+    *micros == 0
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref)]
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -1,13 +1,26 @@
 //! Frames decode to what was encoded, and no frame panics.
 
 use kws_protocol::{
-    ConfigMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView, TeamName,
-    TreeRevision, decode_message, encode_message,
+    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView,
+    ServerDigest, TeamName, TreeRevision, decode_message, encode_message,
 };
 use proptest::prelude::*;
 use rstest::rstest;
 use std::time::Duration;
 
+fn digest(service: &str, server: &str, answers: u32) -> ServerDigest {
+    ServerDigest {
+        service: service.into(),
+        server: server.into(),
+        answers,
+        bad: answers / 3,
+        median: Duration::from_micros(u64::from(answers) * 100),
+        in_flight: answers / 2,
+        draining: answers == 0,
+        ejected: answers > 0,
+    }
+}
+
 #[rstest]
 #[case::fetch(PeerMessage::Config(ConfigMessage::Fetch { since: TreeRevision(7) }))]
 #[case::delta(PeerMessage::Config(ConfigMessage::Delta {
@@ -30,6 +43,11 @@
         platform_age: Duration::from_millis(6),
     },
 }))]
+#[case::digest(PeerMessage::Health(HealthMessage::Digest(vec![
+    digest("till", "till-1", 0),
+    digest("till", "till-2", 9),
+    digest("listing", "listing-1", 9),
+])))]
 fn round_trip(#[case] message: PeerMessage) {
     let frame = encode_message(&message).expect("encodes");
     assert_eq!(decode_message(&frame).expect("decodes"), message);
