--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Tables of measurements over the product and its baselines.
 
 pub mod backends;
+pub mod control;
 pub mod fleet;
 pub mod limits;
--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -67,6 +67,17 @@
         self.peer
     }
 
+    /// All metrics in the text format.
+    ///
+    /// # Errors
+    /// When the library can't encode them.
+    pub fn render_metrics(&self) -> Result<String> {
+        self.shared
+            .metrics
+            .render()
+            .wrap_err("the metrics can't be encoded")
+    }
+
     /// Whether the balancer should send requests.
     pub fn is_ready(&self) -> bool {
         self.shared.readiness().is_ready() && self.shared.is_current() && !self.shared.is_stopping()
