--- a/crates/kws-daemon/src/dispatch.rs
+++ b/crates/kws-daemon/src/dispatch.rs
@@ -22,12 +22,12 @@
     time::{Instant, MissedTickBehavior, interval},
 };
 
-/// How often queues are looked at.
+/// How often queues are looked at while requests wait.
 const QUEUE_TICK: Duration = Duration::from_millis(10);
-/// Queue ticks between two judgements.
-const JUDGE_TICKS: u64 = 25;
-/// Queue ticks between two digests to peers.
-const DIGEST_TICKS: u64 = 100;
+/// How often servers are judged.
+const JUDGE_PERIOD: Duration = Duration::from_millis(250);
+/// How often digests go to peers.
+const DIGEST_PERIOD: Duration = Duration::from_secs(1);
 
 /// Where the grant of one request goes.
 pub(crate) type GrantReply = oneshot::Sender<Result<ServerGrant, RefusalReason>>;
@@ -89,19 +89,21 @@
         waiting: HashMap::new(),
         granted: HashMap::new(),
     };
-    let mut ticks = interval(QUEUE_TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut tick = 0_u64;
+    let mut queues = interval(QUEUE_TICK);
+    queues.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut judgements = interval(JUDGE_PERIOD);
+    judgements.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut digests = interval(DIGEST_PERIOD);
+    digests.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             event = events.recv() => match event {
                 Some(event) => duty.take_event(event, Instant::now()),
                 None => return,
             },
-            _ = ticks.tick() => {
-                tick += 1;
-                duty.pass_time(tick, Instant::now());
-            }
+            _ = queues.tick(), if !duty.waiting.is_empty() => duty.serve_queues(Instant::now()),
+            _ = judgements.tick() => duty.judge_servers(Instant::now()),
+            _ = digests.tick() => duty.send_digests(Instant::now()),
         }
     }
 }
@@ -185,19 +187,19 @@
         }
     }
 
-    fn pass_time(&mut self, tick: u64, now: Instant) {
-        if tick.is_multiple_of(JUDGE_TICKS) {
-            self.judge.tick(now);
-        }
+    fn serve_queues(&mut self, now: Instant) {
         let actions = self.dispatcher.tick(&self.judge, now);
         self.carry_out(actions, now);
-        if tick.is_multiple_of(DIGEST_TICKS) {
-            self.send_digests(now);
-            self.report(now);
-        }
+    }
+
+    /// A judgement may bring servers back, which serves what waits.
+    fn judge_servers(&mut self, now: Instant) {
+        self.judge.tick(now);
+        self.serve_queues(now);
     }
 
     fn send_digests(&mut self, now: Instant) {
+        self.report(now);
         let mut digests = self.judge.digest(now);
         self.dispatcher.fill_digest(&mut digests);
         let Some(snapshot) = &self.snapshot else {
--- a/crates/kws-daemon/src/ledger.rs
+++ b/crates/kws-daemon/src/ledger.rs
@@ -11,11 +11,15 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc::Receiver, oneshot},
-    time::{Instant, MissedTickBehavior, interval},
+    time::{Instant, sleep_until},
 };
 
-/// How often the ledger is told that time passed; bounds how late a wait for a loan ends.
-const TICK: Duration = Duration::from_millis(1);
+/// How often the ledger is told that time passed while requests wait for a loan.
+const WAITING_TICK: Duration = Duration::from_millis(1);
+/// The same while teams are active: loans are asked for and returned.
+const ACTIVE_TICK: Duration = Duration::from_millis(10);
+/// The same otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
 
 /// Where the decision on one request goes.
 pub(crate) type AdmitReply = oneshot::Sender<Result<(), Refusal>>;
@@ -66,21 +70,34 @@
         waiting: HashMap::new(),
         peers,
     };
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticked = Instant::now();
     loop {
         tokio::select! {
             event = events.recv() => match event {
                 Some(event) => duty.take_event(event, Instant::now()),
                 None => return,
             },
-            _ = ticks.tick() => duty.ledger.tick(Instant::now()),
+            () = sleep_until(ticked + duty.pause()) => {
+                ticked = Instant::now();
+                duty.ledger.tick(ticked);
+            }
         }
         duty.carry_out();
     }
 }
 
 impl LedgerDuty {
+    /// The time between two ticks, as short as what goes on needs.
+    fn pause(&self) -> Duration {
+        if !self.waiting.is_empty() {
+            return WAITING_TICK;
+        }
+        if self.ledger.active_teams() > 0 {
+            return ACTIVE_TICK;
+        }
+        IDLE_TICK
+    }
+
     fn take_event(&mut self, event: LedgerEvent, now: Instant) {
         match event {
             LedgerEvent::Admit { team, reply } => self.admit(&team, reply, now),
