--- a/crates/kws-bench/src/limits.rs
+++ b/crates/kws-bench/src/limits.rs
@@ -63,13 +63,15 @@
             return Ok(());
         }
         println!(
-            "{:8} {:7} {:11} {:>9} {:>10} {:>11} {:>8} {:>8} {:>8}",
+            "{:8} {:7} {:11} {:>9} {:>10} {:>8} {:>11} {:>11} {:>8} {:>8} {:>8}",
             "rule",
             "arrival",
             "fault",
             "largest",
             "refused %",
+            "worst %",
             "msg/host/s",
+            "link kbit/s",
             "p50 ms",
             "p99 ms",
             "max ms"
@@ -118,13 +120,15 @@
     let score = run.run();
     let messages = score.messages as f64 / run.hosts as f64 / SCORED_SECONDS;
     format!(
-        "{:8} {:7} {:11} {:>9.3} {:>10.2} {:>11.1} {:>8.2} {:>8.2} {:>8.2}",
+        "{:8} {:7} {:11} {:>9.3} {:>10.2} {:>8.2} {:>11.1} {:>11.1} {:>8.2} {:>8.2} {:>8.2}",
         format!("{:?}", run.rule),
         format!("{:?}", run.arrival),
         format!("{:?}", run.fault),
         score.largest_ratio(),
         score.refused_percent(),
+        score.worst_percent(),
         messages,
+        score.link_bytes as f64 * 8e-3 / SCORED_SECONDS,
         score.wait(50.0),
         score.wait(99.0),
         score.wait(100.0)
--- a/crates/kws-bench/src/limits/model.rs
+++ b/crates/kws-bench/src/limits/model.rs
@@ -6,7 +6,10 @@
     score::{RunScore, TeamScore},
 };
 use kws_limits::{AdmitDecision, AdmitTicket, LedgerAction};
-use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RegionName, TeamName, TreeRevision};
+use kws_protocol::{
+    FleetSnapshot, HostName, LoanMessage, PeerMessage, RegionName, TeamName, TreeRevision,
+    encode_message,
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     collections::{BTreeMap, HashMap},
@@ -24,6 +27,9 @@
 /// How long the balancer takes to see that a host is not ready.
 const BALANCER_LAG: Duration = Duration::from_secs(1);
 
+/// WebSocket, TCP and IP headers of a frame that travels alone.
+const HEADER_BYTES: u64 = 58;
+
 /// The place of the platform in cuts.
 pub const PLATFORM: usize = usize::MAX;
 
@@ -294,8 +300,8 @@
         for action in self.hosts[host].rule.take_actions() {
             match action {
                 LedgerAction::Send { to, message } => {
-                    self.score.messages += u64::from(self.now >= self.scored_from);
                     if let Some(&to) = self.names.get(&to) {
+                        self.count_message(host, to, &message);
                         self.transmit(host, to, HostEvent::Loan(host, message));
                     }
                 }
@@ -308,6 +314,17 @@
         }
     }
 
+    fn count_message(&mut self, from: usize, to: usize, message: &LoanMessage) {
+        if self.now < self.scored_from {
+            return;
+        }
+        self.score.messages += 1;
+        if self.hosts[from].region != self.hosts[to].region {
+            let frame = encode_message(&PeerMessage::Loan(message.clone()));
+            self.score.link_bytes += HEADER_BYTES + frame.map_or(0, |frame| frame.len() as u64);
+        }
+    }
+
     fn transmit(&mut self, from: usize, to: usize, event: HostEvent) {
         if self.is_cut(from, to) || self.rng.random_bool(self.network.lost) {
             return;
--- a/crates/kws-bench/src/limits/score.rs
+++ b/crates/kws-bench/src/limits/score.rs
@@ -110,6 +110,8 @@
     pub waits: Vec<f64>,
     /// Messages of loans sent.
     pub messages: u64,
+    /// Bytes of those that went to another region, with the headers of a frame of their own.
+    pub link_bytes: u64,
 }
 
 impl RunScore {
@@ -126,6 +128,12 @@
         100.0 * refused as f64 / ideal.max(1) as f64
     }
 
+    /// The same of the worst-served team.
+    pub fn worst_percent(&self) -> f64 {
+        let share = |team: &TeamScore| 100.0 * team.refused() as f64 / team.ideal().max(1) as f64;
+        self.teams.iter().map(share).fold(0.0, f64::max)
+    }
+
     /// The wait that `percent` of the requests do not exceed, in milliseconds.
     pub fn wait(&self, percent: f64) -> f64 {
         let mut sorted = self.waits.clone();
--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -3,7 +3,7 @@
 use crate::{
     AdmitTicket, LimitsPolicy,
     lease::LeaseState,
-    loan::{BorrowedLoan, DemandRate, DryLender, LentLoans, PendingLoan},
+    loan::{BorrowedLoan, DemandRate, DryLender, FulfilledShare, LentLoans, PendingLoan},
     window::{Allotment, RevisionWindow, ShareCache},
 };
 use kws_protocol::{HostName, TeamName, TreeRevision};
@@ -17,9 +17,6 @@
 /// own region answers so soon that the next can wait.
 const MAX_FAR_LOANS: usize = 4;
 
-/// The weight of the newest answer in the share of tokens asked for that is lent.
-const FULFILLED_STEP: f64 = 0.2;
-
 /// Several requests wait for the own region only when so much of what is asked for is lent.
 const MIN_FULFILLED: f64 = 0.25;
 
@@ -101,8 +98,10 @@
     pub(crate) near: LenderList,
     /// Who may lend in other regions.
     pub(crate) far: LenderList,
-    /// How much of what is asked for is lent, lately, between 0 and 1.
-    fulfilled: f64,
+    /// How much of what the own region is asked for it lends.
+    fulfilled_near: FulfilledShare,
+    /// How much of what other regions are asked for they lend.
+    fulfilled_far: FulfilledShare,
     /// Whose turn it is to be asked.
     pub(crate) turn: usize,
 }
@@ -125,7 +124,8 @@
             demand: DemandRate::new(now),
             near: LenderList::new(),
             far: LenderList::new(),
-            fulfilled: 1.0,
+            fulfilled_near: FulfilledShare::new(),
+            fulfilled_far: FulfilledShare::new(),
             turn: 0,
         }
     }
@@ -273,17 +273,30 @@
     /// much is counted on as lately came. One request may always wait for an answer.
     pub(crate) fn covers(&self, more: usize, now: Instant) -> bool {
         let wanted = (self.waiting.len() + more) as f64;
-        let expected = self.expected(now);
+        let near = self.expects_near(now);
         if wanted <= 1.0 {
-            return self.expects_near(now) || self.in_hand() + expected >= wanted - ROUNDING;
+            return near || self.in_hand() + self.expected(now) >= wanted - ROUNDING;
         }
-        let likely = self.in_hand() + expected * self.fulfilled;
-        likely >= wanted - ROUNDING || self.expects_near(now) && self.fulfilled >= MIN_FULFILLED
+        let pending = self.pending.iter().filter(|loan| loan.expected > now);
+        let likely = |loan: &PendingLoan| {
+            let share = if loan.near {
+                &self.fulfilled_near
+            } else {
+                &self.fulfilled_far
+            };
+            loan.tokens * share.value()
+        };
+        self.in_hand() + pending.map(likely).sum::<f64>() >= wanted - ROUNDING
+            || near && self.fulfilled_near.value() >= MIN_FULFILLED
     }
 
-    /// Learns how much of what was asked for was lent.
-    pub(crate) fn note_fulfilled(&mut self, share: f64) {
-        self.fulfilled += FULFILLED_STEP * (share - self.fulfilled);
+    /// How much of what lenders near or far are asked for is lent, lately.
+    pub(crate) fn fulfilled(&mut self, near: bool) -> &mut FulfilledShare {
+        if near {
+            &mut self.fulfilled_near
+        } else {
+            &mut self.fulfilled_far
+        }
     }
 
     /// Whether every lender of the own region was short or silent lately.
--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -22,6 +22,12 @@
 /// Hosts keep a token at hand when the team's burst has so many for each of them.
 const SPARE_SHARE: f64 = 2.0;
 
+/// Lenders of the region are spared longer the less is lent, at most by the inverse of this.
+const MIN_NEAR_SHARE: f64 = 0.5;
+
+/// The same for lenders of other regions, where each message is paid for.
+const MIN_FAR_SHARE: f64 = 0.1;
+
 /// Other regions are asked when this share of what is kept ahead of them is left.
 const REMOTE_LOW: f64 = 0.75;
 
@@ -281,14 +287,19 @@
             used: now,
         });
     }
-    account.note_fulfilled((tokens / asked.tokens).min(1.0));
+    let fulfilled = account.fulfilled(asked.near);
+    fulfilled.note(tokens, asked.tokens);
+    let least = if asked.near {
+        MIN_NEAR_SHARE
+    } else {
+        MIN_FAR_SHARE
+    };
+    let share = fulfilled.value().max(least);
     if tokens < asked.tokens {
-        let most = if tokens > 0.0 {
-            asked.dry_pause
-        } else {
-            MAX_DRY_PAUSE
-        };
-        account.mark_dry(&asked.lender, asked.dry_pause, most, now);
+        // A team over its rate would else ask every lender for each fraction of a token.
+        let pause = asked.dry_pause.div_f64(share);
+        let most = if tokens > 0.0 { pause } else { MAX_DRY_PAUSE };
+        account.mark_dry(&asked.lender, pause, most, now);
     }
 }
 
--- a/crates/kws-limits/src/loan.rs
+++ b/crates/kws-limits/src/loan.rs
@@ -154,3 +154,28 @@
         self.rate * (-elapsed / Self::MEMORY.as_secs_f64()).exp()
     }
 }
+
+/// How much of what is asked for is lent, weighted to the recent; between 0 and 1.
+#[derive(Debug)]
+pub(crate) struct FulfilledShare(f64);
+
+impl FulfilledShare {
+    /// The weight of the newest answer.
+    const STEP: f64 = 0.2;
+
+    /// All, until an answer says otherwise.
+    pub(crate) fn new() -> Self {
+        Self(1.0)
+    }
+
+    /// Counts one answer.
+    pub(crate) fn note(&mut self, lent: f64, asked: f64) {
+        let share = if lent < asked { lent / asked } else { 1.0 };
+        self.0 += Self::STEP * (share - self.0);
+    }
+
+    /// The share.
+    pub(crate) fn value(&self) -> f64 {
+        self.0
+    }
+}
