Report unknown names in a trace, and outcomes that no host was held to

A misspelt host in an outcome passed unseen before, and one in a step did nothing. Questions and joining of the view are modules of their own.

--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -1,11 +1,12 @@
 //! The one state machine of freshness: lease, membership and configuration of this host.
 
+mod asking;
+mod joining;
 mod spread;
 
 use crate::{
     ConfigStore, FleetAction, FleetCounters, FleetMembers, FreshnessLease, HostIdentity,
-    LeaseTerms, Readiness, StoreOutcome, TreeChecker, UnreadyReason, members::PeerWord,
-    questions::QuestionRounds,
+    LeaseTerms, Readiness, StoreOutcome, TreeChecker, UnreadyReason, questions::QuestionRounds,
 };
 use kws_protocol::{
     FleetSnapshot, HostList, HostName, LeaseMessage, PeerMessage, PublishedValues, RevisionView,
@@ -287,79 +288,6 @@
         self.members.any_holder(now, self.terms.lease, lacks)
     }
 
-    fn ask(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        let silent = self.platform_silent(now);
-        if now < self.next_round {
-            return;
-        }
-        self.round += 1;
-        self.next_round = now + self.terms.lease / ROUNDS_PER_LEASE;
-        let mut targets = self.members.region_targets(self.round, silent);
-        let cross = self
-            .members
-            .cross_targets(self.round, now, self.terms.lease);
-        targets.extend(cross);
-        let nonce = self.questions.open(now, self.terms.lease);
-        let view = self.revision_view(now);
-        for to in targets {
-            self.members.note_asked(&to, now);
-            let message = PeerMessage::Lease(LeaseMessage::Question { nonce, view });
-            actions.push(FleetAction::Send { to, message });
-        }
-    }
-
-    fn platform_silent(&self, now: Instant) -> bool {
-        let needed = now + self.terms.lease / SILENT_PART;
-        self.platform_failures > 0
-            || self
-                .lease
-                .platform_until()
-                .is_none_or(|until| until < needed)
-    }
-
-    fn answer(&self, to: &HostName, nonce: u64, now: Instant) -> FleetAction {
-        let old_enough = now.saturating_duration_since(self.born) >= self.terms.restart_wait;
-        FleetAction::Send {
-            to: to.clone(),
-            message: PeerMessage::Lease(LeaseMessage::Answer {
-                nonce,
-                view: self.revision_view(now),
-                counts: self.joined && old_enough,
-            }),
-        }
-    }
-
-    fn take_answer(
-        &mut self,
-        from: &HostName,
-        nonce: u64,
-        view: RevisionView,
-        counts: bool,
-        now: Instant,
-    ) {
-        self.note_view(from, view, now);
-        let Some(sent) = self.questions.sent(nonce) else {
-            self.counters.late_answers += 1;
-            return;
-        };
-        let word = PeerWord { sent, view, counts };
-        self.members.note_word(from, word, now);
-        // Only a peer that is not behind can vouch for the platform's word on the newest revision.
-        if view.revision >= self.store.held() && !self.store.lacks(view.revision) {
-            let age = self.terms.enlarged(view.platform_age);
-            if let Some(heard) = sent.checked_sub(age) {
-                self.lease.hear_platform(heard);
-            }
-        }
-    }
-
-    fn note_view(&mut self, from: &HostName, view: RevisionView, now: Instant) {
-        if self.store.conflicts(view.revision, view.digest) {
-            self.counters.conflicts += 1;
-        }
-        self.members.note_news(from, view.revision, now);
-    }
-
     fn note_platform(&mut self, revision: TreeRevision, sent: Instant) {
         if revision < self.store.seen() {
             self.counters.stale_platform += 1;
@@ -411,38 +339,4 @@
         self.join_deadline = self.join_deadline.or(Some(deadline));
         actions.push(FleetAction::Publish(Arc::clone(snapshot)));
     }
-
-    fn join(&mut self, now: Instant) {
-        let Some(deadline) = self.join_deadline else {
-            return;
-        };
-        let asked = self.members.majority_answered() || now >= deadline;
-        if asked && !self.is_behind(now) {
-            self.joined = true;
-        }
-    }
-
-    fn decide_readiness(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        let readiness = self.judge_readiness(now);
-        if readiness != self.readiness {
-            self.readiness = readiness;
-            actions.push(FleetAction::Readiness(readiness));
-        }
-    }
-
-    fn judge_readiness(&self, now: Instant) -> Readiness {
-        if self.store.snapshot().is_none() {
-            return Readiness::Unready(UnreadyReason::NoTree);
-        }
-        if !self.joined {
-            return Readiness::Unready(UnreadyReason::Joining);
-        }
-        if self.members.leaving() {
-            return Readiness::Unready(UnreadyReason::Leaving);
-        }
-        if !self.is_current(now) {
-            return Readiness::Unready(UnreadyReason::NotCurrent);
-        }
-        Readiness::Ready
-    }
 }
--- /dev/null
+++ b/crates/kws-membership/src/view/asking.rs
@@ -0,0 +1,81 @@
+//! Questions to peers and their answers.
+
+use super::{FleetView, ROUNDS_PER_LEASE, SILENT_PART};
+use crate::{FleetAction, members::PeerWord};
+use kws_protocol::{HostName, LeaseMessage, PeerMessage, RevisionView};
+use tokio::time::Instant;
+
+impl FleetView {
+    pub(super) fn ask(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let silent = self.platform_silent(now);
+        if now < self.next_round {
+            return;
+        }
+        self.round += 1;
+        self.next_round = now + self.terms.lease / ROUNDS_PER_LEASE;
+        let mut targets = self.members.region_targets(self.round, silent);
+        let cross = self
+            .members
+            .cross_targets(self.round, now, self.terms.lease);
+        targets.extend(cross);
+        let nonce = self.questions.open(now, self.terms.lease);
+        let view = self.revision_view(now);
+        for to in targets {
+            self.members.note_asked(&to, now);
+            let message = PeerMessage::Lease(LeaseMessage::Question { nonce, view });
+            actions.push(FleetAction::Send { to, message });
+        }
+    }
+
+    pub(super) fn platform_silent(&self, now: Instant) -> bool {
+        let needed = now + self.terms.lease / SILENT_PART;
+        self.platform_failures > 0
+            || self
+                .lease
+                .platform_until()
+                .is_none_or(|until| until < needed)
+    }
+
+    pub(super) fn answer(&self, to: &HostName, nonce: u64, now: Instant) -> FleetAction {
+        let old_enough = now.saturating_duration_since(self.born) >= self.terms.restart_wait;
+        FleetAction::Send {
+            to: to.clone(),
+            message: PeerMessage::Lease(LeaseMessage::Answer {
+                nonce,
+                view: self.revision_view(now),
+                counts: self.joined && old_enough,
+            }),
+        }
+    }
+
+    pub(super) fn take_answer(
+        &mut self,
+        from: &HostName,
+        nonce: u64,
+        view: RevisionView,
+        counts: bool,
+        now: Instant,
+    ) {
+        self.note_view(from, view, now);
+        let Some(sent) = self.questions.sent(nonce) else {
+            self.counters.late_answers += 1;
+            return;
+        };
+        let word = PeerWord { sent, view, counts };
+        self.members.note_word(from, word, now);
+        // Only a peer that is not behind can vouch for the platform's word on the newest revision.
+        if view.revision >= self.store.held() && !self.store.lacks(view.revision) {
+            let age = self.terms.enlarged(view.platform_age);
+            if let Some(heard) = sent.checked_sub(age) {
+                self.lease.hear_platform(heard);
+            }
+        }
+    }
+
+    pub(super) fn note_view(&mut self, from: &HostName, view: RevisionView, now: Instant) {
+        if self.store.conflicts(view.revision, view.digest) {
+            self.counters.conflicts += 1;
+        }
+        self.members.note_news(from, view.revision, now);
+    }
+}
--- a/crates/kws-membership/tests/fleet_view.rs
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -171,7 +171,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn one_newer_blocks() {
+async fn one_newer() {
     let mut host = TestHost::joined();
     host.pass(LAST_WORD).await;
     host.answer("e", host.nonce, view_of(6), true);
@@ -233,7 +233,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn laggard_vouches_for_nothing() {
+async fn laggard_age() {
     let mut host = TestHost::joined();
     host.pass(Duration::from_mins(2)).await;
     for (peer, revision, age) in [("b", 5, 50), ("c", 5, 50), ("d", 4, 0)] {
@@ -247,7 +247,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn questions_are_no_answers() {
+async fn mere_questions() {
     let mut host = TestHost::joined();
     host.pass(LEASE).await;
     host.pass(LEASE).await;
@@ -366,7 +366,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn newer_peer_is_fetched() {
+async fn newer_peer() {
     let mut host = TestHost::joined();
     let actions = host.answer("b", host.nonce, view_of(6), true);
     let fetch = FleetAction::Send {
--- a/crates/kws-replay/src/fleet.rs
+++ b/crates/kws-replay/src/fleet.rs
@@ -4,6 +4,7 @@
 mod checker;
 mod host;
 mod links;
+mod names;
 mod node;
 mod outcome;
 mod platform;
@@ -42,6 +43,10 @@
     fn replay(&self, text: &str) -> Result<Vec<ReplayFinding>, ReplayError> {
         let trace: FleetTrace = serde_saphyr::from_str(text)
             .map_err(|error| ReplayError::Malformed(error.to_string()))?;
+        let unknown = names::unknown_names(&trace);
+        if !unknown.is_empty() {
+            return Ok(unknown);
+        }
         Ok(FleetBus::new(&trace, &*self.factory).run())
     }
 }
--- a/crates/kws-replay/src/fleet/bus.rs
+++ b/crates/kws-replay/src/fleet/bus.rs
@@ -6,7 +6,7 @@
     links::LinkFaults,
     outcome::OutcomeCheck,
     platform::{FakePlatform, WatchCall, WatchReply},
-    trace::{FleetTrace, TraceStep},
+    trace::{ALL, FleetTrace, PLATFORM, TraceStep},
 };
 use crate::ReplayFinding;
 use kws_membership::FleetAction;
@@ -20,12 +20,6 @@
 /// How often hosts tick, in parts of the lease.
 const TICKS_PER_LEASE: f64 = 12.0;
 
-/// The name of the platform in traces.
-const PLATFORM: &str = "platform";
-
-/// The name of every host in traces.
-const ALL: &str = "all";
-
 /// Something due at a virtual time.
 #[derive(Clone, Debug)]
 pub(super) enum BusEvent {
@@ -89,8 +83,8 @@
             }
         }
         for event in &trace.events {
-            let at = Duration::from_secs_f64(event.at);
-            bus.queue_at(at, BusEvent::Step(event.step.clone()));
+            let at = Duration::from_secs_f64(event.value.at);
+            bus.queue_at(at, BusEvent::Step(event.value.step.clone()));
         }
         let begins: Vec<Duration> = bus.checks.iter().map(OutcomeCheck::begins).collect();
         for at in begins {
@@ -113,7 +107,7 @@
             }
         }
         let checks = self.checks.into_iter();
-        checks.filter_map(OutcomeCheck::into_breach).collect()
+        checks.filter_map(OutcomeCheck::into_finding).collect()
     }
 
     fn now(&self) -> Instant {
--- a/crates/kws-replay/src/fleet/outcome.rs
+++ b/crates/kws-replay/src/fleet/outcome.rs
@@ -15,6 +15,7 @@
 pub(super) struct OutcomeCheck<'a> {
     outcome: &'a TraceOutcome,
     line: u64,
+    checked: bool,
     breach: Option<ReplayFinding>,
 }
 
@@ -23,6 +24,7 @@
         Self {
             outcome: &outcome.value,
             line: outcome.referenced.line(),
+            checked: false,
             breach: None,
         }
     }
@@ -44,6 +46,7 @@
         if host.phase != HostPhase::Running || self.breach.is_some() {
             return;
         }
+        self.checked = true;
         self.breach = breach(self.outcome, host, now).map(|text| ReplayFinding {
             line: self.line,
             at,
@@ -51,8 +54,16 @@
         });
     }
 
-    pub(super) fn into_breach(self) -> Option<ReplayFinding> {
-        self.breach
+    /// The breach; an outcome that no host was held to is one too.
+    pub(super) fn into_finding(self) -> Option<ReplayFinding> {
+        if self.checked {
+            return self.breach;
+        }
+        Some(ReplayFinding {
+            line: self.line,
+            at: self.begins(),
+            text: String::from("never checked: no host named here ran at that time"),
+        })
     }
 }
 
--- a/crates/kws-replay/src/fleet/trace.rs
+++ b/crates/kws-replay/src/fleet/trace.rs
@@ -5,6 +5,12 @@
 use serde_saphyr::Spanned;
 use std::collections::BTreeMap;
 
+/// The name of the platform in traces.
+pub(super) const PLATFORM: &str = "platform";
+
+/// The name of every host in traces.
+pub(super) const ALL: &str = "all";
+
 /// One trace.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -26,7 +32,7 @@
     /// Keys valid at revision 1.
     pub(super) keys: Vec<String>,
     /// What happens.
-    pub(super) events: Vec<TraceEvent>,
+    pub(super) events: Vec<Spanned<TraceEvent>>,
     /// What must hold.
     pub(super) outcomes: Vec<Spanned<TraceOutcome>>,
 }
--- a/crates/kws-replay/tests/fleet_traces.rs
+++ b/crates/kws-replay/tests/fleet_traces.rs
@@ -2,7 +2,9 @@
 
 use kws_membership::{CheckedTree, FleetAction, TreeChecker};
 use kws_protocol::{FleetSnapshot, HostName, PeerMessage, PublishedValues, TreeRevision};
-use kws_replay::{FleetModel, FleetNode, ReplayError, TraceChecker, replay_file, replay_with};
+use kws_replay::{
+    FleetModel, FleetNode, ReplayError, TraceChecker, TraceModel, replay_file, replay_with,
+};
 use rstest::rstest;
 use std::{
     io::Write,
@@ -134,6 +136,26 @@
     assert!(!matches!(error, ReplayError::Unreadable { .. }), "{error}");
 }
 
+#[rstest]
+#[case::misspelt_host("kill: [turaida-7]", "{from: 1, hosts: [all], ready: true}", &[(10, "unknown name `turaida-7`")])]
+#[case::misspelt_outcome("kill: [turaida-1]", "{from: 1, hosts: [zemgals], ready: true}", &[(12, "unknown name `zemgals`")])]
+#[case::dead_host("kill: [turaida-1]", "{from: 6, hosts: [turaida-1], ready: true}", &[(12, "never checked: no host named here ran at that time")])]
+#[case::after_end("kill: [turaida-1]", "{from: 99, hosts: [all], ready: true}", &[(12, "never checked: no host named here ran at that time")])]
+#[case::sound("kill: [turaida-1]", "{from: 1, to: 8, hosts: [all], ready: true}", &[])]
+fn vacuous_trace(#[case] step: &str, #[case] outcome: &str, #[case] expected: &[(u64, &str)]) {
+    let text = format!(
+        "feature: fleet\nwhy: names\nlease: 3\nstale_region: 9\nlength: 10\nkeys: [orchard]\n\
+         hosts:\n  vidzemes: [turaida-1, ligatne-1]\nevents:\n  - {{at: 5, step: {{{step}}}}}\n\
+         outcomes:\n  - {outcome}\n"
+    );
+    let findings = FleetModel::default().replay(&text).expect("a trace");
+    let found: Vec<(u64, &str)> = findings
+        .iter()
+        .map(|finding| (finding.line, finding.text.as_str()))
+        .collect();
+    assert_eq!(found, expected);
+}
+
 #[test]
 fn absent_file() {
     let error = replay_file(Path::new("no-such-trace.yaml")).expect_err("refused");
