--- /dev/null
+++ b/crates/kws-membership/tests/ask_plan.rs
@@ -0,0 +1,119 @@
+//! How many peers a host asks, at home and across regions.
+
+use kws_membership::{
+    CheckedTree, FleetAction, FleetView, HostIdentity, TreeChecker, TreeRejection,
+};
+use kws_protocol::{
+    CenterName, FleetSettings, FreshnessSettings, HostList, HostName, HostState, LeaseMessage,
+    ListedHost, PeerMessage, PublishedValues, RegionName, TreeRevision,
+};
+use rstest::rstest;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use tokio::time::{Instant, advance};
+
+const LEASE: Duration = Duration::from_secs(3);
+
+/// Hosts `v0`, `v1` ... in one region and `z0`, `z1` ... in another.
+struct TwoRegions(usize);
+
+impl TreeChecker for TwoRegions {
+    fn check(&self, _values: &PublishedValues) -> Result<CheckedTree, TreeRejection> {
+        let hosts = (0..self.0).flat_map(|host| [format!("v{host}"), format!("z{host}")]);
+        let listed = hosts.map(|name| ListedHost {
+            name: HostName::new(&name),
+            region: RegionName::new(&name[..1]),
+            center: CenterName::new(&name[..1]),
+            peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: HostState::Live,
+        });
+        let settings = FleetSettings {
+            freshness: FreshnessSettings {
+                lease: LEASE,
+                list_lag: Duration::ZERO,
+                stale_region: LEASE,
+                clock_drift_ppm: 0,
+            },
+            regions: [].into(),
+            services: [].into(),
+            routes: [].into(),
+            teams: [].into(),
+        };
+        Ok(CheckedTree {
+            settings,
+            hosts: HostList {
+                hosts: listed.collect(),
+                servers: Vec::new(),
+            },
+        })
+    }
+}
+
+/// Host `v{index}` among `hosts` a region; what it sends first.
+fn start(index: usize, hosts: usize) -> (FleetView, Vec<FleetAction>) {
+    let identity = HostIdentity {
+        name: HostName::new(&format!("v{index}")),
+        region: RegionName::new("v"),
+    };
+    let now = Instant::now();
+    let mut view = FleetView::new(identity, Box::new(TwoRegions(hosts)), 1, now);
+    let values = PublishedValues {
+        revision: TreeRevision(1),
+        ..PublishedValues::default()
+    };
+    let actions = view.platform_answer(values, now, now);
+    (view, actions)
+}
+
+/// The hosts of `region` that are asked.
+fn asked(actions: &[FleetAction], region: &str) -> BTreeSet<String> {
+    let targets = actions.iter().filter_map(|action| match action {
+        FleetAction::Send {
+            to,
+            message: PeerMessage::Lease(LeaseMessage::Question { .. }),
+        } => Some(to.as_str()),
+        _ => None,
+    });
+    let chosen = targets.filter(|name| name.starts_with(region));
+    chosen.map(str::to_owned).collect()
+}
+
+#[rstest]
+#[case::small_region(20, 19, 19)]
+#[case::largest_mesh(48, 47, 47)]
+#[case::large_region(285, 8, 284)]
+#[tokio::test(start_paused = true)]
+async fn home_region(#[case] hosts: usize, #[case] calm: usize, #[case] silent: usize) {
+    let (mut view, first) = start(0, hosts);
+    assert_eq!(asked(&first, "v").len(), calm);
+    advance(LEASE / 3).await;
+    let second = view.tick(Instant::now());
+    assert_eq!(asked(&second, "v").len(), calm);
+    let sampled = calm < hosts - 1;
+    assert_eq!(
+        asked(&first, "v") != asked(&second, "v"),
+        sampled,
+        "samples change"
+    );
+    let actions = view.platform_failed(Instant::now());
+    assert_eq!(asked(&actions, "v").len(), silent);
+}
+
+#[rstest]
+#[case::small(20)]
+#[case::large(285)]
+#[tokio::test(start_paused = true)]
+async fn other_region(#[case] hosts: usize) {
+    let counts = (0..hosts).map(|index| asked(&start(index, hosts).1, "z").len());
+    let speakers: Vec<usize> = counts.filter(|count| *count > 0).collect();
+    assert_eq!(speakers, [2, 2, 2]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_speaker() {
+    let speaks = |index: &usize| !asked(&start(*index, 20).1, "z").is_empty();
+    let other = (0..20).find(|index| !speaks(index)).expect("a host");
+    let (mut view, _) = start(other, 20);
+    // All peers leave every question open, so this host counts itself among the few that speak.
+    advance(LEASE).await;
+    assert_eq!(asked(&view.tick(Instant::now()), "z").len(), 2);
+}
