Fetch from the own region first, never twice in a row from a holder that did not deliver

The turn over holders counted all fetches since the start, so the first try of a new change went anywhere: next_source gave the other region's host. A change that would not fit into a frame is no longer answered; it was encoded in vain at every try.

--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -7,7 +7,7 @@
     HostList, HostName, HostState, ListedHost, RegionName, RevisionView, TreeRevision,
 };
 use roster::HostRoster;
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Which host this is.
@@ -214,24 +214,26 @@
             .is_some_and(|needed| self.voter_words().count() >= needed)
     }
 
-    /// Hosts heard within the lease that hold a revision which `lacks` says is missing here, the
-    /// newest revision first and of equal ones the latest reached first.
+    /// Hosts heard within the lease that hold a revision which `lacks` says is missing here: the
+    /// newest revision first, of equal ones the own region, and there the latest reached.
     pub(crate) fn holders(
         &self,
         now: Instant,
         lease: Duration,
         lacks: impl Fn(TreeRevision) -> bool,
     ) -> Vec<(&HostName, TreeRevision)> {
-        let mut holders: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.heard(now, lease))
+        let heard = self.peers.iter().filter(|(_, peer)| peer.heard(now, lease));
+        let mut holders: Vec<_> = heard
             .filter_map(|(name, peer)| Some((name, peer.news?.revision, peer.word)))
             .filter(|(_, revision, _)| lacks(*revision))
             .collect();
-        holders.sort_by_key(|(_, revision, word)| (*revision, word.map(|word| word.sent)));
-        let newest_first = holders.into_iter().rev();
-        newest_first
+        holders.sort_by_key(|(name, revision, word)| {
+            // The link between regions is paid by volume.
+            let local = self.region_peers().contains(name);
+            Reverse((*revision, local, word.map(|word| word.sent)))
+        });
+        let holders = holders.into_iter();
+        holders
             .map(|(name, revision, _)| (name, revision))
             .collect()
     }
--- a/crates/kws-membership/src/store.rs
+++ b/crates/kws-membership/src/store.rs
@@ -4,7 +4,7 @@
 
 use crate::{CheckedTree, TreeChecker, TreeRejection};
 use history::ChangeHistory;
-use kws_protocol::{ConfigMessage, FleetSnapshot, PublishedValues, TreeRevision};
+use kws_protocol::{ConfigMessage, FleetSnapshot, MAX_FRAME_BYTES, PublishedValues, TreeRevision};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -13,6 +13,9 @@
 /// Refused revisions that are remembered.
 const MAX_REFUSED: usize = 16;
 
+/// Changed keys and values in one delta, in bytes; the rest of the frame is for its encoding.
+const MAX_DELTA_BYTES: usize = MAX_FRAME_BYTES / 8 * 7;
+
 /// What became of offered values.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreOutcome {
@@ -161,7 +164,7 @@
     }
 
     /// What changed after `since`, or a whole copy when that is not remembered; none when nothing
-    /// newer is held.
+    /// newer is held, or when it would not fit into a frame.
     pub fn delta_since(&self, since: TreeRevision) -> Option<ConfigMessage> {
         let held = self.held.as_ref()?;
         if since >= held.values.revision {
@@ -174,7 +177,7 @@
             TreeRevision::default()
         };
         let keys = changed.unwrap_or_else(|| held.values.values.keys().cloned().collect());
-        Some(held.delta(base, keys))
+        (held.bytes(&keys) <= MAX_DELTA_BYTES).then(|| held.delta(base, keys))
     }
 
     fn known_digest(&self, revision: TreeRevision) -> Option<u64> {
@@ -223,6 +226,15 @@
 }
 
 impl HeldTree {
+    /// The bytes of the given keys and of their values.
+    fn bytes(&self, keys: &BTreeSet<String>) -> usize {
+        let sizes = keys.iter().map(|key| {
+            let value = self.values.values.get(key);
+            key.len() + value.map_or(0, |value| value.len())
+        });
+        sizes.sum()
+    }
+
     fn delta(&self, base: TreeRevision, keys: BTreeSet<String>) -> ConfigMessage {
         let mut set = Vec::new();
         let mut removed = Vec::new();
--- a/crates/kws-membership/src/view/spread.rs
+++ b/crates/kws-membership/src/view/spread.rs
@@ -3,7 +3,7 @@
 use super::FleetView;
 use crate::{DeltaOutcome, FleetAction, StoreOutcome, TreeDelta};
 use kws_protocol::{ConfigMessage, HostName, PeerMessage, TreeRevision};
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use tokio::time::Instant;
 
 /// A fetch without result is tried again after this part of the lease.
@@ -16,7 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct SpreadState {
     fetch: Option<OpenFetch>,
-    fetches: usize,
+    /// Holders asked since the last adoption, or since all were asked.
+    tried: BTreeSet<HostName>,
     push_at: Option<Instant>,
     whole_copy: bool,
 }
@@ -32,6 +33,7 @@
     /// soon.
     pub(super) fn adopted(&mut self, now: Instant, lease: Duration) {
         self.fetch = None;
+        self.tried.clear();
         self.whole_copy = false;
         self.push_at = Some(now + lease / PUSH_PART);
     }
@@ -50,7 +52,7 @@
             return;
         }
         self.spread.fetch = Some(OpenFetch { revision, at: now });
-        self.spread.fetches += 1;
+        self.spread.tried.insert(to.clone());
         self.counters.fetches += 1;
         let whole = self.spread.whole_copy;
         let since = if whole {
@@ -62,12 +64,17 @@
         actions.push(FleetAction::Send { to, message });
     }
 
-    /// The holders take turns, the one with the newest revision first: it may hear nothing.
-    fn fetch_target(&self, now: Instant) -> Option<(HostName, TreeRevision)> {
+    /// The first holder that was not asked yet: one that was may hear nothing.
+    fn fetch_target(&mut self, now: Instant) -> Option<(HostName, TreeRevision)> {
         let lacks = |revision| self.store.lacks(revision);
         let holders = self.members.holders(now, self.terms.lease, lacks);
-        let newest = holders.first()?.1;
-        let (name, _) = holders[self.spread.fetches % holders.len()];
+        let (first, newest) = *holders.first()?;
+        let tried = &mut self.spread.tried;
+        let untried = holders.iter().find(|(name, _)| !tried.contains(*name));
+        if untried.is_none() {
+            tried.clear();
+        }
+        let name = untried.map_or(first, |(name, _)| *name);
         Some((name.clone(), newest))
     }
 
--- a/crates/kws-membership/tests/config_store.rs
+++ b/crates/kws-membership/tests/config_store.rs
@@ -4,7 +4,8 @@
     CheckedTree, ConfigStore, DeltaOutcome, StoreOutcome, TreeChecker, TreeDelta, TreeRejection,
 };
 use kws_protocol::{
-    ConfigMessage, FleetSettings, FreshnessSettings, HostList, PublishedValues, TreeRevision,
+    ConfigMessage, FleetSettings, FreshnessSettings, HostList, PeerMessage, PublishedValues,
+    TreeRevision, encode_message,
 };
 use rstest::{fixture, rstest};
 use std::{sync::Arc, time::Duration};
@@ -142,6 +143,21 @@
     assert_eq!(store.delta_since(TreeRevision(since)), None);
 }
 
+#[rstest]
+#[case::fits(3, true)]
+#[case::too_large(4, false)]
+fn large_change(mut store: ConfigStore, #[case] megabytes: usize, #[case] fits: bool) {
+    let branch: Arc<str> = "x".repeat(1 << 20).into();
+    let mut next = values(6, "a=1 b=2");
+    let branches = (0..megabytes).map(|index| (format!("c{index}"), Arc::clone(&branch)));
+    next.values.extend(branches);
+    store.offer(next);
+    let change = store.delta_since(TreeRevision(3));
+    assert_eq!(change.is_some(), fits);
+    let frame = change.map(|change| encode_message(&PeerMessage::Config(change)));
+    assert!(frame.is_none_or(|frame| frame.is_ok()));
+}
+
 #[test]
 fn long_history() {
     let mut source = empty();
--- a/crates/kws-membership/tests/fleet_view.rs
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -365,6 +365,32 @@
     assert_eq!(*counts, expected);
 }
 
+#[rstest]
+#[case::own_region(&[("x", 6), ("y", 6), ("b", 6)], "b")]
+#[case::newest(&[("x", 6), ("b", 6), ("y", 7), ("c", 6)], "b")]
+#[case::no_other(&[("x", 6)], "x")]
+#[tokio::test(start_paused = true)]
+async fn next_source(#[case] heard: &[(&str, u64)], #[case] source: &str) {
+    let mut host = TestHost::joined();
+    for (peer, revision) in heard {
+        let (nonce, view) = (1, view_of(*revision));
+        host.receive(
+            peer,
+            PeerMessage::Lease(LeaseMessage::Question { nonce, view }),
+        );
+    }
+    // Whoever was heard first, or at a newer revision, was asked at once and did not deliver.
+    let actions = host.pass(LEASE / 6).await;
+    let fetches = actions.iter().filter_map(|action| match action {
+        FleetAction::Send {
+            to,
+            message: PeerMessage::Config(ConfigMessage::Fetch { .. }),
+        } => Some(to.as_str()),
+        _ => None,
+    });
+    assert_eq!(fetches.collect::<Vec<_>>(), [source]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn newer_peer() {
     let mut host = TestHost::joined();
