A stop waits for requests whose heads are still arriving; table of forwarding

Half-sent heads were cut: the HTTP server ends a connection whose request it has not read whole, so both new tests got no answer before. The stop now waits until no connection has a request that began and is not answered. The stand-in no longer sleeps for no time: that took the timer's next tick, about 1 ms, and hid the listener's share.

--- /dev/null
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -0,0 +1,85 @@
+//! A control that grants everything at once, so that only the listener is measured.
+
+use futures_util::future::{BoxFuture, FutureExt, ready};
+use kws_fixture::SampleFleet;
+use kws_forward::{
+    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
+    TryOutcome, TryReport,
+};
+use kws_protocol::{
+    AnswerChecks, FleetSnapshot, RefusalReason, RetryReason, RouteAccess, RouteName, RouteSettings,
+    ServerName, ServiceName, TeamName,
+};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+/// Sends every request to one backend server.
+pub struct GrantingControl {
+    snapshot: Arc<FleetSnapshot>,
+    grant: ServerGrant,
+}
+
+impl GrantingControl {
+    /// A control for the server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut snapshot = SampleFleet::new(1, 1).snapshot();
+        let route = open_route();
+        snapshot.settings.routes.insert(route.name.clone(), route);
+        Self {
+            snapshot: Arc::new(snapshot),
+            grant: ServerGrant {
+                server: ServerName::new("listing-00"),
+                address,
+                ticket: GrantTicket(0),
+            },
+        }
+    }
+}
+
+fn open_route() -> RouteSettings {
+    RouteSettings {
+        name: RouteName::new("listing"),
+        host: None,
+        path: "/".to_owned(),
+        methods: BTreeSet::new(),
+        service: ServiceName::new("listing"),
+        access: RouteAccess::Open,
+        repeatable: None,
+        deadline: Duration::from_secs(10),
+        idle: Duration::from_secs(10),
+        tries: 1,
+        hedge: None,
+        max_head: 8 * 1024,
+        max_body: 1024 * 1024,
+        checks: AnswerChecks::default(),
+    }
+}
+
+impl ForwardControl for GrantingControl {
+    fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
+        Some(Arc::clone(&self.snapshot))
+    }
+
+    fn is_current(&self) -> bool {
+        true
+    }
+
+    fn admit(&self, _: &TeamName) -> BoxFuture<'static, Result<(), Refusal>> {
+        ready(Ok(())).boxed()
+    }
+
+    fn acquire(&self, _: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>> {
+        ready(Ok(self.grant.clone())).boxed()
+    }
+
+    fn retry(&self, _: &TryReport) -> RetryVerdict {
+        RetryVerdict::Stop
+    }
+
+    fn finish(&self, _: GrantTicket, _: TryOutcome) {}
+
+    fn count_refusal(&self, _: RefusalReason) {}
+
+    fn count_retry(&self, _: RetryReason) {}
+
+    fn access_log(&self, _: AccessRecord) {}
+}
--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -1,7 +1,7 @@
 //! Prints tables of measurements.
 
 use clap::{Parser, Subcommand};
-use kws_bench::{backends::BackendsArgs, limits::LimitsArgs};
+use kws_bench::{backends::BackendsArgs, forward::ForwardArgs, limits::LimitsArgs};
 
 /// Measurements over the product and its baselines.
 #[derive(Debug, Parser)]
@@ -15,6 +15,8 @@
 enum BenchTable {
     /// Backend servers: detection, false ejections, bad answers, the worst-served team.
     Backends(BackendsArgs),
+    /// Forwarding: added latency, requests for a core's second, memory of idle connections.
+    Forward(ForwardArgs),
     /// Limits: admitted over entitled, refusals within the rate, loans, waits.
     Limits(LimitsArgs),
 }
@@ -22,6 +24,7 @@
 fn main() -> eyre::Result<()> {
     match BenchArgs::parse().table {
         BenchTable::Backends(args) => args.run(),
+        BenchTable::Forward(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
     }
 }
--- a/crates/kws-forward/src/caller_service.rs
+++ b/crates/kws-forward/src/caller_service.rs
@@ -41,6 +41,7 @@
     parts: WorkerParts,
 ) -> impl ServiceFactory<Io<F>, SharedCfg, Response = (), Error = DispatchError, InitError = ()> {
     // The request and control services are made one after the other on the worker's own thread.
+    let pending = parts.pending.clone();
     let worker = Rc::new(OnceCell::<Rc<WorkerState>>::new());
     let shared = move || {
         let state = worker.get_or_init(|| Rc::new(WorkerState::new(parts.clone())));
@@ -62,7 +63,7 @@
         }))
     }));
     chain_factory(fn_service(move |io: Io<F>| {
-        let guarded = io.add_filter(GuardLayer::new(max_head));
+        let guarded = io.add_filter(GuardLayer::new(max_head, pending.clone()));
         async move { Ok::<_, DispatchError>(guarded) }
     }))
     .map_init_err(|(): ()| ())
--- a/crates/kws-forward/src/frame_guard.rs
+++ b/crates/kws-forward/src/frame_guard.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Whether no request has begun since the last one ended.
+    pub(crate) fn is_between(&self) -> bool {
+        self.state == GuardState::Head && self.facts.lines == 0 && self.line.is_empty()
+    }
+
     /// Whether the next `count` bytes pass unchanged.
     pub(crate) fn passes(&mut self, count: usize) -> bool {
         match self.state {
--- a/crates/kws-forward/src/guard_layer.rs
+++ b/crates/kws-forward/src/guard_layer.rs
@@ -1,17 +1,40 @@
 //! The frame guard as a layer of a caller's connection.
 
-use crate::frame_guard::FrameGuard;
+use crate::{
+    frame_guard::FrameGuard,
+    pending::{PendingMark, PendingRequests},
+};
 use ntex::io::{FilterBuf, FilterLayer};
 use std::{cell::RefCell, io};
 
-/// Passes what a caller sends through a [`FrameGuard`], and what is sent to it unchanged.
+/// Passes what a caller sends through a [`FrameGuard`], and what is sent to it unchanged; marks the
+/// connection from the first byte of a request to the first byte of its answer.
 #[derive(Debug)]
-pub(crate) struct GuardLayer(RefCell<FrameGuard>);
+pub(crate) struct GuardLayer {
+    guard: RefCell<FrameGuard>,
+    pending: PendingRequests,
+    mark: RefCell<Option<PendingMark>>,
+}
 
 impl GuardLayer {
     /// A layer for a new connection.
-    pub(crate) fn new(max_head: usize) -> Self {
-        Self(RefCell::new(FrameGuard::new(max_head)))
+    pub(crate) fn new(max_head: usize, pending: PendingRequests) -> Self {
+        Self {
+            guard: RefCell::new(FrameGuard::new(max_head)),
+            pending,
+            mark: RefCell::new(None),
+        }
+    }
+
+    fn note_read(&self) {
+        let mut mark = self.mark.borrow_mut();
+        mark.get_or_insert_with(|| self.pending.mark());
+    }
+
+    fn note_write(&self) {
+        if self.guard.borrow().is_between() {
+            self.mark.take();
+        }
     }
 }
 
@@ -21,7 +44,8 @@
             let Some(input) = source.take() else {
                 return Ok(());
             };
-            let mut guard = self.0.borrow_mut();
+            self.note_read();
+            let mut guard = self.guard.borrow_mut();
             if target.is_empty() && guard.passes(input.len()) {
                 *target = input;
                 return Ok(());
@@ -33,6 +57,9 @@
 
     fn process_write_buf(&self, buffers: &FilterBuf<'_>) -> io::Result<()> {
         buffers.with_write_buffers(|source, target| {
+            if !source.is_empty() {
+                self.note_write();
+            }
             source.move_to(target);
             Ok(())
         })
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -11,6 +11,7 @@
 mod head;
 mod judge;
 mod listener;
+mod pending;
 mod protocol_reply;
 mod reply;
 mod request_body;
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -3,6 +3,7 @@
 use crate::{
     caller_service::{plain_service, tls_service},
     control::ForwardControl,
+    pending::PendingRequests,
     tls::{BackendTrust, CertificateStore, server_config},
     worker::WorkerParts,
 };
@@ -94,7 +95,8 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Accepts no more, and returns when every request in flight has ended.
+    /// Answers the requests that have begun to arrive, accepts no more, and returns when every
+    /// request in flight has ended.
     pub async fn stop(mut self) {
         self.drain();
         if let Some(stop) = self.stop.take() {
@@ -119,20 +121,17 @@
     let draining = Arc::new(AtomicBool::new(false));
     let (stop, stop_asked) = oneshot::channel();
     let (stopped_sender, stopped) = oneshot::channel();
-    let flag = Arc::clone(&draining);
+    let parts = WorkerParts {
+        control,
+        draining: Arc::clone(&draining),
+        pending: PendingRequests::default(),
+        trust: settings.backend_trust.clone(),
+    };
     thread::Builder::new()
         .name("kws-callers".to_owned())
         .spawn(move || {
             let system = System::new("kws-callers", DefaultRuntime);
-            system.block_on(async move {
-                match start_server(&settings, listener, control, flag) {
-                    Ok(server) => {
-                        wait_for_stop(stop_asked, settings.certificate.as_deref()).await;
-                        server.stop(true).await;
-                    }
-                    Err(error) => log::error!("caller listener: {error}"),
-                }
-            });
+            system.block_on(serve_until_stop(settings, listener, parts, stop_asked));
             let _ = stopped_sender.send(());
         })?;
     Ok(ListenerHandle {
@@ -143,6 +142,24 @@
     })
 }
 
+async fn serve_until_stop(
+    settings: ListenerSettings,
+    listener: TcpListener,
+    parts: WorkerParts,
+    stop: oneshot::Receiver<()>,
+) {
+    let pending = parts.pending.clone();
+    match start_server(&settings, listener, parts) {
+        Ok(server) => {
+            wait_for_stop(stop, settings.certificate.as_deref()).await;
+            // The server would drop requests whose heads it has not read whole.
+            pending.settle(settings.head_timeout * 2).await;
+            server.stop(true).await;
+        }
+        Err(error) => log::error!("caller listener: {error}"),
+    }
+}
+
 /// Waits, and reads the certificate's files again from time to time.
 async fn wait_for_stop(mut stop: oneshot::Receiver<()>, certificate: Option<&CertificateStore>) {
     let mut reload = interval(RELOAD_INTERVAL);
@@ -161,8 +178,7 @@
 fn start_server(
     settings: &ListenerSettings,
     listener: TcpListener,
-    control: Arc<dyn ForwardControl>,
-    draining: Arc<AtomicBool>,
+    parts: WorkerParts,
 ) -> io::Result<Server> {
     let builder = server::build()
         .workers(settings.workers)
@@ -170,11 +186,6 @@
         .disable_signals()
         .shutdown_timeout(Millis(settings.stop_timeout.as_millis() as u32));
     let max_head = settings.max_head;
-    let parts = WorkerParts {
-        control,
-        draining,
-        trust: settings.backend_trust.clone(),
-    };
     let builder = match &settings.certificate {
         Some(store) => {
             let tls = server_config(Arc::clone(store)).map_err(io::Error::other)?;
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,8 +1,8 @@
 //! What the requests of one worker share.
 
 use crate::{
-    control::ForwardControl, credential::KeyTable, request_id::IdSource, tls::BackendTrust,
-    upstream::UpstreamPool,
+    control::ForwardControl, credential::KeyTable, pending::PendingRequests, request_id::IdSource,
+    tls::BackendTrust, upstream::UpstreamPool,
 };
 use std::sync::{
     Arc,
@@ -16,6 +16,8 @@
     pub(crate) control: Arc<dyn ForwardControl>,
     /// Set when callers are asked to leave.
     pub(crate) draining: Arc<AtomicBool>,
+    /// Counts requests that are not answered yet.
+    pub(crate) pending: PendingRequests,
     /// Whom to trust among backend servers.
     pub(crate) trust: Option<BackendTrust>,
 }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -2,19 +2,22 @@
 #![allow(dead_code)]
 
 use futures_util::future::{BoxFuture, FutureExt, ready};
+use kws_fixture::SampleFleet;
 use kws_forward::{
     AccessRecord, ForwardControl, GrantTicket, ListenerHandle, ListenerSettings, Refusal,
     RetryVerdict, ServerGrant, ServerRequest, TryClass, TryOutcome, TryReport, run_listener,
 };
 use kws_protocol::{
-    AnswerChecks, FleetSettings, FleetSnapshot, FreshnessSettings, HostList, KeyDigest,
-    RefusalReason, RetryReason, RouteAccess, RouteName, RouteSettings, ServerName, ServiceName,
-    TeamName, TeamSettings, TreeRevision,
+    AnswerChecks, FleetSettings, FleetSnapshot, KeyDigest, RefusalReason, RetryReason, RouteAccess,
+    RouteName, RouteSettings, ServerName, ServiceName, TeamName, TeamSettings,
+};
+use kws_standin::{
+    backend::{BackendHandle, BackendScript, BackendServer},
+    caller::{self, CallerAnswer},
 };
-use kws_standin::backend::{BackendHandle, BackendScript, BackendServer};
 use sha2::{Digest, Sha256};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex,
@@ -23,7 +26,7 @@
     time::Duration,
 };
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncWriteExt},
     net::TcpStream,
     sync::watch,
     time::timeout,
@@ -135,7 +138,7 @@
         host: None,
         path: path.to_owned(),
         methods: BTreeSet::new(),
-        service: ServiceName::new("service"),
+        service: ServiceName::new("listing"),
         access: RouteAccess::AnyTeam,
         repeatable: None,
         deadline: PATIENCE,
@@ -159,28 +162,19 @@
         weight: 1.0,
         keys: BTreeSet::from([KeyDigest(Sha256::digest(KEY).into())]),
     };
-    FleetSettings {
-        freshness: FreshnessSettings {
-            lease: Duration::from_secs(3),
-            list_lag: Duration::from_secs(3),
-            stale_region: Duration::from_secs(3),
-            clock_drift_ppm: 100,
-        },
-        regions: BTreeMap::new(),
-        services: BTreeMap::new(),
-        routes: routes
-            .into_iter()
-            .map(|route| (route.name.clone(), route))
-            .collect(),
-        teams: BTreeMap::from([(orchard.name.clone(), orchard)]),
-    }
+    let mut settings = SampleFleet::new(1, 1).snapshot().settings;
+    settings.routes = routes
+        .into_iter()
+        .map(|route| (route.name.clone(), route))
+        .collect();
+    settings.teams.insert(orchard.name.clone(), orchard);
+    settings
 }
 
 fn snapshot(settings: FleetSettings) -> Arc<FleetSnapshot> {
     Arc::new(FleetSnapshot {
-        revision: TreeRevision(1),
         settings,
-        hosts: HostList::default(),
+        ..SampleFleet::new(1, 1).snapshot()
     })
 }
 
@@ -251,14 +245,14 @@
     }
 
     /// Sends the bytes on a new connection and reads until it ends.
-    pub async fn send(&self, request: &str) -> Answer {
+    pub async fn send(&self, request: &str) -> CallerAnswer {
         let mut stream = self.connect().await;
         stream.write_all(request.as_bytes()).await.expect("writes");
         read_to_end(&mut stream).await
     }
 
     /// Asks for a path with the key of `orchard`.
-    pub async fn get(&self, path: &str) -> Answer {
+    pub async fn get(&self, path: &str) -> CallerAnswer {
         self.send(&get(path)).await
     }
 
@@ -316,65 +310,8 @@
     )
 }
 
-/// What came back on a connection until it ended.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Answer {
-    pub text: String,
-}
-
-impl Answer {
-    pub fn status(&self) -> u16 {
-        let code = self.text.split(' ').nth(1);
-        code.and_then(|code| code.parse().ok()).unwrap_or(0)
-    }
-
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.head().lines().skip(1).find_map(|line| {
-            let (found, value) = line.split_once(':')?;
-            found.eq_ignore_ascii_case(name).then_some(value.trim())
-        })
-    }
-
-    pub fn head(&self) -> &str {
-        self.text
-            .split_once("\r\n\r\n")
-            .map_or(&self.text, |(head, _)| head)
-    }
-
-    pub fn body(&self) -> &str {
-        self.text
-            .split_once("\r\n\r\n")
-            .map_or("", |(_, body)| body)
-    }
-
-    pub fn reason(&self) -> &str {
-        self.header("knapweedseam-reason").unwrap_or("")
-    }
-
-    pub fn run(&self) -> &str {
-        self.header("knapweedseam-run").unwrap_or("")
-    }
-
-    /// Whether the framing says that the body is whole.
-    pub fn is_whole(&self) -> bool {
-        match self.header("content-length") {
-            Some(length) => length.parse() == Ok(self.body().len()),
-            None => self.body().ends_with("0\r\n\r\n"),
-        }
-    }
-}
-
-/// Reads until the connection ends, by a close or by a reset.
-pub async fn read_to_end(stream: &mut (impl AsyncRead + Unpin)) -> Answer {
-    let mut bytes = Vec::new();
-    let mut buffer = vec![0; 64 * 1024];
-    let read = async {
-        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
-            bytes.extend_from_slice(&buffer[..count]);
-        }
-    };
-    timeout(PATIENCE, read).await.expect("connection ends");
-    Answer {
-        text: String::from_utf8_lossy(&bytes).into_owned(),
-    }
+/// Reads until the connection ends.
+pub async fn read_to_end(stream: &mut (impl AsyncRead + Unpin)) -> CallerAnswer {
+    let read = caller::read_to_end(stream);
+    timeout(PATIENCE, read).await.expect("connection ends")
 }
--- a/crates/kws-forward/tests/graceful_stop.rs
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -4,7 +4,8 @@
 mod fleet;
 
 use fleet::{Fleet, PATIENCE, get, read_to_end, request, until};
-use kws_standin::backend::BackendScript;
+use kws_standin::{backend::BackendScript, caller::CallerAnswer};
+use rstest::rstest;
 use std::{sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -21,7 +22,7 @@
     }
 }
 
-async fn trickle(mut stream: TcpStream) -> fleet::Answer {
+async fn trickle(mut stream: TcpStream) -> CallerAnswer {
     for _ in 0..5 {
         sleep(Duration::from_millis(100)).await;
         stream.write_all(b"a").await.expect("writes");
@@ -77,3 +78,30 @@
     assert!(rest.contains("connection: close"), "{rest}");
     assert_eq!(fleet.get("/listing").await.status(), 200);
 }
+
+#[rstest]
+#[case::first_request("")]
+#[case::next_request("GET /listing HTTP/1.1\r\nhost: a\r\nx-api-key: orchard-key\r\n\r\n")]
+#[tokio::test]
+async fn half_sent_head(#[case] before: &str) {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let mut stream = fleet.connect().await;
+    stream.write_all(before.as_bytes()).await.expect("writes");
+    let answered = usize::from(!before.is_empty());
+    until(|| fleet.arrivals() == answered).await;
+    sleep(Duration::from_millis(200)).await;
+    let text = get("/listing");
+    let (start, rest) = text.split_at(20);
+    stream.write_all(start.as_bytes()).await.expect("writes");
+    sleep(Duration::from_millis(200)).await;
+    let stop = timeout(PATIENCE, fleet.listener.stop());
+    let finish = async {
+        sleep(Duration::from_millis(300)).await;
+        let _ = stream.write_all(rest.as_bytes()).await;
+        read_to_end(&mut stream).await
+    };
+    let (stopped, answer) = tokio::join!(stop, finish);
+    stopped.expect("stops");
+    let whole = answer.text.matches("HTTP/1.1 200").count();
+    assert_eq!(whole, answered + 1, "{answer:?}");
+}
--- /dev/null
+++ b/crates/kws-forward/tests/route_choice.rs
@@ -0,0 +1,41 @@
+//! The route that serves a request.
+
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use fleet::{route, settings};
+use kws_forward::find_route;
+use rstest::rstest;
+
+#[rstest]
+#[case::root("any.test", "/", "GET", Some("/"))]
+#[case::longest("any.test", "/rows/ripe/4", "GET", Some("/rows/ripe"))]
+#[case::exact("any.test", "/rows/ripe", "GET", Some("/rows/ripe"))]
+#[case::whole_segments("any.test", "/rows/ripening", "GET", Some("/rows"))]
+#[case::method("any.test", "/rows/ripe/4", "POST", Some("/rows"))]
+#[case::host_first("farm.test", "/rows/ripe/4", "GET", Some("/farm"))]
+#[case::host_case("FARM.test", "/rows", "GET", Some("/farm"))]
+#[case::no_method("any.test", "/", "DELETE", None)]
+fn chosen_route(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] method: &str,
+    #[case] name: Option<&str>,
+) {
+    let only = |route: &mut kws_protocol::RouteSettings, method: &str| {
+        route.methods.insert(method.to_owned());
+    };
+    let settings = settings([
+        route("/", |route| only(route, "GET")),
+        route("/rows", |route| {
+            route.methods = ["GET", "POST"].map(str::to_owned).into();
+        }),
+        route("/rows/ripe", |route| only(route, "GET")),
+        route("/farm", |route| {
+            route.host = Some("farm.test".to_owned());
+            route.path = "/rows".to_owned();
+        }),
+    ]);
+    let found = find_route(&settings, host, path, method);
+    assert_eq!(found.map(|route| route.name.as_str()), name);
+}
--- a/crates/kws-forward/tests/tls_connections.rs
+++ b/crates/kws-forward/tests/tls_connections.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Fleet, get, route, settings};
 use kws_forward::{BackendTrust, CertificateFiles, CertificateStore};
-use kws_protocol::{EjectionSettings, FleetSettings, ServerName, ServiceName, ServiceSettings};
+use kws_protocol::{FleetSettings, ServerName};
 use rstest::rstest;
 use rustls::{
     ClientConfig, ClientConnection, RootCertStore, ServerConfig, ServerConnection, Stream,
@@ -13,14 +13,12 @@
     pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
 };
 use std::{
-    collections::BTreeMap,
     fs,
     io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     sync::Arc,
     thread,
-    time::Duration,
 };
 
 fn file(name: &str) -> PathBuf {
@@ -79,23 +77,10 @@
 }
 
 fn tls_settings() -> FleetSettings {
-    let service = ServiceSettings {
-        name: ServiceName::new("service"),
-        floor: 0.5,
-        slow_start: Duration::ZERO,
-        queue: 1,
-        retry_budget: 0.1,
-        ejection: EjectionSettings {
-            base: Duration::from_secs(1),
-            max: Duration::from_secs(1),
-            slow_factor: 3.0,
-            bad_share: 0.5,
-        },
-        tls: true,
-        servers: BTreeMap::new(),
-    };
     let mut settings = settings([route("/open", |_| ())]);
-    settings.services.insert(service.name.clone(), service);
+    for service in settings.services.values_mut() {
+        service.tls = true;
+    }
     settings
 }
 
--- a/crates/kws-standin/src/backend/answer.rs
+++ b/crates/kws-standin/src/backend/answer.rs
@@ -1,7 +1,7 @@
 //! Answers, whole or broken.
 
 use super::script::{BackendFault, BackendScript, BodyFraming};
-use std::{fmt::Write, future::pending, io};
+use std::{fmt::Write, future::pending, io, time::Duration};
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
     time::sleep,
@@ -34,7 +34,7 @@
 where
     W: AsyncWrite + Unpin,
 {
-    sleep(script.delay()).await;
+    pause(script.delay()).await;
     match script.fault {
         BackendFault::CutHead => return Ok(AfterAnswer::Close),
         BackendFault::SilentHead => return pending().await,
@@ -48,6 +48,13 @@
     write_body(writer, script, subject).await
 }
 
+/// Waits; even a sleep of no time would take the timer's next tick.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
+
 async fn write_shed<W>(
     writer: &mut W,
     script: &BackendScript,
@@ -123,7 +130,7 @@
             .collect();
         write_piece(writer, script.framing, &piece).await?;
         written += size;
-        sleep(script.piece_delay()).await;
+        pause(script.piece_delay()).await;
     }
     end_body(writer, script).await
 }
