Copies of a key elsewhere in a request never pass

Shown failing first: a key copied into the referer, another header, another cookie, another parameter or the path reached the backend server. Headers with a copy are dropped, targets with one are refused, and the path of a refused head is not logged.

--- a/crates/kws-forward/src/credential.rs
+++ b/crates/kws-forward/src/credential.rs
@@ -1,10 +1,11 @@
-//! Keys of callers: where they come, how they are looked up, and how they are taken out.
+//! Keys of callers: where they come, and how every copy of them is taken out.
 
-use kws_protocol::{FleetSnapshot, KeyDigest, RefusalReason, TeamName};
-use ntex::http::{HeaderMap, header::HeaderValue};
+use kws_protocol::{KeyDigest, RefusalReason};
+use ntex::http::{
+    HeaderMap,
+    header::{self, HeaderName, HeaderValue},
+};
 use sha2::{Digest, Sha256};
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
-use subtle::ConstantTimeEq;
 
 /// The name of the key as query parameter and as cookie.
 const KEY_PARAMETER: &str = "api_key";
@@ -12,102 +13,169 @@
 const KEY_HEADER: &str = "x-api-key";
 /// The scheme of the `authorization` header that carries a key.
 const KEY_SCHEME: &str = "bearer";
+/// Texts shorter than this, in bytes, are no keys, and occur by chance in other headers.
+const MIN_KEY_BYTES: usize = 8;
+
+/// Where a request's keys may be.
+pub(crate) struct KeyPlaces<'a> {
+    /// The headers.
+    pub(crate) headers: &'a mut HeaderMap,
+    /// The path.
+    pub(crate) path: &'a str,
+    /// The query.
+    pub(crate) query: &'a mut Option<String>,
+}
 
-/// Takes every key out of the headers and the query, and gives the digest of the single one.
+/// Takes every key out of its places, and gives the digest of the single one.
 ///
 /// # Errors
 /// [`RefusalReason::KeyTwice`] when more than one key came, and [`RefusalReason::BadRequest`] for a
-/// header that could hide one.
-pub(crate) fn take_key(
-    headers: &mut HeaderMap,
-    query: &mut Option<String>,
-) -> Result<Option<KeyDigest>, RefusalReason> {
+/// place that could hide one.
+pub(crate) fn take_key(mut places: KeyPlaces<'_>) -> Result<Option<KeyDigest>, RefusalReason> {
     let mut keys = Vec::new();
-    take_bearer(headers, &mut keys)?;
-    take_bare(headers, &mut keys);
-    take_query(query, &mut keys);
-    take_cookie(headers, &mut keys)?;
+    take_bearer(places.headers, &mut keys)?;
+    take_bare(places.headers, &mut keys);
+    take_query(places.query, &mut keys)?;
+    take_cookie(places.headers, &mut keys)?;
+    trim_referer(places.headers);
     match keys.as_slice() {
         [] => Ok(None),
-        [digest] => Ok(Some(*digest)),
+        [key] => {
+            take_copies(&mut places, key)?;
+            Ok(Some(KeyDigest(Sha256::digest(key).into())))
+        }
         _ => Err(RefusalReason::KeyTwice),
     }
 }
 
-fn digest(key: &[u8]) -> KeyDigest {
-    KeyDigest(Sha256::digest(key).into())
-}
-
 /// Other schemes of `authorization` are dropped as well: a backend server must see no credential
 /// that this daemon did not judge.
-fn take_bearer(headers: &mut HeaderMap, keys: &mut Vec<KeyDigest>) -> Result<(), RefusalReason> {
-    for value in headers.get_all("authorization") {
+fn take_bearer(headers: &mut HeaderMap, keys: &mut Vec<Vec<u8>>) -> Result<(), RefusalReason> {
+    for value in headers.get_all(header::AUTHORIZATION) {
         let text = value.to_str().map_err(|_| RefusalReason::BadRequest)?;
         if let Some((scheme, key)) = text.trim().split_once(' ')
             && scheme.eq_ignore_ascii_case(KEY_SCHEME)
         {
-            keys.push(digest(key.trim().as_bytes()));
+            keys.push(key.trim().into());
         }
     }
-    headers.remove("authorization");
-    headers.remove("proxy-authorization");
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(header::PROXY_AUTHORIZATION);
     Ok(())
 }
 
-fn take_bare(headers: &mut HeaderMap, keys: &mut Vec<KeyDigest>) {
+fn take_bare(headers: &mut HeaderMap, keys: &mut Vec<Vec<u8>>) {
     for value in headers.get_all(KEY_HEADER) {
-        keys.push(digest(value.as_bytes().trim_ascii()));
+        keys.push(value.as_bytes().trim_ascii().into());
     }
     headers.remove(KEY_HEADER);
 }
 
-fn take_query(query: &mut Option<String>, keys: &mut Vec<KeyDigest>) {
-    let Some(text) = query.take() else { return };
+fn take_query(query: &mut Option<String>, keys: &mut Vec<Vec<u8>>) -> Result<(), RefusalReason> {
+    let Some(text) = query.take() else {
+        return Ok(());
+    };
     let mut kept = Vec::new();
     for pair in text.split('&') {
-        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-        if is_key_name(&decode_percent(name)) {
-            keys.push(digest(&decode_percent(value)));
+        if names_key(pair) {
+            let value = pair.split_once('=').map_or("", |(_, value)| value);
+            keys.push(decode_percent(value));
+        } else if pair.split(';').any(names_key) {
+            // Some servers separate parameters by semicolons as well.
+            return Err(RefusalReason::BadRequest);
         } else {
             kept.push(pair);
         }
     }
     let rest = kept.join("&");
     *query = (!rest.is_empty()).then_some(rest);
+    Ok(())
 }
 
-fn take_cookie(headers: &mut HeaderMap, keys: &mut Vec<KeyDigest>) -> Result<(), RefusalReason> {
+fn take_cookie(headers: &mut HeaderMap, keys: &mut Vec<Vec<u8>>) -> Result<(), RefusalReason> {
     let mut kept = Vec::new();
-    for value in headers.get_all("cookie") {
+    for value in headers.get_all(header::COOKIE) {
         let text = value.to_str().map_err(|_| RefusalReason::BadRequest)?;
-        for pair in text
-            .split(';')
-            .map(str::trim)
-            .filter(|pair| !pair.is_empty())
-        {
-            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-            if is_key_name(name.trim().as_bytes()) {
-                keys.push(digest(value.trim().trim_matches('"').as_bytes()));
+        let pairs = text.split(';').map(str::trim);
+        for pair in pairs.filter(|pair| !pair.is_empty()) {
+            if names_key(pair) {
+                let value = pair.split_once('=').map_or("", |(_, value)| value);
+                keys.push(value.trim().trim_matches('"').into());
             } else {
                 kept.push(pair.to_owned());
             }
         }
     }
-    headers.remove("cookie");
+    headers.remove(header::COOKIE);
     if !kept.is_empty() {
         let value = HeaderValue::from_str(&kept.join("; "));
         let value = value.map_err(|_| RefusalReason::BadRequest)?;
-        headers.insert(ntex::http::header::COOKIE, value);
+        headers.insert(header::COOKIE, value);
+    }
+    Ok(())
+}
+
+/// A page that was asked for with a key in its query names it as the referer of the next request.
+fn trim_referer(headers: &mut HeaderMap) {
+    let referer = headers
+        .get(header::REFERER)
+        .and_then(|value| value.to_str().ok());
+    let Some((page, query)) = referer.and_then(|text| text.split_once('?')) else {
+        return;
+    };
+    if !query.split(['&', ';', '#']).any(names_key) {
+        return;
+    }
+    let page = HeaderValue::from_str(page);
+    headers.remove(header::REFERER);
+    if let Ok(page) = page {
+        headers.insert(header::REFERER, page);
+    }
+}
+
+/// Takes out headers with copies of the key; a copy in the target is refused, since the target
+/// cannot be changed without changing the request.
+fn take_copies(places: &mut KeyPlaces<'_>, key: &[u8]) -> Result<(), RefusalReason> {
+    if key.len() < MIN_KEY_BYTES {
+        return Ok(());
+    }
+    let query = places.query.as_deref().unwrap_or_default();
+    let host = places.headers.get(header::HOST);
+    let host = host.map_or(&[][..], HeaderValue::as_bytes);
+    if [places.path.as_bytes(), query.as_bytes(), host]
+        .iter()
+        .any(|text| holds_key(text, key))
+    {
+        return Err(RefusalReason::BadRequest);
+    }
+    let copies: Vec<HeaderName> = places
+        .headers
+        .iter()
+        .filter(|(_, value)| holds_key(value.as_bytes(), key))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in copies {
+        places.headers.remove(name);
     }
     Ok(())
 }
 
-fn is_key_name(name: &[u8]) -> bool {
-    name.eq_ignore_ascii_case(KEY_PARAMETER.as_bytes())
+fn holds_key(text: &[u8], key: &[u8]) -> bool {
+    let holds = |text: &[u8]| text.windows(key.len()).any(|part| part == key);
+    holds(text) || (text.contains(&b'%') && holds(&decode_bytes(text)))
+}
+
+/// Whether a parameter or cookie, given as `name=value`, is the key.
+fn names_key(pair: &str) -> bool {
+    let name = pair.split('=').next().unwrap_or_default();
+    decode_percent(name.trim()).eq_ignore_ascii_case(KEY_PARAMETER.as_bytes())
 }
 
 fn decode_percent(text: &str) -> Vec<u8> {
-    let bytes = text.as_bytes();
+    decode_bytes(text.as_bytes())
+}
+
+fn decode_bytes(bytes: &[u8]) -> Vec<u8> {
     let mut decoded = Vec::with_capacity(bytes.len());
     let mut at = 0;
     while let Some(&byte) = bytes.get(at) {
@@ -126,68 +194,3 @@
     let digit = |byte: u8| char::from(byte).to_digit(16);
     Some((digit(high)? * 16 + digit(low)?) as u8)
 }
-
-/// The teams of one snapshot by the digests of their keys.
-#[derive(Debug)]
-struct KeyIndex {
-    snapshot: Arc<FleetSnapshot>,
-    teams: HashMap<[u8; 8], Vec<(KeyDigest, TeamName)>>,
-}
-
-impl KeyIndex {
-    fn new(snapshot: Arc<FleetSnapshot>) -> Self {
-        let mut teams: HashMap<[u8; 8], Vec<_>> = HashMap::new();
-        for team in snapshot.settings.teams.values() {
-            for digest in &team.keys {
-                let bucket = teams.entry(bucket_of(*digest)).or_default();
-                bucket.push((*digest, team.name.clone()));
-            }
-        }
-        Self { snapshot, teams }
-    }
-
-    /// Compares with the whole bucket, each digest in constant time.
-    fn team(&self, digest: KeyDigest) -> Option<&TeamName> {
-        let bucket = self.teams.get(&bucket_of(digest))?;
-        bucket.iter().fold(None, |found, (known, team)| {
-            if bool::from(known.0.ct_eq(&digest.0)) {
-                Some(team)
-            } else {
-                found
-            }
-        })
-    }
-}
-
-fn bucket_of(digest: KeyDigest) -> [u8; 8] {
-    std::array::from_fn(|at| digest.0[at])
-}
-
-/// Looks keys up; the index is made anew when the snapshot changes.
-#[derive(Debug, Default)]
-pub(crate) struct KeyTable {
-    index: RefCell<Option<Rc<KeyIndex>>>,
-}
-
-impl KeyTable {
-    /// The team of a key in `snapshot`.
-    pub(crate) fn team(
-        &self,
-        snapshot: &Arc<FleetSnapshot>,
-        digest: KeyDigest,
-    ) -> Option<TeamName> {
-        self.index_of(snapshot).team(digest).cloned()
-    }
-
-    fn index_of(&self, snapshot: &Arc<FleetSnapshot>) -> Rc<KeyIndex> {
-        let mut cached = self.index.borrow_mut();
-        if let Some(index) = cached.as_ref()
-            && Arc::ptr_eq(&index.snapshot, snapshot)
-        {
-            return Rc::clone(index);
-        }
-        let index = Rc::new(KeyIndex::new(Arc::clone(snapshot)));
-        *cached = Some(Rc::clone(&index));
-        index
-    }
-}
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -20,6 +20,8 @@
 /// What is known of a request for its record.
 #[derive(Debug, Default)]
 struct ExchangeLog {
+    /// Empty for a head that failed its checks: it may hold a key.
+    path: String,
     route: Option<RouteName>,
     team: Option<TeamName>,
     tried: TryHistory,
@@ -58,6 +60,7 @@
     let mut log = ExchangeLog::default();
     let result = match read_head(&request) {
         Ok(parts) => {
+            log.path.clone_from(&parts.path);
             let mut exchange = Exchange {
                 judge: RequestJudge {
                     worker,
@@ -90,7 +93,7 @@
         request_id,
         caller: request.peer_addr(),
         method: request.method().to_string(),
-        path: request.uri().path().to_owned(),
+        path: log.path,
         route: log.route,
         team: log.team,
         server: log.tried.last,
--- a/crates/kws-forward/src/head.rs
+++ b/crates/kws-forward/src/head.rs
@@ -1,6 +1,9 @@
 //! Checks of a request's head, and the headers that pass in each direction.
 
-use crate::{credential::take_key, target::check_path};
+use crate::{
+    credential::{KeyPlaces, take_key},
+    target::check_path,
+};
 use kws_protocol::{KeyDigest, RefusalReason};
 use ntex::http::{HeaderMap, Method, Request, Version, header};
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -106,7 +109,11 @@
     let size = head_size(request);
     let mut headers = request.headers().clone();
     let mut query = request.uri().query().map(str::to_owned);
-    let key = take_key(&mut headers, &mut query)?;
+    let key = take_key(KeyPlaces {
+        headers: &mut headers,
+        path: request.uri().path(),
+        query: &mut query,
+    })?;
     let trace = single_text(&headers, "traceparent");
     strip_hop(&mut headers)?;
     strip_identity(&mut headers);
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod guard_layer;
 mod head;
 mod judge;
+mod key_table;
 mod listener;
 mod pending;
 mod protocol_reply;
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,7 +1,7 @@
 //! What the requests of one worker share.
 
 use crate::{
-    control::ForwardControl, credential::KeyTable, pending::PendingRequests, request_id::IdSource,
+    control::ForwardControl, key_table::KeyTable, pending::PendingRequests, request_id::IdSource,
     tls::BackendTrust, upstream::UpstreamPool,
 };
 use std::sync::{
--- a/crates/kws-forward/tests/caller_key.rs
+++ b/crates/kws-forward/tests/caller_key.rs
@@ -45,6 +45,30 @@
     );
 }
 
+#[rstest]
+#[case::own_referer(
+    "/listing",
+    "referer: https://farm.test/rows?api_key=orchard-key&a=b\r\n",
+    200
+)]
+#[case::escaped_referer("/listing", "referer: https://a/rows?api%5fkey=orchard%2dkey\r\n", 200)]
+#[case::other_header("/listing", "x-note: for orchard-key only\r\n", 200)]
+#[case::other_cookie("/listing", "cookie: a=1; session=orchard-key\r\n", 200)]
+#[case::other_parameter("/listing?note=orchard-key", "", 400)]
+#[case::path("/listing/orchard%2Dkey", "", 400)]
+#[tokio::test]
+async fn copied_key(#[case] path: &str, #[case] lines: &str, #[case] status: u16) {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let lines = format!("x-api-key: {KEY}\r\n{lines}");
+    assert_eq!(fleet.send(&bare(path, &lines)).await.status(), status);
+    let records = fleet.control.records.lock().unwrap();
+    let seen = format!("{:?}{records:?}", fleet.backends[0].seen()).to_lowercase();
+    assert!(
+        !seen.contains(KEY) && !seen.contains("orchard%2d"),
+        "{seen}"
+    );
+}
+
 #[rstest]
 #[case::none("/listing", "", 401, "key_missing")]
 #[case::unknown("/listing", "x-api-key: other\r\n", 401, "key_unknown")]
@@ -68,6 +92,7 @@
     "key_twice"
 )]
 #[case::twice_open("/open?api_key=a", "cookie: api_key=b\r\n", 400, "key_twice")]
+#[case::semicolon("/open?a=1;api_key=orchard-key", "", 400, "bad_request")]
 #[case::other_team("/press", "x-api-key: orchard-key\r\n", 403, "team_forbidden")]
 #[tokio::test]
 async fn refused_key(
