--- a/crates/kws-forward/src/answer.rs
+++ b/crates/kws-forward/src/answer.rs
@@ -1,7 +1,7 @@
 //! The head of a backend server's answer: what is believed, and what is passed on.
 
 use crate::{
-    answer_body::{AnswerBody, AnswerLength, AnswerTimes, HeadBody},
+    answer_body::{AnswerBody, AnswerLength, AnswerSource, AnswerTimes, HeadBody},
     control::TryClass,
     head::strip_answer,
     single_try::{TryContext, TryFailure},
@@ -16,6 +16,7 @@
         header,
     },
 };
+use std::rc::Rc;
 
 /// The header by which a server tells whether it ran a request.
 const RUN_HEADER: &str = "knapweedseam-run";
@@ -187,8 +188,12 @@
             bodiless(length)
         }
         AnswerFraming::Body(length) => Body::from_message(AnswerBody::new(
-            answer.take_payload(),
-            length,
+            AnswerSource {
+                payload: answer.take_payload(),
+                length,
+                address: context.upstream(),
+                pool: Rc::clone(&context.worker.pool),
+            },
             times,
             context.caller.clone(),
             guard,
--- a/crates/kws-forward/src/answer_body.rs
+++ b/crates/kws-forward/src/answer_body.rs
@@ -1,6 +1,11 @@
 //! The backend server's body on its way to the caller.
 
-use crate::{control::TryClass, silence::SilenceTimer, try_guard::TryGuard};
+use crate::{
+    control::TryClass,
+    silence::SilenceTimer,
+    try_guard::TryGuard,
+    upstream::{UpstreamAddress, UpstreamPool},
+};
 use ntex::{
     http::{
         Payload,
@@ -44,13 +49,25 @@
     pub(crate) idle: Duration,
 }
 
+/// Where a body comes from.
+#[derive(Debug)]
+pub(crate) struct AnswerSource {
+    /// The body.
+    pub(crate) payload: Payload,
+    /// Its framing.
+    pub(crate) length: AnswerLength,
+    /// The server.
+    pub(crate) address: UpstreamAddress,
+    /// The connections to doubt when this one goes silent.
+    pub(crate) pool: Rc<UpstreamPool>,
+}
+
 /// A body that ends whole or aborts the caller's connection.
 ///
 /// It never yields an error: the HTTP server would write an answer of its own into the body, and
 /// the caller would take that for the rest.
 pub(crate) struct AnswerBody {
-    payload: Payload,
-    length: AnswerLength,
+    source: AnswerSource,
     remaining: u64,
     caller: IoRef,
     guard: TryGuard,
@@ -64,20 +81,18 @@
 impl AnswerBody {
     /// A body that reports `class` once it is whole.
     pub(crate) fn new(
-        payload: Payload,
-        length: AnswerLength,
+        source: AnswerSource,
         times: AnswerTimes,
         caller: IoRef,
         guard: TryGuard,
         class: TryClass,
     ) -> Self {
-        let remaining = match length {
+        let remaining = match source.length {
             AnswerLength::Sized(bytes) => bytes,
             AnswerLength::Chunked => 0,
         };
         Self {
-            payload,
-            length,
+            source,
             remaining,
             _watch: watch_deadline(caller.clone(), times.deadline + STALL_GRACE),
             caller,
@@ -91,7 +106,7 @@
 
     fn abort(&mut self, class: TryClass) -> Poll<Option<Bytes>> {
         self.aborted = true;
-        self.payload = Payload::None;
+        self.source.payload = Payload::None;
         self.guard.finish(class);
         self.caller.terminate();
         Poll::Pending
@@ -104,12 +119,13 @@
         if self.deadline.as_mut().poll(context).is_ready() {
             return self.abort(TryClass::Late);
         }
-        match self.payload.poll_recv(context) {
+        match self.source.payload.poll_recv(context) {
             Poll::Ready(Some(Ok(chunk))) => self.take_chunk(chunk),
             Poll::Ready(Some(Err(_))) => self.abort(TryClass::Bad),
             Poll::Ready(None) => self.end(),
             Poll::Pending => {
                 std::task::ready!(self.silence.poll_silent(context));
+                self.source.pool.doubt(self.source.address);
                 self.abort(TryClass::Late)
             }
         }
@@ -117,7 +133,7 @@
 
     fn take_chunk(&mut self, chunk: Bytes) -> Poll<Option<Bytes>> {
         self.silence.heard();
-        if matches!(self.length, AnswerLength::Sized(_)) {
+        if matches!(self.source.length, AnswerLength::Sized(_)) {
             let Some(remaining) = self.remaining.checked_sub(chunk.len() as u64) else {
                 return self.abort(TryClass::Bad);
             };
@@ -150,7 +166,7 @@
 
 impl MessageBody for AnswerBody {
     fn size(&self) -> BodySize {
-        match self.length {
+        match self.source.length {
             AnswerLength::Sized(bytes) => BodySize::Sized(bytes),
             AnswerLength::Chunked => BodySize::Stream,
         }
--- a/crates/kws-forward/src/head.rs
+++ b/crates/kws-forward/src/head.rs
@@ -8,6 +8,8 @@
 use ntex::http::{HeaderMap, Method, Request, Version, header};
 use std::{collections::BTreeSet, net::SocketAddr};
 
+/// Header lines of a request at the most; the HTTP server's own limit counts otherwise.
+const MAX_HEADERS: usize = 128;
 /// Prefix of the headers that only daemons set.
 const OWN_PREFIX: &str = "x-knapweedseam-";
 /// Prefix of the headers by which the daemon and backend servers talk.
@@ -100,8 +102,11 @@
 /// Checks a request's head and takes it apart.
 ///
 /// # Errors
-/// [`RefusalReason::BadRequest`] or [`RefusalReason::KeyTwice`].
+/// [`RefusalReason::BadRequest`], [`RefusalReason::HeadTooLarge`] or [`RefusalReason::KeyTwice`].
 pub(crate) fn read_head(request: &Request) -> Result<RequestParts, RefusalReason> {
+    if request.headers().iter().count() > MAX_HEADERS {
+        return Err(RefusalReason::HeadTooLarge);
+    }
     check_method(request)?;
     check_path(request.uri().path())?;
     let authority = single_host(request)?;
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -32,8 +32,6 @@
 const SERVICE_NAME: &str = "callers";
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
-/// Header lines of a request.
-const MAX_HEADERS: usize = 128;
 
 /// The settings of a listener.
 #[derive(Clone, Debug)]
@@ -205,7 +203,6 @@
     SharedCfg::new("CALLERS")
         .add(
             HttpServiceConfig::new()
-                .set_max_headers(MAX_HEADERS)
                 .set_max_buf_size(settings.max_head)
                 .set_keepalive(seconds(settings.keep_alive))
                 .set_client_timeout(seconds(settings.head_timeout)),
--- a/crates/kws-forward/src/protocol_reply.rs
+++ b/crates/kws-forward/src/protocol_reply.rs
@@ -44,7 +44,9 @@
 
 fn refusal_of(error: &ProtocolError) -> Option<RefusalReason> {
     match error {
-        ProtocolError::Decode(DecodeError::TooLarge(_)) => Some(RefusalReason::HeadTooLarge),
+        ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
+            Some(RefusalReason::HeadTooLarge)
+        }
         ProtocolError::Decode(_) => Some(RefusalReason::BadRequest),
         _ => None,
     }
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -45,7 +45,8 @@
 }
 
 impl TryContext<'_> {
-    fn upstream(&self) -> UpstreamAddress {
+    /// Where the server is.
+    pub(crate) fn upstream(&self) -> UpstreamAddress {
         UpstreamAddress {
             address: self.grant.address,
             tls: self.tls,
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -4,9 +4,12 @@
     control::ForwardControl, key_table::KeyTable, pending::PendingRequests, request_id::IdSource,
     tls::BackendTrust, upstream::UpstreamPool,
 };
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 /// What workers are made of.
@@ -27,7 +30,7 @@
     /// The decisions.
     pub(crate) control: Arc<dyn ForwardControl>,
     /// Connections to backend servers.
-    pub(crate) pool: UpstreamPool,
+    pub(crate) pool: Rc<UpstreamPool>,
     /// Lookup of keys.
     pub(crate) keys: KeyTable,
     /// Identifiers of requests.
@@ -40,7 +43,7 @@
     pub(crate) fn new(parts: WorkerParts) -> Self {
         Self {
             control: parts.control,
-            pool: UpstreamPool::new(parts.trust),
+            pool: Rc::new(UpstreamPool::new(parts.trust)),
             keys: KeyTable::default(),
             ids: IdSource::new(),
             draining: parts.draining,
--- a/crates/kws-forward/tests/at_most_once.rs
+++ b/crates/kws-forward/tests/at_most_once.rs
@@ -53,9 +53,12 @@
     fleet.backends[0].stop().await;
     let answer = fleet.send(&text).await;
     assert_eq!(answer.status(), 200);
+    let classes = fleet.classes(2).await;
+    let stopped = fleet.backends[0].seen();
     assert_eq!(
-        fleet.classes(2).await,
-        [TryClass::ConnectFailed, TryClass::Good]
+        classes,
+        [TryClass::ConnectFailed, TryClass::Good],
+        "{stopped:?}"
     );
     assert_eq!(
         *fleet.control.retries.lock().unwrap(),
--- a/crates/kws-forward/tests/frame_guard.rs
+++ b/crates/kws-forward/tests/frame_guard.rs
@@ -6,6 +6,7 @@
 use fleet::{Fleet, KEY, request};
 use kws_standin::backend::BackendScript;
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
 
 #[rstest]
 #[case::line_feed("GET /listing HTTP/1.1\nhost: a\r\nx-api-key: KEY\r\n\r\n")]
@@ -168,3 +169,30 @@
     assert_eq!((answer.status(), answer.reason()), (431, "head_too_large"));
     assert_eq!(fleet.arrivals(), 0);
 }
+
+#[tokio::test]
+async fn many_headers() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let lines = "x-row: 1\r\n".repeat(200);
+    let answer = fleet.send(&request("GET", "/listing", &lines, "")).await;
+    assert_eq!((answer.status(), answer.reason()), (431, "head_too_large"));
+}
+
+#[tokio::test]
+async fn single_bytes() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let text = request(
+        "POST",
+        "/till",
+        "transfer-encoding: chunked\r\n",
+        "3\r\nrow\r\n0\r\na: b\r\n\r\n",
+    );
+    let mut stream = fleet.connect().await;
+    stream.set_nodelay(true).expect("sets");
+    for byte in text.as_bytes() {
+        stream.write_all(&[*byte]).await.expect("writes");
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(fleet::read_to_end(&mut stream).await.status(), 200);
+    assert_eq!(fleet.backends[0].seen()[0].body, b"row");
+}
--- a/crates/kws-forward/tests/whole_answer.rs
+++ b/crates/kws-forward/tests/whole_answer.rs
@@ -178,3 +178,28 @@
     assert!(!second.text.contains("extra"), "{second:?}");
     assert!(second.is_whole(), "{second:?}");
 }
+
+#[rstest]
+#[case::silent_head(BackendFault::SilentHead)]
+#[case::silent_body(BackendFault::SilentBody(60))]
+#[tokio::test]
+async fn doubted_siblings(#[case] fault: BackendFault) {
+    let slow = route("/slow", |route| {
+        route.deadline = Duration::from_millis(500);
+        route.idle = Duration::from_millis(100);
+        route.tries = 1;
+    });
+    let together = BackendScript {
+        delay_ms: 100,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::with_routes([slow], [together]).await;
+    tokio::join!(fleet.get("/slow"), fleet.get("/slow"));
+    fleet.classes(2).await;
+    fleet.backends[0].set_script(script(BodyFraming::Length, fault));
+    fleet.get("/slow").await;
+    fleet.classes(3).await;
+    fleet.backends[0].set_script(BackendScript::default());
+    assert!(fleet.get("/slow").await.is_whole());
+    assert_eq!(fleet.backends[0].seen()[3].connection, 2);
+}
