A stopped stand-in keeps its port

In one of many runs under load a request to a stopped server ended as a lost connection in place of a refused one; 40 runs alone did not show it again, and the cause is not proved. The freed port could be taken by another listener; it can't any more.

--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{
     io::{AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::oneshot,
     task::{AbortHandle, JoinSet, spawn, yield_now},
 };
@@ -27,6 +27,7 @@
     address: SocketAddr,
     state: Arc<ServerState>,
     task: AbortHandle,
+    bound: Mutex<Option<TcpSocket>>,
 }
 
 /// A request that waits for another to swap answers with.
@@ -69,6 +70,7 @@
             address,
             state,
             task,
+            bound: Mutex::default(),
         })
     }
 }
@@ -90,11 +92,14 @@
     }
 
     /// Ends the listener and every connection; new connections are refused from then on.
+    ///
+    /// The port stays bound, so that no other listener takes it while the handle lives.
     pub async fn stop(&self) {
         self.task.abort();
         while !self.task.is_finished() {
             yield_now().await;
         }
+        *lock(&self.bound) = bind_only(self.address).ok();
     }
 }
 
@@ -108,6 +113,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn bind_only(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// The connections live in the set, and end with this task.
 async fn accept(listener: TcpListener, state: Arc<ServerState>) {
     let mut connections = JoinSet::new();
