--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -1,7 +1,9 @@
 //! Prints tables of measurements.
 
 use clap::{Parser, Subcommand};
-use kws_bench::{backends::BackendsArgs, forward::ForwardArgs, limits::LimitsArgs};
+use kws_bench::{
+    backends::BackendsArgs, fleet::FleetArgs, forward::ForwardArgs, limits::LimitsArgs,
+};
 
 /// Measurements over the product and its baselines.
 #[derive(Debug, Parser)]
@@ -19,6 +21,8 @@
     Forward(ForwardArgs),
     /// Limits: admitted over entitled, refusals within the rate, loans, waits.
     Limits(LimitsArgs),
+    /// Freshness: time until a withdrawal is in force, and control traffic.
+    Fleet(FleetArgs),
 }
 
 fn main() -> eyre::Result<()> {
@@ -26,5 +30,6 @@
         BenchTable::Backends(args) => args.run(),
         BenchTable::Forward(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
+        BenchTable::Fleet(args) => args.run(),
     }
 }
--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -13,7 +13,10 @@
 };
 use eyre::{Result, WrapErr};
 use kws_admin::FleetMetrics;
-use kws_forward::{ListenerHandle, ListenerSettings, run_listener};
+use kws_forward::{
+    BackendTrust, CertificateFiles, CertificateStore, ListenerHandle, ListenerSettings,
+    run_listener,
+};
 use kws_protocol::HostName;
 use std::{
     net::{SocketAddr, TcpListener},
@@ -102,7 +105,7 @@
     let rings = start_duties(&shared, options, peer)?;
 
     let control = RingControl::new(Arc::clone(&shared), rings.ledger.clone(), rings.dispatch);
-    let listener = ListenerSettings::new(settings.listen, options.workers);
+    let listener = listener_settings(options)?;
     let listener = run_listener(listener, Arc::new(control))
         .wrap_err_with(|| format!("callers can't be served on {}", settings.listen))?;
     log::info!(
@@ -122,6 +125,24 @@
     })
 }
 
+fn listener_settings(options: &DaemonOptions) -> Result<ListenerSettings> {
+    let settings = &options.settings;
+    let mut listener = ListenerSettings::new(settings.listen, options.workers);
+    if let Some(tls) = &settings.tls {
+        let files = CertificateFiles {
+            chain: tls.certificate.clone(),
+            key: tls.key.clone(),
+        };
+        let store = CertificateStore::load(files).wrap_err("the certificate can't be used")?;
+        listener.certificate = Some(Arc::new(store));
+    }
+    if let Some(path) = &settings.backend_ca_file {
+        let trust = BackendTrust::load(path);
+        listener.backend_trust = Some(trust.wrap_err("the authorities can't be used")?);
+    }
+    Ok(listener)
+}
+
 /// The rings that the caller listeners write to.
 struct RequestRings {
     ledger: Sender<LedgerEvent>,
--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -13,8 +13,15 @@
 /// Rounding that may be missing from a whole token; the level then goes below 0 by as much.
 const ROUNDING: f64 = 1e-9;
 
-/// A lender that stays short is spared for at most this long.
-const MAX_DRY_PAUSE: Duration = Duration::from_millis(400);
+/// Requests for loans to one lender of another region that may be under way at once; one of the
+/// own region answers so soon that the next can wait.
+const MAX_FAR_LOANS: usize = 4;
+
+/// The weight of the newest answer in the share of tokens asked for that is lent.
+const FULFILLED_STEP: f64 = 0.2;
+
+/// Several requests wait for the own region only when so much of what is asked for is lent.
+const MIN_FULFILLED: f64 = 0.25;
 
 /// A request that waits.
 #[derive(Debug)]
@@ -40,15 +47,22 @@
     pub(crate) dry_pause: Duration,
 }
 
-/// Who may be asked for a loan, best first.
-#[derive(Debug, Default)]
+/// Who may be asked for a loan.
+#[derive(Debug)]
 pub(crate) struct LenderList {
     /// The revision that named them.
     pub(crate) revision: TreeRevision,
-    /// Holders in the own region.
-    pub(crate) local: Vec<LoanSource>,
-    /// Holders in other regions.
-    pub(crate) remote: Vec<LoanSource>,
+    /// The hosts.
+    pub(crate) sources: Arc<[LoanSource]>,
+}
+
+impl LenderList {
+    fn new() -> Self {
+        Self {
+            revision: TreeRevision(0),
+            sources: Arc::new([]),
+        }
+    }
 }
 
 /// What the account's tokens depend on.
@@ -83,8 +97,12 @@
     pub(crate) waiting: VecDeque<WaitingRequest>,
     /// The demand seen.
     pub(crate) demand: DemandRate,
-    /// Who may lend.
-    pub(crate) lenders: Arc<LenderList>,
+    /// Who may lend in the own region.
+    pub(crate) near: LenderList,
+    /// Who may lend in other regions.
+    pub(crate) far: LenderList,
+    /// How much of what is asked for is lent, lately, between 0 and 1.
+    fulfilled: f64,
     /// Whose turn it is to be asked.
     pub(crate) turn: usize,
 }
@@ -105,7 +123,9 @@
             dry: Vec::new(),
             waiting: VecDeque::new(),
             demand: DemandRate::new(now),
-            lenders: Arc::default(),
+            near: LenderList::new(),
+            far: LenderList::new(),
+            fulfilled: 1.0,
             turn: 0,
         }
     }
@@ -226,15 +246,19 @@
     }
 
     /// Whether the lender is asked already or was short or silent lately.
-    pub(crate) fn is_spared(&self, lender: &HostName, now: Instant) -> bool {
-        let dry = self
-            .dry
-            .iter()
-            .any(|dry| &dry.lender == lender && dry.until > now);
-        dry || self
+    pub(crate) fn is_spared(&self, source: &LoanSource, now: Instant) -> bool {
+        let lender = &source.lender;
+        let asked = self
             .pending
             .iter()
-            .any(|loan| &loan.lender == lender && loan.expected > now)
+            .filter(|loan| &loan.lender == lender && loan.expected > now)
+            .count();
+        let most = if source.near { 1 } else { MAX_FAR_LOANS };
+        asked >= most
+            || self
+                .dry
+                .iter()
+                .any(|dry| &dry.lender == lender && dry.until > now)
     }
 
     /// Whether an answer from the own region may still be counted on.
@@ -245,17 +269,44 @@
     }
 
     /// Whether all that wait and `more` requests may still get tokens. An answer from the own region
-    /// is waited for in any case, since others can be asked in time after it.
+    /// is waited for in any case, since others can be asked in time after it; of other answers as
+    /// much is counted on as lately came. One request may always wait for an answer.
     pub(crate) fn covers(&self, more: usize, now: Instant) -> bool {
         let wanted = (self.waiting.len() + more) as f64;
-        self.expects_near(now) || self.in_hand() + self.expected(now) >= wanted - ROUNDING
+        let expected = self.expected(now);
+        if wanted <= 1.0 {
+            return self.expects_near(now) || self.in_hand() + expected >= wanted - ROUNDING;
+        }
+        let likely = self.in_hand() + expected * self.fulfilled;
+        likely >= wanted - ROUNDING || self.expects_near(now) && self.fulfilled >= MIN_FULFILLED
+    }
+
+    /// Learns how much of what was asked for was lent.
+    pub(crate) fn note_fulfilled(&mut self, share: f64) {
+        self.fulfilled += FULFILLED_STEP * (share - self.fulfilled);
     }
 
-    /// Spares a lender for `pause`, or longer when it was marked just before.
-    pub(crate) fn mark_dry(&mut self, lender: &HostName, pause: Duration, now: Instant) {
+    /// Whether every lender of the own region was short or silent lately.
+    pub(crate) fn is_near_dry(&self, now: Instant) -> bool {
+        let mut near = self.near.sources.iter();
+        near.all(|source| self.is_spared(source, now))
+    }
+
+    /// Spares a lender for `pause`, or for longer, up to `most`, when it was marked just before.
+    pub(crate) fn mark_dry(
+        &mut self,
+        lender: &HostName,
+        pause: Duration,
+        most: Duration,
+        now: Instant,
+    ) {
         let marked = self.dry.iter().find(|dry| &dry.lender == lender);
+        if marked.is_some_and(|dry| now < dry.until) {
+            // Another answer of the same round is no news.
+            return;
+        }
         let again = marked.filter(|dry| now < dry.until + dry.pause);
-        let pause = again.map_or(pause, |dry| (dry.pause * 2).min(MAX_DRY_PAUSE).max(pause));
+        let pause = again.map_or(pause, |dry| (dry.pause * 2).min(most).max(pause));
         self.dry
             .retain(|dry| now < dry.until + dry.pause && &dry.lender != lender);
         self.dry.push(DryLender {
--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -3,16 +3,27 @@
 use super::{LimitsLedger, MIN_RETRY, refuse, refuse_rate};
 use crate::{
     AdmitDecision, LOAN_TERM, RefusalCause,
-    account::{LenderList, LoanSource, TeamAccount, WaitingRequest},
+    account::{LoanSource, TeamAccount, WaitingRequest},
     loan::{BorrowedLoan, PendingLoan},
-    placement::{region_holders, region_weight},
 };
-use kws_protocol::{HostName, LoanId, LoanMessage, TeamName, rendezvous_score};
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use kws_protocol::{HostName, LoanId, LoanMessage, TeamName};
+use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
-/// How many waits long a lender that did not answer is spared.
-const SILENT_WAITS: u32 = 10;
+/// A lender that did not answer is spared for this long at first, and for longer each time.
+const SILENT_PAUSE: Duration = Duration::from_millis(500);
+
+/// The longest time for which a silent lender is spared.
+const MAX_SILENT_PAUSE: Duration = Duration::from_secs(4);
+
+/// A lender that stays short is spared for at most this long.
+const MAX_DRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Hosts keep a token at hand when the team's burst has so many for each of them.
+const SPARE_SHARE: f64 = 2.0;
+
+/// Other regions are asked when this share of what is kept ahead of them is left.
+const REMOTE_LOW: f64 = 0.75;
 
 impl LimitsLedger {
     /// Lets a request wait for tokens asked for, or refuses it when no one is left to ask.
@@ -39,34 +50,68 @@
         AdmitDecision::Waiting(ticket)
     }
 
-    /// Asks for tokens before they are needed, from the demand seen.
+    /// Asks for tokens before they are needed, from the demand seen. Other regions are asked
+    /// earlier, since their answer takes longer, but only while the own region has none.
     pub(super) fn borrow_ahead(
         &mut self,
         team: &TeamName,
         account: &mut TeamAccount,
         now: Instant,
     ) {
-        let demand = account.demand.value(now) - account.allotment().rate;
-        let low = demand * self.policy.region_ahead.as_secs_f64();
-        if low >= 1.0 && account.in_hand() + account.expected(now) < low {
-            self.borrow(team, account, low, now);
+        let seen = account.demand.value(now);
+        let demand = seen - account.allotment().rate;
+        let spare = if self.may_keep_spare(team, seen) {
+            1.0
+        } else {
+            0.0
+        };
+        let near = (demand * self.policy.region_ahead.as_secs_f64()).max(spare);
+        let far = demand * self.policy.remote_ahead.as_secs_f64();
+        let at_hand = account.in_hand() + account.expected(now);
+        if near >= 1.0 && at_hand < near {
+            self.borrow(team, account, near, now);
+        } else if far >= 1.0 && at_hand < far * REMOTE_LOW && account.is_near_dry(now) {
+            self.borrow_far(team, account, far, now);
         }
     }
 
+    /// Whether the burst is large enough for every host to keep a token at hand, and the demand so
+    /// high that it is soon used.
+    fn may_keep_spare(&self, team: &TeamName, demand: f64) -> bool {
+        let hosts = self
+            .window
+            .newest()
+            .map_or(0, |newest| newest.hosts.hosts.len());
+        let burst = self
+            .window
+            .team(team)
+            .map_or(0.0, |settings| settings.burst);
+        demand * self.policy.idle_return.as_secs_f64() >= 1.0 && burst >= SPARE_SHARE * hosts as f64
+    }
+
     /// Asks lenders of the region, and others only when those were all short or silent lately.
     fn borrow(&mut self, team: &TeamName, account: &mut TeamAccount, missing: f64, now: Instant) {
-        self.renew_lenders(team, account);
-        let lenders = Arc::clone(&account.lenders);
-        let demand = account.demand.value(now);
-        let local = missing.max(demand * self.policy.region_ahead.as_secs_f64());
+        let sources = self.sources(team, &mut account.near, |region| region == &self.region);
+        let ahead = account.demand.value(now) * self.policy.region_ahead.as_secs_f64();
         let wait = self.policy.region_wait;
-        self.ask(team, account, &lenders.local, (local, wait), now);
-        if account.expected(now) >= missing || account.expects_near(now) {
-            return;
+        self.ask(team, account, &sources, (missing.max(ahead), wait), now);
+        if account.expected(now) < missing && !account.expects_near(now) {
+            self.borrow_far(team, account, missing, now);
         }
-        let remote = missing.max(demand * self.policy.remote_ahead.as_secs_f64());
+    }
+
+    /// Asks lenders of other regions.
+    fn borrow_far(
+        &mut self,
+        team: &TeamName,
+        account: &mut TeamAccount,
+        missing: f64,
+        now: Instant,
+    ) {
+        let sources = self.sources(team, &mut account.far, |region| region != &self.region);
+        let ahead = account.demand.value(now) * self.policy.remote_ahead.as_secs_f64();
         let wait = self.policy.remote_wait;
-        self.ask(team, account, &lenders.remote, (remote, wait), now);
+        self.ask(team, account, &sources, (missing.max(ahead), wait), now);
     }
 
     /// Asks lenders in turn, each for no more than it can have, until `wanted` is on its way.
@@ -85,18 +130,19 @@
             }
             account.turn += 1;
             let source = &lenders[account.turn % lenders.len()];
-            if account.is_spared(&source.lender, now) {
+            if account.is_spared(source, now) {
                 continue;
             }
             self.next_loan += 1;
             let id = LoanId(self.next_loan);
-            let tokens = open.min(source.burst).max(1.0);
+            let tokens = open.min(source.burst.max(1.0));
             account.pending.push(PendingLoan {
                 id,
                 lender: source.lender.clone(),
                 tokens,
                 sent: now,
                 near: source.near,
+                overdue: false,
                 expected: now + wait,
                 dry_pause: source.dry_pause,
             });
@@ -159,28 +205,21 @@
 
     /// Ends waits, forgets silent lenders and returns idle loans.
     pub(super) fn tick_loans(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
-        self.spare_silent(account, now);
+        spare_silent(account, now);
         if !account.waiting.is_empty() && self.is_current(now) {
             self.serve_waiting(team, account, now);
         }
         self.refuse_waiting(team, account, now, |waiting| waiting.deadline <= now);
-        let idle = self.policy.idle_return;
-        self.return_loans(team, account, |loan| now >= loan.used + idle);
-    }
-
-    /// Spares lenders whose answer is overdue; it is still taken while the term lasts.
-    fn spare_silent(&mut self, account: &mut TeamAccount, now: Instant) {
-        let pause = self.policy.region_wait * SILENT_WAITS;
-        let overdue: Vec<HostName> = account
-            .pending
-            .iter()
-            .filter(|loan| loan.expected <= now && now < loan.expected + pause)
-            .map(|loan| loan.lender.clone())
-            .collect();
-        for lender in &overdue {
-            account.mark_dry(lender, pause, now);
+        // What the demand seen will not use soon is of more use to others.
+        let soon = account.demand.value(now) * self.policy.idle_return.as_secs_f64() >= 1.0;
+        let idle = if soon {
+            self.policy.idle_return
+        } else {
+            Duration::ZERO
+        };
+        if account.waiting.is_empty() {
+            self.return_loans(team, account, |loan| now >= loan.used + idle);
         }
-        account.pending.retain(|loan| now < loan.sent + LOAN_TERM);
     }
 
     /// Refuses the requests that `is_over` picks.
@@ -229,48 +268,6 @@
             self.send(&loan.lender, message);
         }
     }
-
-    /// Names the holders anew after a change of revision.
-    fn renew_lenders(&self, team: &TeamName, account: &mut TeamAccount) {
-        let Some(newest) = self.window.newest() else {
-            return;
-        };
-        let revision = self.window.newest_revision();
-        if account.lenders.revision == revision {
-            return;
-        }
-        let Some(settings) = newest.settings.teams.get(team) else {
-            return;
-        };
-        let mut lenders = LenderList {
-            revision,
-            ..LenderList::default()
-        };
-        for region in newest.settings.regions.keys() {
-            let weight = region_weight(newest, region);
-            let holders = region_holders(&self.policy, newest, region, team);
-            let share = weight / holders.len().max(1) as f64;
-            let mut holders: Vec<LoanSource> = holders
-                .into_iter()
-                .filter(|holder| weight > 0.0 && holder != &self.host)
-                .map(|lender| LoanSource {
-                    lender,
-                    near: region == &self.region,
-                    burst: settings.burst * share,
-                    dry_pause: self.policy.dry_pause(settings.rate * share),
-                })
-                .collect();
-            // Each borrower has its own order, so that no holder is asked first by all.
-            holders
-                .sort_by_key(|source| rendezvous_score(self.host.as_str(), source.lender.as_str()));
-            if region == &self.region {
-                lenders.local = holders;
-            } else {
-                lenders.remote.append(&mut holders);
-            }
-        }
-        account.lenders = Arc::new(lenders);
-    }
 }
 
 fn take_loan(account: &mut TeamAccount, asked: &PendingLoan, tokens: f64, now: Instant) {
@@ -284,7 +281,30 @@
             used: now,
         });
     }
+    account.note_fulfilled((tokens / asked.tokens).min(1.0));
     if tokens < asked.tokens {
-        account.mark_dry(&asked.lender, asked.dry_pause, now);
+        let most = if tokens > 0.0 {
+            asked.dry_pause
+        } else {
+            MAX_DRY_PAUSE
+        };
+        account.mark_dry(&asked.lender, asked.dry_pause, most, now);
+    }
+}
+
+/// Spares lenders whose answer is overdue; it is still taken while the term lasts.
+fn spare_silent(account: &mut TeamAccount, now: Instant) {
+    let overdue: Vec<HostName> = account
+        .pending
+        .iter_mut()
+        .filter(|loan| loan.expected <= now && !loan.overdue)
+        .map(|loan| {
+            loan.overdue = true;
+            loan.lender.clone()
+        })
+        .collect();
+    for lender in &overdue {
+        account.mark_dry(lender, SILENT_PAUSE, MAX_SILENT_PAUSE, now);
     }
+    account.pending.retain(|loan| now < loan.sent + LOAN_TERM);
 }
--- a/crates/kws-tree/src/schema/host.rs
+++ b/crates/kws-tree/src/schema/host.rs
@@ -17,6 +17,13 @@
             Required,
             "Where operators, scrapers and the balancer read status, metrics and readiness.",
         ),
+        value(
+            "backend_ca_file",
+            ValueKind::FilePath,
+            Absent,
+            "The file with the certificate authorities of backend servers, in PEM. Needed for \
+             services with `tls`.",
+        ),
         value("center", ValueKind::Name, Required, "Its data centre."),
         value(
             "listen",
@@ -34,8 +41,8 @@
             "name",
             ValueKind::Name,
             Absent,
-            "The prefix of the host's name; the rest differs in each life of the daemon. Absent \
-             means that only the platform's list names it.",
+            "Its name in the platform's list, new for each life of the daemon. Absent means the \
+             address of `peer`.",
         ),
         value(
             "peer",
--- a/crates/kws-tree/tests/host_settings.rs
+++ b/crates/kws-tree/tests/host_settings.rs
@@ -20,6 +20,7 @@
 fn every_field() {
     let expected = HostSettings {
         name: None,
+        backend_ca_file: None,
         region: "vidzemes".into(),
         center: "turaida".into(),
         listen: "0.0.0.0:443".parse().expect("address"),
--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -355,6 +355,7 @@
     let download = tokio::spawn(async move { get(listen, "/slots", Some(ORCHARD_KEY)).await });
     sleep(Duration::from_millis(500)).await;
     fleet.daemons[0].signal("-TERM");
+
     let (status, body) = download.await.expect("joined").expect("a whole answer");
     assert_eq!((status, body.len()), (200, 40_000));
     let code = fleet.daemons[0]
