--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod backends;
 pub mod control;
 pub mod fleet;
+pub mod forward;
 pub mod limits;
--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -2,7 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use kws_bench::{
-    backends::BackendsArgs, control::ControlArgs, fleet::FleetArgs, limits::LimitsArgs,
+    backends::BackendsArgs, control::ControlArgs, fleet::FleetArgs, forward::ForwardArgs,
+    limits::LimitsArgs,
 };
 
 /// Measurements over the product and its baselines.
@@ -19,6 +20,8 @@
     Backends(BackendsArgs),
     /// Control: traffic, processor time and memory of whole daemons.
     Control(ControlArgs),
+    /// Forwarding: added latency, requests for a core's second, memory of idle connections.
+    Forward(ForwardArgs),
     /// Limits: admitted over entitled, refusals within the rate, loans, waits.
     Limits(LimitsArgs),
     /// Freshness: time until a withdrawal is in force, and control traffic.
@@ -29,6 +32,7 @@
     match BenchArgs::parse().table {
         BenchTable::Backends(args) => args.run(),
         BenchTable::Control(args) => args.run(),
+        BenchTable::Forward(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
         BenchTable::Fleet(args) => args.run(),
     }
