--- a/crates/kws-limits/src/ledger/lenders.rs
+++ b/crates/kws-limits/src/ledger/lenders.rs
@@ -42,15 +42,16 @@
         region: &RegionName,
     ) -> Vec<LoanSource> {
         let holders = region_holders(&self.policy, newest, region, &settings.name);
+        let near = region == &self.region;
         let share = region_weight(newest, region) / holders.len().max(1) as f64;
         let mut sources: Vec<LoanSource> = holders
             .into_iter()
             .filter(|holder| share > 0.0 && holder != &self.host)
             .map(|lender| LoanSource {
                 lender,
-                near: region == &self.region,
+                near,
                 burst: settings.burst * share,
-                dry_pause: self.policy.dry_pause(settings.rate * share),
+                dry_pause: self.policy.dry_pause(settings.rate * share, near),
             })
             .collect();
         // Each borrower has its own order, so that no holder is asked first by all.
--- a/crates/kws-limits/src/policy.rs
+++ b/crates/kws-limits/src/policy.rs
@@ -26,8 +26,11 @@
     pub remote_ahead: Duration,
     /// A lender that was short is not asked again for at least this long.
     pub min_dry_pause: Duration,
-    /// A lender that was short is not asked again for at most this long.
-    pub max_dry_pause: Duration,
+    /// A lender of the region that was short is not asked again for at most this long, unless it
+    /// stays short.
+    pub max_near_pause: Duration,
+    /// The same for a lender of another region.
+    pub max_far_pause: Duration,
     /// A loan that was not touched for this long is returned.
     pub idle_return: Duration,
 }
@@ -43,7 +46,8 @@
             region_ahead: Duration::from_millis(50),
             remote_ahead: Duration::from_millis(200),
             min_dry_pause: Duration::from_millis(10),
-            max_dry_pause: Duration::from_millis(100),
+            max_near_pause: Duration::from_millis(40),
+            max_far_pause: Duration::from_millis(100),
             idle_return: Duration::from_millis(200),
         }
     }
@@ -51,9 +55,13 @@
 
 impl LimitsPolicy {
     /// How long a lender is spared that was short: until it has a token, within the bounds.
-    pub(crate) fn dry_pause(&self, rate: f64) -> Duration {
+    pub(crate) fn dry_pause(&self, rate: f64, near: bool) -> Duration {
         let seconds = 1.0 / rate.max(f64::MIN_POSITIVE);
-        let most = self.max_dry_pause.as_secs_f64();
-        Duration::from_secs_f64(seconds.min(most)).max(self.min_dry_pause)
+        let most = if near {
+            self.max_near_pause
+        } else {
+            self.max_far_pause
+        };
+        Duration::from_secs_f64(seconds.min(most.as_secs_f64())).max(self.min_dry_pause)
     }
 }
--- a/crates/kws-limits/tests/loan_messages.rs
+++ b/crates/kws-limits/tests/loan_messages.rs
@@ -119,6 +119,34 @@
     );
 }
 
+/// A loan lowers the lender's capacity, however fast it fills, until it surely can't be spent.
+#[rstest]
+#[case::in_term(LOAN_TERM, 6)]
+#[case::fast_clock(LOAN_TERM.mul_f64(1.02), 6)]
+#[case::over(LOAN_TERM.mul_f64(1.03), 10)]
+#[tokio::test(start_paused = true)]
+async fn lowered_capacity(#[case] after: Duration, #[case] expected: usize) {
+    let now = Instant::now() + FULL;
+    let [holder, other] = hosts();
+    let mut ledger = ledger(&holder, now);
+    ledger.adopt(
+        &snapshot(2, &HOSTS, &[("shop", 1e4, BURST)], &[("a", 1.0)]),
+        now,
+    );
+    let mark = LoanMessage::Retained {
+        region: RegionName::new("a"),
+        oldest: TreeRevision(2),
+    };
+    ledger.receive(&other, &mark, now);
+    ledger.receive(&other, &borrow(1, 4.0), now);
+    ledger.tick(now + after);
+    ledger.receive(&other, &borrow(2, 0.0), now + after);
+    assert_eq!(
+        admitted(&mut ledger, now + after + Duration::from_millis(5)),
+        expected
+    );
+}
+
 /// The borrower asks at 0; `after` is when the answers come.
 #[rstest]
 #[case::in_time(Duration::from_millis(1), 1, vec![1.0], 1)]
