Limits: no admission by a late loan after the lease, no wait for a region without hosts

Two faults found in review, each test shown failing on the code before: lapsed_while_waiting (an answer that came after the lease had run out admitted the request that waited) and region_without_hosts (a region in the tree that lists no host kept every new host without a share for stale_region). A region that lists no host under a revision has nothing to use under it, so its mark is not asked for.

--- a/crates/kws-limits/src/ledger/borrowing.rs
+++ b/crates/kws-limits/src/ledger/borrowing.rs
@@ -183,6 +183,9 @@
 
     /// Admits what the tokens allow; the rest asks on, or is refused when no one is left to ask.
     fn serve_waiting(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
+        if !self.is_current(now) {
+            return self.refuse_waiting(team, account, now, |_| true);
+        }
         while !account.waiting.is_empty() && account.spend(now) {
             if let Some(waiting) = account.waiting.pop_front() {
                 self.settle(&waiting, AdmitDecision::Admitted);
@@ -212,7 +215,7 @@
     /// Ends waits, forgets silent lenders and returns idle loans.
     pub(super) fn tick_loans(&mut self, team: &TeamName, account: &mut TeamAccount, now: Instant) {
         spare_silent(account, now);
-        if !account.waiting.is_empty() && self.is_current(now) {
+        if !account.waiting.is_empty() {
             self.serve_waiting(team, account, now);
         }
         self.refuse_waiting(team, account, now, |waiting| waiting.deadline <= now);
--- a/crates/kws-limits/src/window.rs
+++ b/crates/kws-limits/src/window.rs
@@ -180,8 +180,10 @@
             left |= entry.leave_region(retained.oldest(&self.region), &newest, now);
         }
         self.settle_own();
+        let regions = self.entries.last().map(|entry| entry.regions.clone());
+        let regions = regions.unwrap_or_default();
         for entry in &mut self.entries {
-            left |= entry.leave_fleet(&self.retained, &newest, now);
+            left |= entry.leave_fleet(&self.retained, (&newest, &regions), now);
         }
         if left {
             self.changed();
--- a/crates/kws-limits/src/window/entry.rs
+++ b/crates/kws-limits/src/window/entry.rs
@@ -5,7 +5,11 @@
 use kws_protocol::{
     FleetSnapshot, FreshnessSettings, HostName, HostState, RegionName, TeamName, TreeRevision,
 };
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 const PARTS_PER_MILLION: f64 = 1e6;
@@ -25,6 +29,8 @@
     pub(super) last: TreeRevision,
     pub(super) content: Option<Arc<FleetSnapshot>>,
     members: Vec<ListedMember>,
+    /// The regions with listed hosts.
+    pub(super) regions: BTreeSet<RegionName>,
     pub(super) entered: Instant,
     pub(super) superseded: Option<Instant>,
     /// Since when no host can get a majority of the entry's hosts to confirm it.
@@ -53,12 +59,15 @@
                 })
                 .collect()
         });
+        let hosts = content.iter().flat_map(|content| &content.hosts.hosts);
+        let regions = hosts.map(|host| host.region.clone()).collect();
         Self {
             id,
             first,
             last,
             content,
             members,
+            regions,
             entered: now,
             superseded: None,
             outvoted: None,
@@ -158,21 +167,20 @@
         self.region_left.is_some()
     }
 
-    /// Lets the entry leave the fleet's window when no host of any region can use it.
+    /// Lets the entry leave the fleet's window when no host of any region can use it. Regions
+    /// without listed hosts have nothing to use; for unknown revisions the newest list counts.
     pub(super) fn leave_fleet(
         &mut self,
         retained: &RetainedRevisions,
-        newest: &FleetSnapshot,
+        (newest, newest_regions): (&FleetSnapshot, &BTreeSet<RegionName>),
         now: Instant,
     ) -> bool {
         let Some(superseded) = self.superseded.filter(|_| self.fleet_left.is_none()) else {
             return false;
         };
-        let old = self
-            .content
-            .iter()
-            .flat_map(|content| content.settings.regions.keys());
-        let mut regions = old.chain(newest.settings.regions.keys());
+        let known = self.content.is_some();
+        let regions = if known { &self.regions } else { newest_regions };
+        let mut regions = regions.iter();
         let settled = regions.all(|region| retained.oldest(region) > self.last);
         if settled || self.is_stale(superseded, newest, now) {
             self.fleet_left = Some(now);
--- a/crates/kws-limits/tests/loan_messages.rs
+++ b/crates/kws-limits/tests/loan_messages.rs
@@ -217,3 +217,18 @@
     assert_eq!(ledger.take_actions(), [returned]);
     assert_eq!(admitted(&mut ledger, now), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn lapsed_while_waiting() {
+    let now = Instant::now() + FULL;
+    let [holder, other] = hosts();
+    let mut ledger = ledger(&other, now);
+    assert!(matches!(
+        ledger.admit(&team(), now),
+        AdmitDecision::Waiting(_)
+    ));
+    ledger.set_current(now, now);
+    ledger.take_actions();
+    ledger.receive(&holder, &lend(1, 1.0), now + Duration::from_millis(1));
+    assert!(!ledger.take_actions().iter().any(is_admitted));
+}
--- a/crates/kws-limits/tests/own_share.rs
+++ b/crates/kws-limits/tests/own_share.rs
@@ -66,3 +66,34 @@
     );
     assert_eq!(admitted(&mut ledger, late + Duration::from_secs(20)), 10);
 }
+
+/// A clock may run fast by 1 %, so 1 second shown fills 99 of 100.
+#[tokio::test(start_paused = true)]
+async fn fast_clock() {
+    let born = Instant::now();
+    let mut ledger = LimitsLedger::new(HostName::new("a1"), RegionName::new("a"), born);
+    let teams = [("shop", 100.0, 1_000.0)];
+    ledger.adopt(&snapshot(1, &[("a", "a1")], &teams, &[("a", 1.0)]), born);
+    ledger.set_current(born + Duration::from_mins(1), born);
+    let settled = born + window();
+    ledger.tick(settled);
+    assert_eq!(admitted(&mut ledger, settled + Duration::from_secs(1)), 99);
+}
+
+/// A region of the tree that has no hosts yet does not hold up the others.
+#[tokio::test(start_paused = true)]
+async fn region_without_hosts() {
+    let born = Instant::now();
+    let mut ledger = LimitsLedger::new(HostName::new("a1"), RegionName::new("a"), born);
+    let weights = [("a", 0.5), ("b", 0.5)];
+    ledger.adopt(
+        &snapshot(1, &[("a", "a1")], &[("shop", 10.0, 10.0)], &weights),
+        born,
+    );
+    ledger.set_current(born + Duration::from_mins(1), born);
+    ledger.tick(born + window());
+    assert_eq!(
+        admitted(&mut ledger, born + window() + Duration::from_secs(9)),
+        5
+    );
+}
