--- a/crates/kws-membership/src/members/plan.rs
+++ b/crates/kws-membership/src/members/plan.rs
@@ -11,6 +11,9 @@
 /// Hosts asked in a round in a larger region while the platform answers.
 const SAMPLE_HOSTS: usize = 8;
 
+/// Rounds in which a sample stays the same, so that its connections last.
+const SAMPLE_ROUNDS: u64 = 60;
+
 /// Hosts of one region that ask another region.
 const CROSS_HOSTS: usize = 3;
 
@@ -31,15 +34,20 @@
         if platform_silent || peers.len() < FULL_MESH_HOSTS {
             return peers.to_vec();
         }
-        self.sample(peers, &format!("ask/{round}"), SAMPLE_HOSTS)
+        self.sample(
+            peers,
+            &format!("ask/{}", round / SAMPLE_ROUNDS),
+            SAMPLE_HOSTS,
+        )
     }
 
     /// Hosts of other regions to ask in `round`; none unless this host speaks for its region.
     pub(crate) fn cross_targets(&self, round: u64, now: Instant, lease: Duration) -> Vec<HostName> {
         let mut targets = Vec::new();
+        let purpose = format!("cross/{}", round / SAMPLE_ROUNDS);
         for (region, names) in self.roster.iter().flat_map(HostRoster::others) {
             if self.speaks_to(region, now, lease) {
-                targets.extend(self.sample(names, &format!("cross/{round}"), CROSS_TARGETS));
+                targets.extend(self.sample(names, &purpose, CROSS_TARGETS));
             }
         }
         targets
--- a/crates/kws-membership/tests/ask_plan.rs
+++ b/crates/kws-membership/tests/ask_plan.rs
@@ -77,6 +77,14 @@
     chosen.map(str::to_owned).collect()
 }
 
+/// Whom the host asks at home in each of the next rounds, while the platform confirms.
+fn samples(view: &mut FleetView, rounds: u32) -> Vec<BTreeSet<String>> {
+    let start = Instant::now();
+    let times = (1..=rounds).map(|round| start + LEASE / 3 * round);
+    let actions = times.map(|now| view.platform_confirmed(TreeRevision(1), now, now));
+    actions.map(|actions| asked(&actions, "v")).collect()
+}
+
 #[rstest]
 #[case::small_region(20, 19, 19)]
 #[case::largest_mesh(48, 47, 47)]
@@ -85,13 +93,12 @@
 async fn home_region(#[case] hosts: usize, #[case] calm: usize, #[case] silent: usize) {
     let (mut view, first) = start(0, hosts);
     assert_eq!(asked(&first, "v").len(), calm);
-    advance(LEASE / 3).await;
-    let second = view.tick(Instant::now());
-    assert_eq!(asked(&second, "v").len(), calm);
-    let sampled = calm < hosts - 1;
+    let samples = samples(&mut view, 121);
+    assert!(samples.iter().all(|sample| sample.len() == calm));
+    assert_eq!(samples[60], samples[61], "a sample lasts");
     assert_eq!(
-        asked(&first, "v") != asked(&second, "v"),
-        sampled,
+        samples[60] != samples[120],
+        calm < hosts - 1,
         "samples change"
     );
     let actions = view.platform_failed(Instant::now());
