--- a/crates/kws-replay/src/fleet/trace.rs
+++ b/crates/kws-replay/src/fleet/trace.rs
@@ -79,9 +79,8 @@
     Start(StartStep),
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-#[derive(Default)]
 pub(super) struct PublishStep {
     /// The keys from now on; as before when absent.
     pub(super) keys: Option<Vec<String>>,
