--- a/crates/kws-standin/src/backend/request.rs
+++ b/crates/kws-standin/src/backend/request.rs
@@ -1,5 +1,6 @@
 //! Requests as they arrived.
 
+use super::script::BackendFault;
 use std::io;
 use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncRead, AsyncReadExt};
 
@@ -21,6 +22,8 @@
     pub body: Vec<u8>,
     /// Whether its body ended as its framing says.
     pub whole: bool,
+    /// How its answer was broken.
+    pub fault: BackendFault,
 }
 
 impl SeenRequest {
--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -139,9 +139,10 @@
     let (reader, mut writer) = stream.split();
     let mut reader = BufReader::new(reader);
     while let Some(mut request) = read_head(&mut reader).await? {
+        let script = lock(&state.script).clone();
         request.connection = connection;
+        request.fault = script.fault;
         let index = state.note(request.clone());
-        let script = lock(&state.script).clone();
         if script.fault != BackendFault::Early {
             let read = read_body(&mut reader, &mut request).await;
             lock(&state.seen)[index] = request.clone();
