--- a/crates/kws-forward/src/protocol_reply.rs
+++ b/crates/kws-forward/src/protocol_reply.rs
@@ -47,7 +47,9 @@
         ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
             Some(RefusalReason::HeadTooLarge)
         }
-        ProtocolError::Decode(_) => Some(RefusalReason::BadRequest),
+        ProtocolError::Decode(_) | ProtocolError::SlowRequestTimeout => {
+            Some(RefusalReason::BadRequest)
+        }
         _ => None,
     }
 }
--- a/crates/kws-forward/tests/body_flow.rs
+++ b/crates/kws-forward/tests/body_flow.rs
@@ -3,7 +3,7 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
-use fleet::{Fleet, read_to_end, request, route, until};
+use fleet::{Fleet, read_to_end, request, route, settings, until};
 use kws_forward::TryClass;
 use kws_standin::backend::{BackendFault, BackendScript};
 use rstest::rstest;
@@ -190,3 +190,14 @@
     let (_, answer) = tokio::join!(writer.write_all(text.as_bytes()), read_to_end(&mut reader));
     assert_ne!(answer.run(), "not run");
 }
+
+#[tokio::test]
+async fn stalled_head() {
+    let fleet = Fleet::with_servers(settings([]), Vec::new(), Vec::new(), |listening| {
+        listening.head_timeout = Duration::from_secs(1);
+    });
+    let mut stream = fleet.connect().await;
+    stream.write_all(b"GET /listing HT").await.expect("writes");
+    let answer = read_to_end(&mut stream).await;
+    assert_eq!((answer.status(), answer.reason()), (400, "bad_request"));
+}
