--- a/crates/kws-forward/tests/at_most_once.rs
+++ b/crates/kws-forward/tests/at_most_once.rs
@@ -196,3 +196,22 @@
     );
     assert_eq!(fleet.arrivals(), 0);
 }
+
+#[tokio::test]
+async fn lost_pooled_connection() {
+    let fleet = Fleet::start([BackendScript::default(), BackendScript::default()]).await;
+    for _ in 0..2 {
+        assert_eq!(fleet.send(&book("")).await.status(), 200);
+    }
+    fleet.backends[0].set_script(faulty(BackendFault::CutHead));
+    let answer = fleet.send(&book("")).await;
+    assert_eq!(
+        (answer.reason(), answer.run()),
+        ("connection_lost", "unknown")
+    );
+    let seen = fleet.backends[0].seen();
+    assert_eq!(
+        (fleet.arrivals(), seen[1].connection),
+        (3, seen[2].connection)
+    );
+}
--- a/crates/kws-forward/tests/whole_answer.rs
+++ b/crates/kws-forward/tests/whole_answer.rs
@@ -203,3 +203,45 @@
     assert!(fleet.get("/slow").await.is_whole());
     assert_eq!(fleet.backends[0].seen()[3].connection, 2);
 }
+
+#[rstest]
+#[case::redirect(302, "location", "http://127.0.0.1:1/other")]
+#[case::coded(200, "content-encoding", "gzip")]
+#[case::not_found(404, "x-row", "4")]
+#[tokio::test]
+async fn unchanged_answer(#[case] status: u16, #[case] name: &str, #[case] value: &str) {
+    let script = BackendScript {
+        status,
+        headers: [(name.to_owned(), value.to_owned())].into(),
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([script]).await;
+    let answer = fleet.get("/listing").await;
+    assert_eq!(
+        (answer.status(), answer.header(name)),
+        (status, Some(value))
+    );
+    assert!(
+        answer.is_whole()
+            && answer
+                .body()
+                .starts_with(answer.header("x-request-id").unwrap_or("?"))
+    );
+    assert_eq!(fleet.arrivals(), 1);
+}
+
+#[rstest]
+#[case::no_content(204)]
+#[case::not_modified(304)]
+#[tokio::test]
+async fn bodiless_status(#[case] status: u16) {
+    let script = BackendScript {
+        status,
+        body_bytes: 0,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([script]).await;
+    let answer = fleet.get("/listing").await;
+    assert_eq!((answer.status(), answer.body()), (status, ""));
+    assert_eq!(fleet.classes(1).await, [TryClass::Good]);
+}
