Judge busy services on their last seconds; doubt a host only when others contradict it

A host whose whole region was sick silenced itself; now only one that others contradict does. A timeout that came before the try was slow no longer speaks against the server. A shed request no longer excludes the server, which had blocked its team's queue.

--- a/crates/kws-bench/src/backends/fault.rs
+++ b/crates/kws-bench/src/backends/fault.rs
@@ -64,8 +64,8 @@
     Slow,
     /// One server fails everything for 4 s out of 8.
     Flapping,
-    /// Half the servers fail 6 in 10.
-    HalfSick,
+    /// Five servers fail 6 in 10.
+    FiveSick,
     /// One host's requests to the servers of one data centre fail.
     BadLink,
     /// Every server is four times as slow.
@@ -90,7 +90,7 @@
         Self::Errors,
         Self::Slow,
         Self::Flapping,
-        Self::HalfSick,
+        Self::FiveSick,
         Self::BadLink,
         Self::Together,
         Self::Flood,
@@ -103,7 +103,7 @@
             Self::Errors => "errors",
             Self::Slow => "slow",
             Self::Flapping => "flapping",
-            Self::HalfSick => "half-sick",
+            Self::FiveSick => "five-sick",
             Self::BadLink => "bad-link",
             Self::Together => "together",
             Self::Flood => "flood",
@@ -126,7 +126,7 @@
             Self::Errors if server == SICK_SERVER => error(0.4),
             Self::Slow if server == SICK_SERVER => slower(10.0),
             Self::Flapping if server == SICK_SERVER && odd_phase => error(1.0),
-            Self::HalfSick if server.is_multiple_of(2) => error(0.6),
+            Self::FiveSick if server < 5 => error(0.6),
             Self::BadLink if host == BAD_HOST && server % 4 == 2 => error(1.0),
             Self::Together => slower(4.0),
             _ => healthy,
@@ -143,7 +143,7 @@
     pub fn sick_server(self) -> Option<usize> {
         match self {
             Self::Errors | Self::Slow | Self::Flapping => Some(SICK_SERVER),
-            Self::HalfSick => Some(0),
+            Self::FiveSick => Some(0),
             Self::Calm | Self::BadLink | Self::Together | Self::Flood => None,
         }
     }
--- a/crates/kws-dispatch/src/concurrency.rs
+++ b/crates/kws-dispatch/src/concurrency.rs
@@ -13,9 +13,6 @@
 /// The weight of a peer's newest count in its average, between 0 and 1.
 const LOAD_GAIN: f64 = 0.2;
 
-/// An average below this is nothing, in requests.
-const LEAST_LOAD: f64 = 0.01;
-
 /// A peer's requests in flight. A request is over long before the next digest, so that one count says
 /// little and only the average tells how full the server is.
 #[derive(Clone, Copy, Debug)]
@@ -41,8 +38,6 @@
     pub(crate) usable: f64,
     /// The service's usual time in service.
     pub(crate) service_time: Duration,
-    /// Hosts that use the service now, this one included.
-    pub(crate) hosts: usize,
     pub(crate) now: Instant,
 }
 
@@ -76,13 +71,12 @@
             .retain(|_, load| now.duration_since(load.at) <= IN_FLIGHT_AGE);
     }
 
-    /// Peers that use the server.
-    pub(crate) fn peers(&self) -> impl Iterator<Item = &HostName> {
-        let using = self
-            .peers
-            .iter()
-            .filter(|(_, load)| load.in_flight > LEAST_LOAD);
-        using.map(|(peer, _)| peer)
+    /// Hosts that share the server, this one included; peers that hardly use it hardly count.
+    fn sharing_hosts(&self) -> f64 {
+        let loads = || self.peers.values().map(|load| load.in_flight);
+        let sum: f64 = loads().sum();
+        let squares: f64 = loads().map(|load| load * load).sum();
+        1.0 + sum * sum / squares.max(f64::MIN_POSITIVE)
     }
 
     /// Requests in flight of all hosts, as far as known.
@@ -103,7 +97,7 @@
             return true;
         }
         // Peers seem to fill the server. All hosts together may still keep its slots in use.
-        let pace = query.hosts as f64 / query.usable.max(1.0);
+        let pace = self.sharing_hosts() / query.usable.max(1.0);
         self.in_flight == 0 && self.rested(query, pace)
     }
 
--- a/crates/kws-dispatch/src/dispatcher.rs
+++ b/crates/kws-dispatch/src/dispatcher.rs
@@ -234,7 +234,10 @@
         };
         let mut request = ended.request;
         let service = request.service.clone();
-        request.excluded.push(ended.server);
+        if end != TicketEnd::Shed {
+            // A server that sheds is kept off by its limit; it may have room again at once.
+            request.excluded.push(ended.server);
+        }
         let state = TicketState::Queued(service.clone(), request.team.clone());
         match self.services.get_mut(&service) {
             Some(dispatch) if request.deadline > now => {
@@ -309,7 +312,7 @@
         if dispatch.queue.len() == 0 {
             return Vec::new();
         }
-        let expired = dispatch.queue.drop_expired(now);
+        let expired = dispatch.drop_lost(now);
         let mut context = ChoiceContext {
             standing,
             region: &self.region,
--- a/crates/kws-dispatch/src/queue.rs
+++ b/crates/kws-dispatch/src/queue.rs
@@ -3,7 +3,6 @@
 use crate::{DispatchRequest, TicketId};
 use kws_protocol::TeamName;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use tokio::time::Instant;
 
 /// The smallest share of the heaviest team's weight that a team may have, so that rounds are few.
 const MIN_QUANTUM: f64 = 0.01;
@@ -150,11 +149,6 @@
         removed
     }
 
-    /// Removes the requests whose deadline has passed.
-    pub(crate) fn drop_expired(&mut self, now: Instant) -> Vec<DispatchRequest> {
-        self.drop_if(|request| request.deadline <= now)
-    }
-
     /// Removes the requests that `lost` names.
     pub(crate) fn drop_if(
         &mut self,
--- a/crates/kws-dispatch/src/service.rs
+++ b/crates/kws-dispatch/src/service.rs
@@ -8,7 +8,7 @@
 };
 use kws_health::{ServerStanding, StandingSource};
 use kws_protocol::{
-    HostName, RegionName, ServerName, ServerSettings, ServiceName, ServiceSettings, TeamName,
+    RegionName, ServerName, ServerSettings, ServiceName, ServiceSettings, TeamName,
 };
 use rand::rngs::SmallRng;
 use std::{
@@ -30,6 +30,9 @@
 /// doesn't turn away what a quick answer could still serve.
 const LEAST_SERVICE: f64 = 0.5;
 
+/// The longest time before its deadline at which a request is given up.
+const LONGEST_MARGIN: Duration = Duration::from_millis(100);
+
 /// Where a request may go.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct ServerPick {
@@ -109,6 +112,13 @@
         }
     }
 
+    /// Removes the requests that could no longer be served in time.
+    pub(crate) fn drop_lost(&mut self, now: Instant) -> Vec<DispatchRequest> {
+        let least = self.service_time.mul_f64(LEAST_SERVICE).min(LONGEST_MARGIN);
+        self.queue
+            .drop_if(|request| request.deadline <= now + least)
+    }
+
     /// Removes the requests that no server could take as things stand.
     pub(crate) fn drop_stranded(&mut self, context: &ChoiceContext<'_>) -> Vec<DispatchRequest> {
         let serves = self.standings(context).any(|(_, _, one)| one.bar.is_none());
@@ -173,8 +183,7 @@
                 spill,
             });
         }
-        let excluded = self.exclusions(request, context);
-        let local = self.options(&excluded, context, true);
+        let local = self.options(request, context, true);
         if let Some(server) = choose_server(&local, rng) {
             return Some(ServerPick {
                 server,
@@ -185,7 +194,7 @@
         if !context.spill || !self.local_short(request, wait, context) {
             return None;
         }
-        let remote = self.options(&excluded, context, false);
+        let remote = self.options(request, context, false);
         choose_server(&remote, rng).map(|server| ServerPick {
             server,
             trial: false,
@@ -210,26 +219,28 @@
             .map(|(name, ..)| name.clone())
     }
 
-    /// The servers to avoid; none when nothing else serves.
+    /// The servers of a region to avoid; none when nothing else serves there.
     fn exclusions<'r>(
         &self,
         request: &'r DispatchRequest,
         context: &ChoiceContext<'_>,
+        local: bool,
     ) -> BTreeSet<&'r ServerName> {
         let excluded: BTreeSet<&ServerName> = request.excluded.iter().collect();
-        let others = self
-            .standings(context)
-            .any(|(name, _, standing)| standing.bar.is_none() && !excluded.contains(name));
+        let others = self.standings(context).any(|(name, entry, standing)| {
+            let near = &entry.settings.region == context.region;
+            near == local && standing.bar.is_none() && !excluded.contains(name)
+        });
         if others { excluded } else { BTreeSet::new() }
     }
 
     fn options(
         &self,
-        excluded: &BTreeSet<&ServerName>,
+        request: &DispatchRequest,
         context: &ChoiceContext<'_>,
         local: bool,
     ) -> Vec<ServerOption> {
-        let hosts = self.active_hosts();
+        let excluded = self.exclusions(request, context, local);
         self.standings(context)
             .filter(|(name, entry, standing)| {
                 let near = &entry.settings.region == context.region;
@@ -240,7 +251,6 @@
                 let query = LimitQuery {
                     usable,
                     service_time: self.service_time,
-                    hosts,
                     now: context.now,
                 };
                 entry.limit.admits(&query).then(|| ServerOption {
@@ -286,14 +296,4 @@
                 (name, entry, standing)
             })
     }
-
-    /// Hosts with requests in flight, this one included.
-    fn active_hosts(&self) -> usize {
-        let peers: BTreeSet<&HostName> = self
-            .servers
-            .values()
-            .flat_map(|entry| entry.limit.peers())
-            .collect();
-        peers.len() + 1
-    }
 }
--- a/crates/kws-health/src/service.rs
+++ b/crates/kws-health/src/service.rs
@@ -6,7 +6,7 @@
     floor::{FloorEntry, may_eject, to_restore},
     phase::{EjectionScope, ServerPhase},
     server::ServerState,
-    verdict::{is_slow, sick_servers},
+    verdict::{EvidenceSpan, SickServer, is_slow, sick_servers},
 };
 use kws_protocol::{
     CenterName, FleetSnapshot, HostName, HostState, RegionName, ServerDigest, ServerName,
@@ -102,6 +102,9 @@
         if outcome == AnswerOutcome::Shed || !self.servers.contains_key(server) {
             return;
         }
+        if outcome == AnswerOutcome::Late && self.hasty(server, latency) {
+            return;
+        }
         let bad = u32::from(outcome.is_bad());
         let timed = matches!(outcome, AnswerOutcome::Good | AnswerOutcome::Late);
         let latency = timed.then_some(latency);
@@ -111,6 +114,15 @@
         self.add_answers(&own, center, server, (1, bad, latency), now);
     }
 
+    /// Whether a try was given up before it was slow: the request had waited too long before it, which
+    /// says nothing of the server.
+    fn hasty(&self, server: &ServerName, latency: Duration) -> bool {
+        self.hosts.get(&self.own).is_some_and(|evidence| {
+            let regions = self.regions();
+            is_slow(evidence, &regions, &self.settings.ejection, server, latency) == Some(false)
+        })
+    }
+
     /// Takes the answers of any host, and its trials when the server is on trial.
     fn add_answers(
         &mut self,
@@ -143,13 +155,8 @@
         let Some(evidence) = self.hosts.get(host) else {
             return false;
         };
-        is_slow(
-            evidence,
-            &self.regions(),
-            &self.settings.ejection,
-            server,
-            latency,
-        )
+        let regions = self.regions();
+        is_slow(evidence, &regions, &self.settings.ejection, server, latency) == Some(true)
     }
 
     fn add_trial(&mut self, from: &HostName, server: &ServerName, bad: bool, now: Instant) {
@@ -306,8 +313,8 @@
     }
 
     fn eject_sick(&mut self, now: Instant) {
-        let regions = self.regions();
-        let sick = sick_servers(&self.own, &self.hosts, &regions, &self.settings.ejection);
+        let mut sick = self.sick(EvidenceSpan::recent(now));
+        sick.extend(self.sick(EvidenceSpan::WHOLE));
         for state in self.servers.values_mut() {
             state.suspect = false;
         }
@@ -328,6 +335,17 @@
         }
     }
 
+    fn sick(&self, span: EvidenceSpan) -> Vec<SickServer> {
+        let regions = self.regions();
+        sick_servers(
+            &self.own,
+            &self.hosts,
+            &regions,
+            &self.settings.ejection,
+            span,
+        )
+    }
+
     /// Ejects a server and drops the evidence against it.
     fn eject(&mut self, server: &ServerName, scope: EjectionScope, sickness: f64, now: Instant) {
         let ejection = self.settings.ejection.clone();
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -6,11 +6,15 @@
 };
 use kws_protocol::{CenterName, EjectionSettings, HostName, RegionName, ServerName};
 use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
 
 /// Hosts that must accuse a server before it is ejected for the fleet.
 const ACCUSERS: usize = 2;
 
-/// Answers of a data centre, or of one host acting alone, below which it has no say.
+/// How far back a busy service is judged.
+const RECENT: Duration = Duration::from_secs(3);
+
+/// Answers of one host acting alone, below which it has no say.
 const MIN_ANSWERS: u32 = 5;
 
 /// Answers of one host acting alone, below which it has no say on latency.
@@ -58,6 +62,8 @@
     slow: Option<bool>,
     /// Slow enough for one host to act alone.
     very_slow: bool,
+    /// The bad share of the host's typical server, between 0 and 1.
+    typical: f64,
     summary: AnswerSummary,
 }
 
@@ -80,10 +86,6 @@
         }
     }
 
-    fn judges(&self) -> bool {
-        self.answers >= f64::from(MIN_ANSWERS)
-    }
-
     fn bad_share(&self) -> f64 {
         self.bad / self.answers.max(1.0)
     }
@@ -136,47 +138,70 @@
     }
 }
 
+/// How far back the votes look, and how many answers of a data centre they need.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EvidenceSpan {
+    since: Option<Instant>,
+    min_answers: f64,
+}
+
+impl EvidenceSpan {
+    /// The whole window, on few answers.
+    pub(crate) const WHOLE: Self = Self {
+        since: None,
+        min_answers: 5.0,
+    };
+
+    /// The last seconds, on many answers: a busy service is judged before its older answers fade.
+    pub(crate) fn recent(now: Instant) -> Self {
+        Self {
+            since: now.checked_sub(RECENT),
+            min_answers: 20.0,
+        }
+    }
+}
+
 /// One host's summaries, with what is typical for it.
 struct HostLight<'a> {
     summaries: BTreeMap<&'a ServerName, AnswerSummary>,
     references: BTreeMap<&'a RegionName, Duration>,
-    silent: bool,
+    /// The bad share of its typical server, between 0 and 1.
+    typical: f64,
 }
 
 impl<'a> HostLight<'a> {
     fn new(
         evidence: &'a HostEvidence,
         regions: &BTreeMap<&'a ServerName, &'a RegionName>,
-        settings: &EjectionSettings,
+        since: Option<Instant>,
     ) -> Self {
-        let summaries: BTreeMap<&ServerName, AnswerSummary> = evidence
-            .windows
-            .iter()
-            .map(|(server, window)| (server, window.summary(None)))
-            .filter(|(server, summary)| summary.answers > 0 && regions.contains_key(server))
-            .collect();
-        let mut latencies: BTreeMap<&RegionName, (u32, Vec<Duration>)> = BTreeMap::new();
-        for (server, summary) in &summaries {
-            if let Some(median) = summary.median {
-                let (answers, medians) = latencies.entry(regions[server]).or_default();
-                *answers += summary.answers;
-                medians.push(median);
-            }
-        }
-        let references = latencies
-            .into_iter()
-            .filter(|(_, (answers, _))| *answers >= MIN_REFERENCE_ANSWERS)
-            .filter_map(|(region, (_, medians))| Some((region, lower_median(medians)?)))
-            .collect();
-        let shares = summaries.values().map(|summary| Share(summary.bad_share()));
-        let typical = lower_median(shares.collect());
+        let summaries = |since| {
+            let all = evidence.windows.iter();
+            all.map(move |(server, window)| (server, window.summary(since)))
+                .filter(|(server, summary)| summary.answers > 0 && regions.contains_key(server))
+        };
+        let votes: BTreeMap<&ServerName, AnswerSummary> = summaries(since).collect();
+        let shares = votes.values().map(|summary| Share(summary.bad_share()));
+        let typical = lower_median(shares.collect()).map_or(0.0, |share| share.0);
         Self {
-            summaries,
-            references,
-            silent: typical.is_some_and(|share| share.0 >= settings.bad_share),
+            references: references(summaries(None), regions),
+            summaries: votes,
+            typical,
         }
     }
 
+    /// Whether the host's own link is at fault: its typical server is bad, though by the word of all
+    /// hosts the same servers are not.
+    fn contradicted(
+        &self,
+        shares: &BTreeMap<&ServerName, f64>,
+        settings: &EjectionSettings,
+    ) -> bool {
+        let seen = self.summaries.keys().map(|server| Share(shares[*server]));
+        let expected = lower_median(seen.collect()).map_or(0.0, |share| share.0);
+        self.typical - expected >= settings.bad_share
+    }
+
     fn vote(
         &self,
         server: &ServerName,
@@ -184,9 +209,6 @@
         settings: &EjectionSettings,
     ) -> Option<HostVote> {
         let summary = *self.summaries.get(server)?;
-        if self.silent {
-            return None;
-        }
         let scale = (MAX_ANSWERS_A_HOST / f64::from(summary.answers)).min(1.0);
         let compared = summary.median.zip(self.references.get(region).copied());
         let slow = compared.map(|(median, reference)| slower(median, reference, settings));
@@ -198,6 +220,7 @@
             bad: f64::from(summary.bad) * scale,
             slow,
             very_slow,
+            typical: self.typical,
             summary,
         })
     }
@@ -216,44 +239,93 @@
     Some(values[(values.len() - 1) / 2])
 }
 
-/// Whether one answer of `server` is slow in the light of what its host saw of the others.
+/// Whether one answer of `server` is slow in the light of what its host saw of the others; `None`
+/// when the host has seen too little.
 pub(crate) fn is_slow(
     evidence: &HostEvidence,
     regions: &BTreeMap<&ServerName, &RegionName>,
     settings: &EjectionSettings,
     server: &ServerName,
     latency: Duration,
-) -> bool {
-    let light = HostLight::new(evidence, regions, settings);
+) -> Option<bool> {
+    let light = HostLight::new(evidence, regions, None);
     regions
         .get(server)
         .and_then(|region| light.references.get(region))
-        .is_some_and(|reference| slower(latency, *reference, settings))
+        .map(|reference| slower(latency, *reference, settings))
 }
 
 fn slower(latency: Duration, reference: Duration, settings: &EjectionSettings) -> bool {
     latency > reference.mul_f64(settings.slow_factor) + LATENCY_SLACK
 }
 
+/// The usual latency of one host by region, where it has seen enough.
+fn references<'a>(
+    summaries: impl Iterator<Item = (&'a ServerName, AnswerSummary)>,
+    regions: &BTreeMap<&'a ServerName, &'a RegionName>,
+) -> BTreeMap<&'a RegionName, Duration> {
+    let mut latencies: BTreeMap<&RegionName, (u32, Vec<Duration>)> = BTreeMap::new();
+    for (server, summary) in summaries {
+        if let Some(median) = summary.median {
+            let (answers, medians) = latencies.entry(regions[server]).or_default();
+            *answers += summary.answers;
+            medians.push(median);
+        }
+    }
+    latencies
+        .into_iter()
+        .filter(|(_, (answers, _))| *answers >= MIN_REFERENCE_ANSWERS)
+        .filter_map(|(region, (_, medians))| Some((region, lower_median(medians)?)))
+        .collect()
+}
+
+/// The bad share of each server by the word of all hosts.
+fn pooled_shares<'a>(lights: &[HostOpinion<'a>]) -> BTreeMap<&'a ServerName, f64> {
+    let mut sums: BTreeMap<&ServerName, (f64, f64)> = BTreeMap::new();
+    for opinion in lights {
+        for (server, summary) in &opinion.light.summaries {
+            let scale = (MAX_ANSWERS_A_HOST / f64::from(summary.answers)).min(1.0);
+            let (answers, bad) = sums.entry(server).or_default();
+            *answers += f64::from(summary.answers) * scale;
+            *bad += f64::from(summary.bad) * scale;
+        }
+    }
+    sums.into_iter()
+        .map(|(server, (answers, bad))| (server, bad / answers))
+        .collect()
+}
+
+/// A host's name and place with its view.
+struct HostOpinion<'a> {
+    host: &'a HostName,
+    center: Option<&'a CenterName>,
+    light: HostLight<'a>,
+}
+
 /// The sick servers, the sickest first.
 pub(crate) fn sick_servers(
     own: &HostName,
     hosts: &BTreeMap<HostName, HostEvidence>,
     regions: &BTreeMap<&ServerName, &RegionName>,
     settings: &EjectionSettings,
+    span: EvidenceSpan,
 ) -> Vec<SickServer> {
-    let lights: Vec<(&HostName, Option<&CenterName>, HostLight<'_>)> = hosts
+    let mut opinions: Vec<HostOpinion<'_>> = hosts
         .iter()
-        .map(|(host, evidence)| {
-            let light = HostLight::new(evidence, regions, settings);
-            (host, evidence.center.as_ref(), light)
+        .map(|(host, evidence)| HostOpinion {
+            host,
+            center: evidence.center.as_ref(),
+            light: HostLight::new(evidence, regions, span.since),
         })
         .collect();
+    let shares = pooled_shares(&opinions);
+    opinions.retain(|opinion| !opinion.light.contradicted(&shares, settings));
     let ballots: Vec<ServerVotes<'_>> = regions
         .iter()
         .map(|(server, region)| {
-            let voted = lights.iter().filter_map(|(host, center, light)| {
-                Some((*host, *center, light.vote(server, region, settings)?))
+            let voted = opinions.iter().filter_map(|opinion| {
+                let vote = opinion.light.vote(server, region, settings)?;
+                Some((opinion.host, opinion.center, vote))
             });
             ServerVotes {
                 server,
@@ -265,7 +337,7 @@
     let typical = TypicalShares::of(&sums);
     let mut sick: Vec<SickServer> = ballots
         .iter()
-        .filter_map(|ballot| judge_server(own, ballot, typical, settings))
+        .filter_map(|ballot| judge_server(own, ballot, typical, settings, span))
         .collect();
     sick.sort_by(|left, right| {
         right
@@ -281,6 +353,7 @@
     ballot: &ServerVotes<'_>,
     typical: TypicalShares,
     settings: &EjectionSettings,
+    span: EvidenceSpan,
 ) -> Option<SickServer> {
     let votes = &ballot.votes;
     let mut centers: BTreeMap<Option<&CenterName>, VoteSum> = BTreeMap::new();
@@ -291,10 +364,13 @@
         .iter()
         .filter(|(_, _, vote)| vote.bad > 0.0 || vote.slow == Some(true))
         .count();
-    let judging = centers.values().filter(|sum| sum.judges()).count();
+    let judging = centers
+        .values()
+        .filter(|sum| sum.answers >= span.min_answers)
+        .count();
     let accusing = centers
         .values()
-        .filter(|sum| sum.judges() && sum.sick(typical, settings))
+        .filter(|sum| sum.answers >= span.min_answers && sum.sick(typical, settings))
         .count();
     if accusers >= ACCUSERS && accusing * 2 > judging {
         let total = ballot.total();
@@ -316,7 +392,8 @@
 fn alone(vote: &HostVote, settings: &EjectionSettings) -> Option<f64> {
     let summary = &vote.summary;
     let share = summary.bad_share();
-    let bad = summary.answers >= MIN_ANSWERS && share >= settings.bad_share.max(STRONG_BAD_SHARE);
+    let stands_out = share - vote.typical >= settings.bad_share.max(STRONG_BAD_SHARE);
+    let bad = summary.answers >= MIN_ANSWERS && stands_out;
     let slow = summary.answers >= MIN_SLOW_ANSWERS && vote.very_slow;
     (bad || slow).then_some(share + if slow { 1.0 } else { 0.0 })
 }
