--- a/crates/kws-dispatch/src/concurrency.rs
+++ b/crates/kws-dispatch/src/concurrency.rs
@@ -7,6 +7,10 @@
 /// A peer's requests in flight are believed for this long.
 pub(crate) const IN_FLIGHT_AGE: Duration = Duration::from_secs(2);
 
+/// By how much the probes of all hosts together exceed the slots of a server that seems full, so that
+/// none of its slots stays empty between two requests. What is too much is shed.
+const PROBE_MARGIN: f64 = 1.5;
+
 /// The smallest window, in requests: a pace of one request in 64 service times.
 const MIN_WINDOW: f64 = 1.0 / 64.0;
 
@@ -97,7 +101,7 @@
             return true;
         }
         // Peers seem to fill the server. All hosts together may still keep its slots in use.
-        let pace = self.sharing_hosts() / query.usable.max(1.0);
+        let pace = self.sharing_hosts() / (query.usable.max(1.0) * PROBE_MARGIN);
         self.in_flight == 0 && self.rested(query, pace)
     }
 
--- a/crates/kws-dispatch/src/queue.rs
+++ b/crates/kws-dispatch/src/queue.rs
@@ -12,7 +12,8 @@
 struct TeamQueue {
     requests: VecDeque<DispatchRequest>,
     weight: f64,
-    /// What the team may send before its turn ends, in requests.
+    /// What the team may still send, in requests. It may send while this is above 0 and then owes the
+    /// rest, so that a team with few requests doesn't wait for rounds that it is owed.
     deficit: f64,
 }
 
@@ -48,7 +49,7 @@
             .max_by(|left, right| length(left.1).total_cmp(&length(right.1)))
             .map(|(name, _)| name.clone())?;
         let fallen = self.teams.get_mut(&longest)?.requests.pop_back();
-        self.forget_empty(&longest);
+        self.forget_idle(&longest);
         self.len -= 1;
         fallen
     }
@@ -104,19 +105,25 @@
         &mut self,
         mut pick: impl FnMut(&DispatchRequest) -> Option<P>,
     ) -> Option<(DispatchRequest, P)> {
-        let weights = self.teams.values().map(|team| team.weight);
+        let waiting_teams = self.waiting_teams();
+        let weights = waiting_teams.map(|(_, team)| team.weight);
         let heaviest = weights.fold(0.0, f64::max);
+        let waiting = self.team_names().count();
         let mut blocked = BTreeSet::new();
-        while blocked.len() < self.turns.len() {
+        while blocked.len() < waiting {
             let name = self.turns.front()?.clone();
             let team = self.teams.get_mut(&name)?;
-            if team.deficit < 1.0 {
+            if team.deficit <= 0.0 {
                 team.deficit += (team.weight / heaviest).max(MIN_QUANTUM);
             }
-            if team.deficit < 1.0 || blocked.contains(&name) {
+            if team.deficit <= 0.0 || blocked.contains(&name) {
                 self.turns.rotate_left(1);
                 continue;
             }
+            if team.requests.is_empty() {
+                self.forget_idle(&name);
+                continue;
+            }
             if let Some(place) = team.requests.front().and_then(&mut pick) {
                 return Some((self.take_front(&name)?, place));
             }
@@ -131,11 +138,11 @@
         let team = self.teams.get_mut(name)?;
         team.deficit -= 1.0;
         let request = team.requests.pop_front()?;
-        if team.deficit < 1.0 {
+        if team.deficit <= 0.0 {
             self.turns.rotate_left(1);
         }
         self.len -= 1;
-        self.forget_empty(name);
+        self.forget_idle(name);
         Some(request)
     }
 
@@ -145,7 +152,7 @@
         let place = requests.iter().position(|one| one.ticket == ticket)?;
         let removed = requests.remove(place);
         self.len -= 1;
-        self.forget_empty(team);
+        self.forget_idle(team);
         removed
     }
 
@@ -163,7 +170,7 @@
             dropped.extend(gone);
         }
         self.len -= dropped.len();
-        self.teams.retain(|_, team| !team.requests.is_empty());
+        self.teams.retain(|_, team| !team.idle());
         self.turns.retain(|name| self.teams.contains_key(name));
         dropped
     }
@@ -173,26 +180,34 @@
         let Some(queue) = self.teams.get(team) else {
             return 0.0;
         };
-        let weights: f64 = self.teams.values().map(|team| team.weight).sum();
+        let weights: f64 = self.waiting_teams().map(|(_, team)| team.weight).sum();
         let own = queue.requests.len() as f64;
         (own * weights / queue.weight).min(self.len as f64)
     }
 
     /// The teams with requests that wait.
     pub(crate) fn team_names(&self) -> impl Iterator<Item = &TeamName> {
-        self.teams.keys()
+        self.waiting_teams().map(|(name, _)| name)
     }
 
-    fn forget_empty(&mut self, name: &TeamName) {
-        if self
-            .teams
-            .get(name)
-            .is_some_and(|team| team.requests.is_empty())
-        {
+    /// Forgets a team without requests, unless it owes rounds for what it sent.
+    fn forget_idle(&mut self, name: &TeamName) {
+        if self.teams.get(name).is_some_and(TeamQueue::idle) {
             self.teams.remove(name);
             self.turns.retain(|turn| turn != name);
         }
     }
+
+    fn waiting_teams(&self) -> impl Iterator<Item = (&TeamName, &TeamQueue)> {
+        let all = self.teams.iter();
+        all.filter(|(_, team)| !team.requests.is_empty())
+    }
+}
+
+impl TeamQueue {
+    fn idle(&self) -> bool {
+        self.requests.is_empty() && self.deficit >= 0.0
+    }
 }
 
 /// How long a team's queue is for its weight.
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -33,7 +33,7 @@
 const MIN_REFERENCE_ANSWERS: u32 = 15;
 
 /// Compared answers of a data centre below which it has no say on latency.
-const MIN_COMPARED_ANSWERS: f64 = 10.0;
+const MIN_COMPARED_ANSWERS: f64 = 20.0;
 
 /// Servers that a host must have seen before it compares them.
 const MIN_COMPARED: usize = 3;
