--- a/crates/kws-bench/src/forward/granting.rs
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -3,18 +3,18 @@
 use futures_util::future::{BoxFuture, FutureExt, ready};
 use kws_fixture::SampleFleet;
 use kws_forward::{
-    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
-    TryOutcome, TryReport,
+    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, RoutingView, ServerGrant,
+    ServerRequest, TryOutcome, TryReport,
 };
 use kws_protocol::{
-    AnswerChecks, FleetSnapshot, RefusalReason, RetryReason, RouteAccess, RouteName, RouteSettings,
-    ServerName, ServiceName, TeamName,
+    AnswerChecks, RefusalReason, RetryReason, RouteAccess, RouteName, RouteSettings, ServerName,
+    ServiceName, TeamName,
 };
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 /// Sends every request to one backend server.
 pub struct GrantingControl {
-    snapshot: Arc<FleetSnapshot>,
+    view: Arc<RoutingView>,
     grant: ServerGrant,
 }
 
@@ -25,7 +25,7 @@
         let route = open_route();
         snapshot.settings.routes.insert(route.name.clone(), route);
         Self {
-            snapshot: Arc::new(snapshot),
+            view: Arc::new(RoutingView::new(Arc::new(snapshot))),
             grant: ServerGrant {
                 server: ServerName::new("listing-00"),
                 address,
@@ -55,8 +55,8 @@
 }
 
 impl ForwardControl for GrantingControl {
-    fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
-        Some(Arc::clone(&self.snapshot))
+    fn view(&self) -> Option<Arc<RoutingView>> {
+        Some(Arc::clone(&self.view))
     }
 
     fn is_current(&self) -> bool {
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -10,10 +10,10 @@
 use kws_admin::RequestRecord;
 use kws_dispatch::{DispatchRequest, RetryBudget, TicketId};
 use kws_forward::{
-    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
-    TryOutcome, TryReport,
+    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, RoutingView, ServerGrant,
+    ServerRequest, TryOutcome, TryReport,
 };
-use kws_protocol::{FleetSnapshot, RefusalReason, RetryReason, ServiceName, TeamName};
+use kws_protocol::{RefusalReason, RetryReason, ServiceName, TeamName};
 use std::{
     collections::HashMap,
     sync::{
@@ -100,8 +100,8 @@
         &self,
         request: ServerRequest,
     ) -> Result<(TicketGuard, oneshot::Receiver<GrantResult>), RefusalReason> {
-        let permit = Arc::new(self.dispatch.clone());
-        let permit = Sender::clone(&permit)
+        let ring = self.dispatch.clone();
+        let permit = ring
             .try_reserve_owned()
             .map_err(|_| self.ring_full("dispatch"))?;
         let ticket = self.places.keep(permit);
@@ -155,8 +155,8 @@
 type GrantResult = Result<kws_dispatch::ServerGrant, RefusalReason>;
 
 impl ForwardControl for RingControl {
-    fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
-        self.shared.snapshot()
+    fn view(&self) -> Option<Arc<RoutingView>> {
+        self.shared.view()
     }
 
     fn is_current(&self) -> bool {
--- a/crates/kws-daemon/src/logging.rs
+++ b/crates/kws-daemon/src/logging.rs
@@ -8,8 +8,16 @@
     encode::json::JsonEncoder,
 };
 
-/// Libraries that tell at `info` what only their developers need.
-const QUIET_LIBRARIES: [&str; 3] = ["ntex_net", "ntex_rt", "ntex_server"];
+/// Libraries that tell at `info` what only their developers need, and at `trace` whole request heads
+/// with their keys.
+const QUIET_LIBRARIES: [&str; 6] = [
+    "ntex",
+    "ntex_dispatcher",
+    "ntex_io",
+    "ntex_net",
+    "ntex_rt",
+    "ntex_server",
+];
 
 /// Starts logging at `level`, one of `error`, `warn`, `info`, `debug` and `trace`.
 ///
--- a/crates/kws-daemon/src/shared.rs
+++ b/crates/kws-daemon/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::clock::SharedInstant;
 use arc_swap::ArcSwapOption;
 use kws_admin::FleetMetrics;
+use kws_forward::RoutingView;
 use kws_membership::{Readiness, UnreadyReason};
 use kws_peer::OutboundPeer;
 use kws_protocol::{
@@ -34,7 +35,7 @@
     pub(crate) born: Instant,
     pub(crate) metrics: FleetMetrics,
     pub(crate) stopping: AtomicBool,
-    snapshot: ArcSwapOption<FleetSnapshot>,
+    view: ArcSwapOption<RoutingView>,
     addresses: ArcSwapOption<HashMap<HostName, SocketAddr>>,
     lease: SharedInstant,
     readiness: Mutex<Readiness>,
@@ -50,7 +51,7 @@
             born,
             metrics,
             stopping: AtomicBool::new(false),
-            snapshot: ArcSwapOption::empty(),
+            view: ArcSwapOption::empty(),
             addresses: ArcSwapOption::empty(),
             lease: SharedInstant::new(born),
             readiness: Mutex::new(Readiness::Unready(UnreadyReason::NoTree)),
@@ -59,13 +60,20 @@
         }
     }
 
+    /// The snapshot in force with its lookups.
+    pub(crate) fn view(&self) -> Option<Arc<RoutingView>> {
+        self.view.load_full()
+    }
+
     pub(crate) fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
-        self.snapshot.load_full()
+        let view = self.view.load();
+        view.as_ref().map(|view| Arc::clone(&view.snapshot))
     }
 
     pub(crate) fn set_snapshot(&self, snapshot: &Arc<FleetSnapshot>) {
         self.set_addresses(&snapshot.hosts.hosts);
-        self.snapshot.store(Some(Arc::clone(snapshot)));
+        let view = RoutingView::new(Arc::clone(snapshot));
+        self.view.store(Some(Arc::new(view)));
         self.metrics.set_revision(snapshot.revision.0);
     }
 
--- a/crates/kws-dispatch/src/retry.rs
+++ b/crates/kws-dispatch/src/retry.rs
@@ -4,10 +4,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Methods that may be repeated when the route says nothing. `PUT` and `DELETE` are idempotent by
-/// HTTP, but a late repeat can undo a change made in between, so the route has to allow it.
-const REPEATABLE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
-
 /// Retries that a service may save up, in requests.
 const BUDGET_CAP: f64 = 10.0;
 
@@ -17,13 +13,6 @@
 /// With less than this left before the deadline, another try is not worth its load.
 const SHORTEST_TRY: Duration = Duration::from_millis(2);
 
-/// Whether a request may run more than once: the route decides, else the method.
-pub fn is_repeatable(route: &RouteSettings, method: &str) -> bool {
-    route
-        .repeatable
-        .unwrap_or_else(|| REPEATABLE_METHODS.contains(&method))
-}
-
 /// How one try failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TryFailure {
@@ -139,7 +128,7 @@
     /// The policy of `route` for a request of `method`.
     pub fn new(route: &RouteSettings, method: &str) -> Self {
         Self {
-            repeatable: is_repeatable(route, method),
+            repeatable: route.is_repeatable(method),
             tries: route.tries,
             hedge: route.hedge,
         }
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -1,9 +1,9 @@
 //! The border between forwarding and the decisions that steer it.
 
+use crate::routing::RoutingView;
 use futures_util::future::BoxFuture;
 use kws_protocol::{
-    FleetSnapshot, RefusalReason, RetryReason, RouteName, RunState, ServerName, ServiceName,
-    TeamName,
+    RefusalReason, RetryReason, RouteName, RunState, ServerName, ServiceName, TeamName,
 };
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -144,7 +144,7 @@
 /// Futures may be dropped at any await: an implementation releases what a dropped call had reserved.
 pub trait ForwardControl: Send + Sync {
     /// The settings in force; absent until the first tree is known.
-    fn snapshot(&self) -> Option<Arc<FleetSnapshot>>;
+    fn view(&self) -> Option<Arc<RoutingView>>;
 
     /// Whether this host's lease holds at this moment.
     fn is_current(&self) -> bool;
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -115,11 +115,11 @@
 
 impl Exchange<'_> {
     async fn run(&mut self, payload: Payload) -> Result<Response, Refused> {
-        let snapshot = self.judge.current_snapshot()?;
-        let route = self.judge.route(&snapshot)?;
+        let view = self.judge.current_view()?;
+        let route = self.judge.route(&view)?;
         self.log.route = Some(route.name.clone());
         self.judge.check_size(route)?;
-        let team = self.judge.authenticate(&snapshot, route)?;
+        let team = self.judge.authenticate(&view, route)?;
         self.log.team.clone_from(&team);
         let deadline = self.started + route.deadline;
         if let Some(team) = &team {
@@ -130,7 +130,7 @@
             max_bytes: route.max_body,
             idle: route.idle,
         };
-        let service = snapshot.settings.services.get(&route.service);
+        let service = view.snapshot.settings.services.get(&route.service);
         let series = TrySeries {
             judge: self.judge,
             route,
--- a/crates/kws-forward/src/judge.rs
+++ b/crates/kws-forward/src/judge.rs
@@ -3,10 +3,11 @@
 use crate::{
     head::{BodyLength, RequestParts},
     reply::Refused,
-    route::find_route,
+    routing::RoutingView,
     worker::WorkerState,
 };
-use kws_protocol::{FleetSnapshot, RefusalReason, RouteAccess, RouteSettings, TeamName};
+use kws_membership::KeyMatch;
+use kws_protocol::{RefusalReason, RouteAccess, RouteSettings, TeamName};
 use std::sync::Arc;
 
 /// Judges one request by the settings of the moment.
@@ -21,34 +22,26 @@
 impl RequestJudge<'_> {
     /// Judges everything that needs no wait.
     pub(crate) fn judge(&self) -> Result<(), Refused> {
-        let snapshot = self.current_snapshot()?;
-        let route = self.route(&snapshot)?;
+        let view = self.current_view()?;
+        let route = self.route(&view)?;
         self.check_size(route)?;
-        self.authenticate(&snapshot, route).map(|_| ())
+        self.authenticate(&view, route).map(|_| ())
     }
 
     /// The settings, when this host may believe them.
-    pub(crate) fn current_snapshot(&self) -> Result<Arc<FleetSnapshot>, Refused> {
+    pub(crate) fn current_view(&self) -> Result<Arc<RoutingView>, Refused> {
         let not_current = Refused::not_run(RefusalReason::NotCurrent);
         if !self.worker.control.is_current() {
             return Err(not_current);
         }
-        self.worker.control.snapshot().ok_or(not_current)
+        self.worker.control.view().ok_or(not_current)
     }
 
     /// The route of the request.
-    pub(crate) fn route<'s>(
-        &self,
-        snapshot: &'s FleetSnapshot,
-    ) -> Result<&'s RouteSettings, Refused> {
+    pub(crate) fn route<'s>(&self, view: &'s RoutingView) -> Result<&'s RouteSettings, Refused> {
         let method = self.parts.method.as_str();
-        find_route(
-            &snapshot.settings,
-            &self.parts.host,
-            &self.parts.path,
-            method,
-        )
-        .ok_or(Refused::not_run(RefusalReason::RouteUnknown))
+        view.route(&self.parts.host, &self.parts.path, method)
+            .ok_or(Refused::not_run(RefusalReason::RouteUnknown))
     }
 
     /// Checks the sizes that the head states.
@@ -67,7 +60,7 @@
     /// The team that the request runs for; absent on a route open to all.
     pub(crate) fn authenticate(
         &self,
-        snapshot: &Arc<FleetSnapshot>,
+        view: &RoutingView,
         route: &RouteSettings,
     ) -> Result<Option<TeamName>, Refused> {
         if route.access == RouteAccess::Open {
@@ -77,13 +70,14 @@
             .parts
             .key
             .ok_or(Refused::not_run(RefusalReason::KeyMissing))?;
-        let team = self.worker.keys.team(snapshot, digest);
-        let team = team.ok_or(Refused::not_run(RefusalReason::KeyUnknown))?;
+        let KeyMatch::Team(team) = view.keys.find(&digest) else {
+            return Err(Refused::not_run(RefusalReason::KeyUnknown));
+        };
         match &route.access {
-            RouteAccess::Teams(teams) if !teams.contains(&team) => {
+            RouteAccess::Teams(teams) if !teams.contains(team) => {
                 Err(Refused::not_run(RefusalReason::TeamForbidden))
             }
-            _ => Ok(Some(team)),
+            _ => Ok(Some(team.clone())),
         }
     }
 
@@ -94,12 +88,12 @@
         route: &RouteSettings,
         team: Option<&TeamName>,
     ) -> Result<(), Refused> {
-        let snapshot = self.current_snapshot()?;
-        let now = self.route(&snapshot)?;
+        let view = self.current_view()?;
+        let now = self.route(&view)?;
         if now.name != route.name || now.service != route.service {
             return Err(Refused::not_run(RefusalReason::RouteUnknown));
         }
-        if self.authenticate(&snapshot, now)?.as_ref() != team {
+        if self.authenticate(&view, now)?.as_ref() != team {
             return Err(Refused::not_run(RefusalReason::KeyUnknown));
         }
         Ok(())
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -11,7 +11,6 @@
 mod guard_layer;
 mod head;
 mod judge;
-mod key_table;
 mod listener;
 mod pending;
 mod protocol_reply;
@@ -19,6 +18,7 @@
 mod request_body;
 mod request_id;
 mod route;
+mod routing;
 mod silence;
 mod single_try;
 mod target;
@@ -33,5 +33,5 @@
     TryClass, TryOutcome, TryReport,
 };
 pub use listener::{ListenerHandle, ListenerSettings, run_listener};
-pub use route::{find_route, is_repeatable};
+pub use routing::RoutingView;
 pub use tls::{BackendTrust, CertificateFiles, CertificateStore, TlsError};
--- a/crates/kws-forward/src/route.rs
+++ b/crates/kws-forward/src/route.rs
@@ -1,40 +1,75 @@
-//! Choice of the route that serves a request.
-
-use kws_protocol::{FleetSettings, RouteSettings};
-
-/// The route for a request: one bound to the host name wins over one for every host, then the
-/// longest path prefix wins.
-pub fn find_route<'a>(
-    settings: &'a FleetSettings,
-    host: &str,
-    path: &str,
-    method: &str,
-) -> Option<&'a RouteSettings> {
-    settings
-        .routes
-        .values()
-        .filter(|route| serves_host(route, host))
-        .filter(|route| serves_path(&route.path, path))
-        .filter(|route| route.methods.is_empty() || route.methods.contains(method))
-        .max_by_key(|route| (route.host.is_some(), route.path.len()))
+//! Lookup of routes by host name, path and method.
+
+use kws_protocol::{FleetSettings, RouteName, RouteSettings};
+use std::{
+    collections::{BTreeSet, HashMap},
+    iter::successors,
+};
+
+/// The routes of one tree by host name and path prefix.
+#[derive(Debug, Default)]
+pub(crate) struct RouteTable {
+    every_host: PathTable,
+    by_host: HashMap<String, PathTable>,
+}
+
+/// The routes of one host name by their path prefix, without the slash at its end.
+#[derive(Debug, Default)]
+struct PathTable(HashMap<String, Vec<RouteEntry>>);
+
+#[derive(Debug)]
+struct RouteEntry {
+    name: RouteName,
+    methods: BTreeSet<String>,
 }
 
-/// Whether a request may run more than once: the route's setting, or else the method's definition.
-pub fn is_repeatable(route: &RouteSettings, method: &str) -> bool {
-    route
-        .repeatable
-        .unwrap_or(matches!(method, "GET" | "HEAD" | "OPTIONS"))
+impl RouteTable {
+    /// Indexes the routes.
+    pub(crate) fn new(settings: &FleetSettings) -> Self {
+        let mut table = Self::default();
+        for route in settings.routes.values() {
+            table.paths_of(route).insert(route);
+        }
+        table
+    }
+
+    fn paths_of(&mut self, route: &RouteSettings) -> &mut PathTable {
+        match &route.host {
+            Some(host) => self.by_host.entry(host.to_ascii_lowercase()).or_default(),
+            None => &mut self.every_host,
+        }
+    }
+
+    /// The name of the route that serves a request.
+    pub(crate) fn find(&self, host: &str, path: &str, method: &str) -> Option<&RouteName> {
+        let bound = self.by_host.get(&host.to_ascii_lowercase());
+        bound
+            .and_then(|paths| paths.find(path, method))
+            .or_else(|| self.every_host.find(path, method))
+    }
 }
 
-fn serves_host(route: &RouteSettings, host: &str) -> bool {
-    route
-        .host
-        .as_ref()
-        .is_none_or(|name| name.eq_ignore_ascii_case(host))
+impl PathTable {
+    fn insert(&mut self, route: &RouteSettings) {
+        let prefix = route.path.trim_end_matches('/').to_owned();
+        self.0.entry(prefix).or_default().push(RouteEntry {
+            name: route.name.clone(),
+            methods: route.methods.clone(),
+        });
+    }
+
+    fn find(&self, path: &str, method: &str) -> Option<&RouteName> {
+        prefixes(path)
+            .filter_map(|prefix| self.0.get(prefix))
+            .flatten()
+            .find(|entry| entry.methods.is_empty() || entry.methods.contains(method))
+            .map(|entry| &entry.name)
+    }
 }
 
-fn serves_path(prefix: &str, path: &str) -> bool {
-    let prefix = prefix.trim_end_matches('/');
-    path.strip_prefix(prefix)
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+/// The path, then each prefix that ends before a slash, the longest first.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    successors(Some(path), |longer| {
+        longer.rfind('/').map(|slash| &longer[..slash])
+    })
 }
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -142,7 +142,7 @@
 
 async fn send(context: TryContext<'_>, body: RequestBody) -> Result<ClientResponse, SendError> {
     let address = context.grant.address;
-    let repeatable = crate::route::is_repeatable(context.route, context.parts.method.as_str());
+    let repeatable = context.route.is_repeatable(context.parts.method.as_str());
     let client = context
         .worker
         .pool
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -5,7 +5,6 @@
     judge::RequestJudge,
     reply::Refused,
     request_body::RequestBody,
-    route::is_repeatable,
     single_try::{TryContext, TryFailure, run_try},
     try_guard::TryGuard,
 };
@@ -109,7 +108,7 @@
     }
 
     fn is_repeatable(&self) -> bool {
-        is_repeatable(self.route, self.judge.parts.method.as_str())
+        self.route.is_repeatable(self.judge.parts.method.as_str())
     }
 
     fn try_on<'t>(
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,8 +1,8 @@
 //! What the requests of one worker share.
 
 use crate::{
-    control::ForwardControl, key_table::KeyTable, pending::PendingRequests, request_id::IdSource,
-    tls::BackendTrust, upstream::UpstreamPool,
+    control::ForwardControl, pending::PendingRequests, request_id::IdSource, tls::BackendTrust,
+    upstream::UpstreamPool,
 };
 use std::{
     rc::Rc,
@@ -31,8 +31,6 @@
     pub(crate) control: Arc<dyn ForwardControl>,
     /// Connections to backend servers.
     pub(crate) pool: Rc<UpstreamPool>,
-    /// Lookup of keys.
-    pub(crate) keys: KeyTable,
     /// Identifiers of requests.
     pub(crate) ids: IdSource,
     draining: Arc<AtomicBool>,
@@ -44,7 +42,6 @@
         Self {
             control: parts.control,
             pool: Rc::new(UpstreamPool::new(parts.trust)),
-            keys: KeyTable::default(),
             ids: IdSource::new(),
             draining: parts.draining,
         }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -5,7 +5,8 @@
 use kws_fixture::SampleFleet;
 use kws_forward::{
     AccessRecord, ForwardControl, GrantTicket, ListenerHandle, ListenerSettings, Refusal,
-    RetryVerdict, ServerGrant, ServerRequest, TryClass, TryOutcome, TryReport, run_listener,
+    RetryVerdict, RoutingView, ServerGrant, ServerRequest, TryClass, TryOutcome, TryReport,
+    run_listener,
 };
 use kws_protocol::{
     AnswerChecks, FleetSettings, FleetSnapshot, KeyDigest, RefusalReason, RetryReason, RouteAccess,
@@ -40,7 +41,7 @@
 /// The in-memory control.
 #[derive(Debug)]
 pub struct FakeControl {
-    pub snapshot: Mutex<Arc<FleetSnapshot>>,
+    pub view: Mutex<Arc<RoutingView>>,
     pub servers: Vec<(ServerName, SocketAddr)>,
     pub current: AtomicBool,
     pub admits: Mutex<Result<(), Refusal>>,
@@ -57,8 +58,8 @@
 }
 
 impl ForwardControl for FakeControl {
-    fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
-        Some(Arc::clone(&self.snapshot.lock().unwrap()))
+    fn view(&self) -> Option<Arc<RoutingView>> {
+        Some(Arc::clone(&self.view.lock().unwrap()))
     }
 
     fn is_current(&self) -> bool {
@@ -171,7 +172,7 @@
     settings
 }
 
-fn snapshot(settings: FleetSettings) -> Arc<FleetSnapshot> {
+pub fn snapshot(settings: FleetSettings) -> Arc<FleetSnapshot> {
     Arc::new(FleetSnapshot {
         settings,
         ..SampleFleet::new(1, 1).snapshot()
@@ -211,7 +212,7 @@
         change: impl FnOnce(&mut ListenerSettings),
     ) -> Self {
         let control = Arc::new(FakeControl {
-            snapshot: Mutex::new(snapshot(settings)),
+            view: Mutex::new(Arc::new(RoutingView::new(snapshot(settings)))),
             servers,
             current: AtomicBool::new(true),
             admits: Mutex::new(Ok(())),
@@ -275,7 +276,7 @@
     }
 
     pub fn set_settings(&self, settings: FleetSettings) {
-        *self.control.snapshot.lock().unwrap() = snapshot(settings);
+        *self.control.view.lock().unwrap() = Arc::new(RoutingView::new(snapshot(settings)));
     }
 
     /// Requests that arrived at all backend servers.
--- a/crates/kws-forward/tests/route_choice.rs
+++ b/crates/kws-forward/tests/route_choice.rs
@@ -3,8 +3,8 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
-use fleet::{route, settings};
-use kws_forward::find_route;
+use fleet::{route, settings, snapshot};
+use kws_forward::RoutingView;
 use rstest::rstest;
 
 #[rstest]
@@ -36,6 +36,7 @@
             route.path = "/rows".to_owned();
         }),
     ]);
-    let found = find_route(&settings, host, path, method);
+    let view = RoutingView::new(snapshot(settings));
+    let found = view.route(host, path, method);
     assert_eq!(found.map(|route| route.name.as_str()), name);
 }
--- a/crates/kws-protocol/src/settings.rs
+++ b/crates/kws-protocol/src/settings.rs
@@ -8,6 +8,10 @@
     time::Duration,
 };
 
+/// Methods that may be repeated when the route says nothing. `PUT` and `DELETE` are idempotent by
+/// HTTP, but a late repeat can undo a change made in between, so the route has to allow it.
+const REPEATABLE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
 /// SHA-256 of a caller's key; the key itself is never stored.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct KeyDigest(pub [u8; 32]);
@@ -147,6 +151,15 @@
     pub checks: AnswerChecks,
 }
 
+impl RouteSettings {
+    /// Whether a request of `method` may run more than once: the route decides, else the method.
+    /// A caller can't loosen it.
+    pub fn is_repeatable(&self, method: &str) -> bool {
+        self.repeatable
+            .unwrap_or_else(|| REPEATABLE_METHODS.contains(&method))
+    }
+}
+
 /// One team.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TeamSettings {
