--- a/crates/kws-bench/src/backends.rs
+++ b/crates/kws-bench/src/backends.rs
@@ -14,6 +14,9 @@
 /// What to measure.
 #[derive(Args, Clone, Debug)]
 pub struct BackendsArgs {
+    /// The deployments; both when absent.
+    #[arg(long, value_enum)]
+    deployment: Vec<Deployment>,
     /// The rules; all when absent.
     #[arg(long, value_enum)]
     rule: Vec<RuleKind>,
@@ -37,7 +40,7 @@
         println!(
             "deployment   servers fault         rule         detect_s  false  bad_%  refused_%  worst_team_%  p99_ms"
         );
-        for deployment in Deployment::ALL {
+        for deployment in chosen(&self.deployment, &Deployment::ALL) {
             for servers in [10, 20] {
                 for fault in chosen(&self.fault, &FaultKind::ALL) {
                     self.print_rules(deployment, servers, fault)?;
--- a/crates/kws-bench/src/backends/fault.rs
+++ b/crates/kws-bench/src/backends/fault.rs
@@ -16,7 +16,7 @@
 const BAD_HOST: usize = 2;
 
 /// One of today's deployments.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, ValueEnum)]
 pub enum Deployment {
     /// The berry farm.
     Farm,
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -11,12 +11,12 @@
 /// Hosts that must accuse a server before it is ejected for the fleet.
 const ACCUSERS: usize = 2;
 
+/// Bad answers of a data centre, or of one host acting alone, below which they may be chance.
+const MIN_BAD: f64 = 4.0;
+
 /// How far back a busy service is judged.
 const RECENT: Duration = Duration::from_secs(3);
 
-/// Answers of one host acting alone, below which it has no say.
-const MIN_ANSWERS: u32 = 5;
-
 /// Answers of one host acting alone, below which it has no say on latency.
 const MIN_SLOW_ANSWERS: u32 = 8;
 
@@ -96,8 +96,8 @@
 
     /// Whether the server stands out from what is typical for the service.
     fn sick(&self, typical: TypicalShares, settings: &EjectionSettings) -> bool {
-        self.bad_share() - typical.bad >= settings.bad_share
-            || self.slow_share() - typical.slow >= SLOW_SHARE
+        let bad = self.bad >= MIN_BAD && self.bad_share() - typical.bad >= settings.bad_share;
+        bad || self.slow_share() - typical.slow >= SLOW_SHARE
     }
 }
 
@@ -149,7 +149,7 @@
     /// The whole window, on few answers.
     pub(crate) const WHOLE: Self = Self {
         since: None,
-        min_answers: 5.0,
+        min_answers: 10.0,
     };
 
     /// The last seconds, on many answers: a busy service is judged before its older answers fade.
@@ -393,7 +393,7 @@
     let summary = &vote.summary;
     let share = summary.bad_share();
     let stands_out = share - vote.typical >= settings.bad_share.max(STRONG_BAD_SHARE);
-    let bad = summary.answers >= MIN_ANSWERS && stands_out;
+    let bad = f64::from(summary.bad) >= MIN_BAD && stands_out;
     let slow = summary.answers >= MIN_SLOW_ANSWERS && vote.very_slow;
     (bad || slow).then_some(share + if slow { 1.0 } else { 0.0 })
 }
