Watch timing from the lease; a suspended machine ends its lease

Cause: the watch's back-off and patience were fixed, so a short lease ran out before a late answer was told, and a machine whose monotonic clock stood still went on with its old lease. The reading of the suspended time isn't tested, since it needs a suspension.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -17,6 +17,7 @@
     BackendTrust, CertificateFiles, CertificateStore, ListenerHandle, ListenerSettings,
     run_listener,
 };
+use kws_platform::WatchTiming;
 use kws_protocol::HostName;
 use std::{
     net::{SocketAddr, TcpListener},
@@ -38,8 +39,11 @@
 const DISPATCH_RING: usize = 32 * 1024;
 /// Messages that wait for the exchange.
 const OUTBOUND_RING: usize = 4096;
-/// The platform's first waits, before a tree names the lease.
-const FIRST_WAIT: Duration = Duration::from_secs(1);
+/// The platform watch before a tree names the lease.
+const FIRST_TIMING: WatchTiming = WatchTiming {
+    wait: Duration::from_secs(1),
+    grace: Duration::from_millis(250),
+};
 
 /// A daemon that runs.
 pub struct RunningDaemon {
@@ -111,7 +115,7 @@
         center: settings.center.clone(),
     };
     let metrics = FleetMetrics::new().wrap_err("the metrics can't be registered")?;
-    let shared = Arc::new(DaemonShared::new(identity, metrics, FIRST_WAIT));
+    let shared = Arc::new(DaemonShared::new(identity, metrics, FIRST_TIMING));
     start_admin(Arc::clone(&shared), admin)?;
     let rings = start_duties(&shared, options, peer)?;
 
--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -6,26 +6,23 @@
     duty::start_duty,
     ledger::LedgerEvent,
     shared::{DaemonShared, PeerSender},
+    suspend::SuspendWatch,
 };
 use eyre::Result;
 use kws_admin::PlatformResult;
 use kws_membership::{FleetAction, FleetCounters, FleetView, HostIdentity};
 use kws_peer::InboundPeer;
-use kws_platform::PlatformEvent;
+use kws_platform::{PlatformEvent, WatchTiming};
 use kws_protocol::FleetSnapshot;
 use std::{
     hash::{BuildHasher, RandomState},
     sync::Arc,
-    time::Duration,
 };
 use tokio::{
     sync::mpsc::{Receiver, Sender},
-    time::{Instant, MissedTickBehavior, interval},
+    time::{Instant, sleep_until},
 };
 
-/// How often the view is told that time passed.
-const TICK: Duration = Duration::from_millis(100);
-
 /// The rings that the duty reads.
 pub(crate) struct FleetRings {
     pub(crate) platform: Receiver<PlatformEvent>,
@@ -54,6 +51,7 @@
     view: FleetView,
     lease: Option<Instant>,
     counted: FleetCounters,
+    watch: SuspendWatch,
 }
 
 async fn run_fleet(shared: Arc<DaemonShared>, mut rings: FleetRings, outlets: FleetOutlets) {
@@ -63,9 +61,9 @@
         outlets,
         lease: None,
         counted: FleetCounters::default(),
+        watch: SuspendWatch::new(),
     };
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticked = Instant::now();
     loop {
         let actions = tokio::select! {
             event = rings.platform.recv() => match event {
@@ -76,7 +74,10 @@
                 Some(inbound) => duty.view.receive(&inbound.from, inbound.message, Instant::now()),
                 None => return,
             },
-            _ = ticks.tick() => duty.view.tick(Instant::now()),
+            () = sleep_until(ticked + duty.view.tick_interval()) => {
+                ticked = Instant::now();
+                duty.pass_time(ticked)
+            }
         };
         duty.carry_out(actions).await;
     }
@@ -93,6 +94,14 @@
 }
 
 impl FleetDuty {
+    fn pass_time(&mut self, now: Instant) -> Vec<FleetAction> {
+        if self.watch.slept() {
+            log::warn!("the machine was suspended; the lease ends");
+            return self.view.clock_stood_still(now);
+        }
+        self.view.tick(now)
+    }
+
     fn hear_platform(&mut self, event: PlatformEvent) -> Vec<FleetAction> {
         let now = Instant::now();
         let metrics = &self.shared.metrics;
@@ -147,7 +156,10 @@
     async fn publish(&self, snapshot: Arc<FleetSnapshot>) {
         log::info!(revision = snapshot.revision.0; "revision in force");
         self.shared.set_snapshot(&snapshot);
-        self.shared.set_watch_wait(self.view.watch_wait());
+        self.shared.set_watch_timing(WatchTiming {
+            wait: self.view.watch_wait(),
+            grace: self.view.watch_grace(),
+        });
         let ledger = LedgerEvent::Adopt(Arc::clone(&snapshot));
         let _ = self.outlets.ledger.send(ledger).await;
         let _ = self
--- a/crates/kws-daemon/src/lib.rs
+++ b/crates/kws-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod platform;
 mod shared;
+mod suspend;
 
 pub use daemon::{RunningDaemon, start_daemon};
 pub use logging::start_logging;
--- a/crates/kws-daemon/src/shared.rs
+++ b/crates/kws-daemon/src/shared.rs
@@ -6,6 +6,7 @@
 use kws_forward::RoutingView;
 use kws_membership::{Readiness, UnreadyReason};
 use kws_peer::OutboundPeer;
+use kws_platform::WatchTiming;
 use kws_protocol::{
     CenterName, FleetSnapshot, HostName, ListedHost, LoanMessage, PeerMessage, RegionName,
     ServerStatus,
@@ -15,9 +16,8 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
 };
 use tokio::{sync::mpsc::Sender, time::Instant};
 
@@ -40,11 +40,11 @@
     lease: SharedInstant,
     readiness: Mutex<Readiness>,
     servers: Mutex<Vec<ServerStatus>>,
-    watch_wait: AtomicU64,
+    watch: Mutex<WatchTiming>,
 }
 
 impl DaemonShared {
-    pub(crate) fn new(identity: DaemonIdentity, metrics: FleetMetrics, wait: Duration) -> Self {
+    pub(crate) fn new(identity: DaemonIdentity, metrics: FleetMetrics, watch: WatchTiming) -> Self {
         let born = Instant::now();
         Self {
             identity,
@@ -56,7 +56,7 @@
             lease: SharedInstant::new(born),
             readiness: Mutex::new(Readiness::Unready(UnreadyReason::NoTree)),
             servers: Mutex::default(),
-            watch_wait: AtomicU64::new(wait.as_millis() as u64),
+            watch: Mutex::new(watch),
         }
     }
 
@@ -108,13 +108,12 @@
         *lock(&self.servers) = servers;
     }
 
-    pub(crate) fn watch_wait(&self) -> Duration {
-        Duration::from_millis(self.watch_wait.load(Ordering::Relaxed))
+    pub(crate) fn watch_timing(&self) -> WatchTiming {
+        *lock(&self.watch)
     }
 
-    pub(crate) fn set_watch_wait(&self, wait: Duration) {
-        self.watch_wait
-            .store(wait.as_millis() as u64, Ordering::Relaxed);
+    pub(crate) fn set_watch_timing(&self, timing: WatchTiming) {
+        *lock(&self.watch) = timing;
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/kws-platform/src/consul.rs
+++ b/crates/kws-platform/src/consul.rs
@@ -10,7 +10,6 @@
 };
 use serde::Deserialize;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::time::timeout;
 
 /// The header that carries the index of the answer, which a blocking query names.
 const INDEX_HEADER: &str = "x-consul-index";
@@ -19,8 +18,6 @@
 const REVISION_KEY: &str = "revision";
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
-/// What an answer may take beyond the wait that the request asks for.
-const ANSWER_ALLOWANCE: Duration = Duration::from_secs(2);
 
 /// A reader of all keys under one prefix, with one blocking query at a time.
 #[derive(Debug)]
@@ -71,11 +68,7 @@
             wait.as_millis()
         );
         let client = self.client().await?;
-        let call = fetch(&client, &url);
-        let limit = wait + ANSWER_ALLOWANCE;
-        let (answered, body) = timeout(limit, call)
-            .await
-            .map_err(|_| PlatformError::Unreachable("no answer in time".to_owned()))??;
+        let (answered, body) = fetch(&client, &url).await?;
         let bytes = body.len() as u64;
         if answered == index && index != 0 {
             let revision = known;
--- a/crates/kws-platform/src/lib.rs
+++ b/crates/kws-platform/src/lib.rs
@@ -8,4 +8,4 @@
 pub use consul::ConsulReader;
 pub use directory::DirectoryReader;
 pub use reader::{PlatformAnswer, PlatformError, PlatformReader, ReadFuture};
-pub use watch::{PlatformEvent, WatchSettings, run_watch};
+pub use watch::{PlatformEvent, TimingSource, WatchTiming, run_watch};
--- a/crates/kws-platform/src/reader.rs
+++ b/crates/kws-platform/src/reader.rs
@@ -51,6 +51,6 @@
 /// A reader of the published values; each call is one call on the platform.
 pub trait PlatformReader {
     /// Reads the values once they differ from revision `known`, or answers
-    /// [`PlatformAnswer::Unchanged`] after `wait`.
+    /// [`PlatformAnswer::Unchanged`] after `wait`. The caller bounds the time of the whole read.
     fn read(&mut self, known: TreeRevision, wait: Duration) -> ReadFuture<'_>;
 }
--- a/crates/kws-platform/src/watch.rs
+++ b/crates/kws-platform/src/watch.rs
@@ -3,23 +3,27 @@
 use crate::{PlatformAnswer, PlatformError, PlatformReader};
 use kws_protocol::{PublishedValues, TreeRevision};
 use rand::RngExt;
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 use tokio::{
     sync::mpsc::Sender,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
+/// How long an answer may take in all; a whole tree over the link between regions takes seconds.
+const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+
 /// How the watch waits and backs off.
-#[derive(Clone)]
-pub struct WatchSettings {
-    /// How long the platform may hold one read; shorter than the lease, which a tree may change.
-    pub wait: Arc<dyn Fn() -> Duration + Send + Sync>,
-    /// The pause after the first failure.
-    pub backoff_base: Duration,
-    /// The longest pause between failures.
-    pub backoff_max: Duration,
+#[derive(Clone, Copy, Debug)]
+pub struct WatchTiming {
+    /// How long the platform may hold one read, and the longest pause between failures.
+    pub wait: Duration,
+    /// How late an answer may be before it counts as failed, and the pause after the first failure.
+    pub grace: Duration,
 }
 
+/// Gives the timing of the moment, which a new tree may change.
+pub type TimingSource<'a> = &'a (dyn Fn() -> WatchTiming + Send + Sync);
+
 /// What the watch heard; `sent` is when the question was sent.
 #[derive(Clone, Debug)]
 pub enum PlatformEvent {
@@ -51,14 +55,19 @@
 /// Follows `reader` until the receiver of `events` is gone.
 pub async fn run_watch(
     reader: &mut dyn PlatformReader,
-    settings: &WatchSettings,
+    timing: TimingSource<'_>,
     events: &Sender<PlatformEvent>,
 ) {
     let mut known = TreeRevision::default();
     let mut failures = 0;
     while !events.is_closed() {
         let sent = Instant::now();
-        let event = match reader.read(known, (settings.wait)()).await {
+        let mut now_timing = timing();
+        if failures > 0 {
+            // Whether the platform is back must not wait for a change.
+            now_timing.wait = Duration::ZERO;
+        }
+        let event = match read_in_time(reader, known, now_timing, events).await {
             Ok(answer) => {
                 failures = 0;
                 known = answer_revision(&answer);
@@ -73,11 +82,28 @@
             return;
         }
         if failures > 0 {
-            sleep(backoff(settings, failures)).await;
+            sleep(backoff(timing(), failures)).await;
         }
     }
 }
 
+/// Reads once; an answer that is late is told at once as a failure, and still waited for.
+async fn read_in_time(
+    reader: &mut dyn PlatformReader,
+    known: TreeRevision,
+    timing: WatchTiming,
+    events: &Sender<PlatformEvent>,
+) -> Result<PlatformAnswer, PlatformError> {
+    let mut read = reader.read(known, timing.wait);
+    if let Ok(answer) = timeout(timing.wait + timing.grace, &mut read).await {
+        return answer;
+    }
+    let error = PlatformError::Unreachable("the answer is late".to_owned());
+    let _ = events.send(PlatformEvent::Failed { error }).await;
+    let answer = timeout(ANSWER_LIMIT, read).await;
+    answer.unwrap_or_else(|_| Err(PlatformError::Unreachable("no answer in time".to_owned())))
+}
+
 fn answer_revision(answer: &PlatformAnswer) -> TreeRevision {
     match answer {
         PlatformAnswer::Unchanged { revision, .. } => *revision,
@@ -101,11 +127,8 @@
 }
 
 /// Doubles with each failure, with full jitter so that hosts don't return in step.
-fn backoff(settings: &WatchSettings, failures: u32) -> Duration {
+fn backoff(timing: WatchTiming, failures: u32) -> Duration {
     let factor = 1_u32 << failures.saturating_sub(1).min(16);
-    let ceiling = settings
-        .backoff_base
-        .saturating_mul(factor)
-        .min(settings.backoff_max);
+    let ceiling = timing.grace.saturating_mul(factor).min(timing.wait);
     ceiling.mul_f64(rand::rng().random_range(0.5..=1.0))
 }
--- a/crates/kws-platform/tests/consul_reader.rs
+++ b/crates/kws-platform/tests/consul_reader.rs
@@ -1,10 +1,10 @@
 //! The watch over the platform's read protocol, against the stand-in.
 
-use kws_platform::{ConsulReader, PlatformEvent, WatchSettings, run_watch};
+use kws_platform::{ConsulReader, PlatformEvent, WatchTiming, run_watch};
 use kws_protocol::TreeRevision;
 use kws_standin::{PlatformMode, PlatformService};
 use ntex::rt::{DefaultRuntime, System};
-use std::{sync::Arc, thread, time::Duration};
+use std::{thread, time::Duration};
 use tokio::sync::mpsc::{Receiver, channel};
 
 fn watch(service: &PlatformService) -> Receiver<PlatformEvent> {
@@ -13,12 +13,11 @@
     thread::spawn(move || {
         System::new("watch", DefaultRuntime).block_on(async move {
             let mut reader = ConsulReader::new(&url, "fleet");
-            let settings = WatchSettings {
-                wait: Arc::new(|| Duration::from_millis(200)),
-                backoff_base: Duration::from_millis(10),
-                backoff_max: Duration::from_millis(50),
+            let timing = || WatchTiming {
+                wait: Duration::from_millis(200),
+                grace: Duration::from_millis(50),
             };
-            run_watch(&mut reader, &settings, &events).await;
+            run_watch(&mut reader, &timing, &events).await;
         });
     });
     received
@@ -64,6 +63,21 @@
     assert_eq!(confirmed, TreeRevision(1));
 }
 
+/// A slow answer is told as a failure when it is late, and used when it comes.
+#[test]
+fn late_answer() {
+    let service = PlatformService::start();
+    service.publish("root.yaml", "a: 1");
+    let mut events = watch(&service);
+    next(&mut events, values_at);
+    service.set_mode(PlatformMode::Slow(Duration::from_millis(600)));
+    service.publish("root.yaml", "a: 2");
+    next(&mut events, |event| {
+        matches!(event, PlatformEvent::Failed { .. }).then_some(())
+    });
+    assert_eq!(next(&mut events, values_at), (TreeRevision(2), 1));
+}
+
 #[test]
 fn outage_ends() {
     let service = PlatformService::start();
