--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -1,8 +1,8 @@
 //! Frames decode to what was encoded, and no frame panics.
 
 use kws_protocol::{
-    ConfigMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView, TeamName,
-    TreeRevision, decode_message, encode_message,
+    ConfigMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RegionName, RevisionView,
+    TeamName, TreeRevision, decode_message, encode_message,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -15,6 +15,11 @@
     team: TeamName::new("orchard"),
     tokens: 2.5,
 }))]
+#[case::ask_retained(PeerMessage::Loan(LoanMessage::AskRetained))]
+#[case::retained(PeerMessage::Loan(LoanMessage::Retained {
+    region: RegionName::new("vidzemes"),
+    oldest: TreeRevision(8),
+}))]
 #[case::question(PeerMessage::Lease(LeaseMessage::Question {
     nonce: 3,
     view: RevisionView {
