--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -1,8 +1,8 @@
 //! Frames decode to what was encoded, and no frame panics.
 
 use kws_protocol::{
-    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView,
-    ServerDigest, TeamName, TreeRevision, decode_message, encode_message,
+    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RegionName,
+    RevisionView, ServerDigest, TeamName, TreeRevision, decode_message, encode_message,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -35,6 +35,11 @@
     team: TeamName::new("orchard"),
     tokens: 2.5,
 }))]
+#[case::ask_retained(PeerMessage::Loan(LoanMessage::AskRetained))]
+#[case::retained(PeerMessage::Loan(LoanMessage::Retained {
+    region: RegionName::new("vidzemes"),
+    oldest: TreeRevision(8),
+}))]
 #[case::question(PeerMessage::Lease(LeaseMessage::Question {
     nonce: 3,
     view: RevisionView {
