One retry policy: the request path asks the decision crate

Cause: the rule of at most once, the tries and the refusal after a failed try stood twice, in the dispatch crate (tested, unused) and in the request path. Now the request path asks the policy, and the control only keeps each service's budget. Ruled out: the policy behind the control, which would make every control of a test repeat it. Conclusion: all tests of both crates pass unchanged, but for the control's narrower signature in the tests' fakes.

--- a/crates/kws-bench/src/forward/granting.rs
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -4,7 +4,7 @@
 use kws_fixture::SampleFleet;
 use kws_forward::{
     AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, RoutingView, ServerGrant,
-    ServerRequest, TryOutcome, TryReport,
+    ServerRequest, TryOutcome,
 };
 use kws_protocol::{
     AnswerChecks, RefusalReason, RetryReason, RouteAccess, RouteName, RouteSettings, ServerName,
@@ -71,7 +71,7 @@
         ready(Ok(self.grant.clone())).boxed()
     }
 
-    fn retry(&self, _: &TryReport) -> RetryVerdict {
+    fn retry(&self, _: &ServiceName) -> RetryVerdict {
         RetryVerdict::Stop
     }
 
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -8,10 +8,10 @@
 };
 use futures_util::future::BoxFuture;
 use kws_admin::RequestRecord;
-use kws_dispatch::{DispatchRequest, RetryBudget, TicketId};
+use kws_dispatch::{DispatchRequest, RetryBudget, RetrySource, TicketId};
 use kws_forward::{
     AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, RoutingView, ServerGrant,
-    ServerRequest, TryOutcome, TryReport,
+    ServerRequest, TryOutcome,
 };
 use kws_protocol::{RefusalReason, RetryReason, ServiceName, TeamName};
 use std::{
@@ -206,8 +206,8 @@
         })
     }
 
-    fn retry(&self, report: &TryReport) -> RetryVerdict {
-        if self.with_budget(&report.service, RetryBudget::spend) {
+    fn retry(&self, service: &ServiceName) -> RetryVerdict {
+        if self.with_budget(service, RetryBudget::spend) {
             return RetryVerdict::Retry;
         }
         RetryVerdict::Stop
--- a/crates/kws-dispatch/src/lib.rs
+++ b/crates/kws-dispatch/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use action::{DispatchAction, DispatchRequest, ServerGrant, TicketEnd, TicketId};
 pub use dispatcher::Dispatcher;
-pub use retry::{FailedTry, RetryBudget, RetryDecision, RetryPolicy, TryFailure};
+pub use retry::{FailedTry, RetryBudget, RetryDecision, RetryPolicy, RetrySource, TryFailure};
--- a/crates/kws-dispatch/src/retry.rs
+++ b/crates/kws-dispatch/src/retry.rs
@@ -68,6 +68,25 @@
     pub deadline: Instant,
 }
 
+impl FailedTry {
+    /// What the caller is told when no further try is made.
+    pub fn refusal(&self, now: Instant) -> (RefusalReason, RunState) {
+        let not_run = self.failure.proves_not_run() && !self.may_have_run;
+        let expired = now + SHORTEST_TRY > self.deadline;
+        let reason = if expired && not_run {
+            RefusalReason::DeadlineEarly
+        } else {
+            self.failure.refusal_reason()
+        };
+        let state = if not_run {
+            RunState::NotRun
+        } else {
+            RunState::Unknown
+        };
+        (reason, state)
+    }
+}
+
 /// What follows a failed try.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RetryDecision {
@@ -105,9 +124,16 @@
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.share).min(BUDGET_CAP);
     }
+}
 
-    /// Takes one retry; false when the budget is spent.
-    pub fn spend(&mut self) -> bool {
+/// Where retries are taken from.
+pub trait RetrySource {
+    /// Takes one retry; false when none is left.
+    fn spend(&mut self) -> bool;
+}
+
+impl RetrySource for RetryBudget {
+    fn spend(&mut self) -> bool {
         if self.tokens < 1.0 {
             return false;
         }
@@ -145,21 +171,22 @@
     }
 
     /// Whether a hedge may be sent now; it spends from the budget when it may.
-    pub fn hedge(&self, tries: u32, budget: &mut RetryBudget) -> bool {
-        self.hedge_after().is_some() && tries < self.tries && budget.spend()
+    pub fn hedge(&self, tries: u32, source: &mut dyn RetrySource) -> bool {
+        self.hedge_after().is_some() && tries < self.tries && source.spend()
     }
 
     /// What follows a failed try; a retry spends from the budget.
     pub fn decide(
         &self,
         failed: &FailedTry,
-        budget: &mut RetryBudget,
+        source: &mut dyn RetrySource,
         now: Instant,
     ) -> RetryDecision {
-        if self.may_retry(failed, now) && budget.spend() {
+        if self.may_retry(failed, now) && source.spend() {
             return RetryDecision::Retry(failed.failure.retry_reason());
         }
-        stop(failed, now)
+        let (reason, state) = failed.refusal(now);
+        RetryDecision::Stop(reason, state)
     }
 
     fn may_retry(&self, failed: &FailedTry, now: Instant) -> bool {
@@ -169,20 +196,3 @@
             && now + SHORTEST_TRY <= failed.deadline
     }
 }
-
-/// What the caller is told when no further try is made.
-fn stop(failed: &FailedTry, now: Instant) -> RetryDecision {
-    let not_run = failed.failure.proves_not_run() && !failed.may_have_run;
-    let expired = now + SHORTEST_TRY > failed.deadline;
-    let reason = if expired && not_run {
-        RefusalReason::DeadlineEarly
-    } else {
-        failed.failure.refusal_reason()
-    };
-    let state = if not_run {
-        RunState::NotRun
-    } else {
-        RunState::Unknown
-    };
-    RetryDecision::Stop(reason, state)
-}
--- a/crates/kws-forward/src/answer.rs
+++ b/crates/kws-forward/src/answer.rs
@@ -4,10 +4,11 @@
     answer_body::{AnswerBody, AnswerLength, AnswerSource, AnswerTimes, HeadBody},
     control::TryClass,
     head::strip_answer,
-    single_try::{TryContext, TryFailure},
+    single_try::{TryContext, TryEnd},
     try_guard::TryGuard,
 };
-use kws_protocol::{AnswerChecks, RefusalReason, RetryReason};
+use kws_dispatch::TryFailure;
+use kws_protocol::{AnswerChecks, RefusalReason};
 use ntex::{
     client::ClientResponse,
     http::{
@@ -29,23 +30,17 @@
     answer: &ClientResponse,
     times: AnswerTimes,
     mut guard: TryGuard,
-) -> Result<Response, TryFailure> {
+) -> Result<Response, TryEnd> {
     guard.head_came(is_draining(answer.headers()));
     let own = is_own(context, answer.headers());
     if own && says_not_run(answer) {
         guard.finish(TryClass::NotRun);
-        return Err(TryFailure::not_run(
-            RefusalReason::NoServer,
-            RetryReason::ServerNotRun,
-        ));
+        return Err(TryEnd::failed(TryFailure::ServerNotRun));
     }
     let passed = passed_answer(context, answer);
     let Some((headers, framing)) = passed.ok().filter(|_| own) else {
         guard.finish(TryClass::Bad);
-        return Err(TryFailure::unknown(
-            RefusalReason::BadAnswer,
-            RetryReason::BadAnswer,
-        ));
+        return Err(TryEnd::failed(TryFailure::BadAnswer));
     };
     Ok(build_response(
         context, answer, headers, framing, times, guard,
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -2,9 +2,7 @@
 
 use crate::routing::RoutingView;
 use futures_util::future::BoxFuture;
-use kws_protocol::{
-    RefusalReason, RetryReason, RouteName, RunState, ServerName, ServiceName, TeamName,
-};
+use kws_protocol::{RefusalReason, RetryReason, RouteName, ServerName, ServiceName, TeamName};
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -84,25 +82,6 @@
     pub draining: bool,
 }
 
-/// A failed try that could be followed by another.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TryReport {
-    /// The route.
-    pub route: RouteName,
-    /// The service.
-    pub service: ServiceName,
-    /// Why the try failed.
-    pub reason: RetryReason,
-    /// Whether the request may run more than once.
-    pub repeatable: bool,
-    /// Whether the failed try may have run.
-    pub run: RunState,
-    /// Tries made so far.
-    pub tries: u32,
-    /// Time left until the deadline.
-    pub remaining: Duration,
-}
-
 /// Whether another try is allowed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RetryVerdict {
@@ -158,10 +137,10 @@
         request: ServerRequest,
     ) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>>;
 
-    /// Whether a failed try may be followed by another.
+    /// Takes one retry from the budget of `service`.
     ///
-    /// The listener asks only when the route's tries and the at-most-once rule allow one.
-    fn retry(&self, report: &TryReport) -> RetryVerdict;
+    /// The listener asks only when the route's tries and the at-most-once rule allow another try.
+    fn retry(&self, service: &ServiceName) -> RetryVerdict;
 
     /// Ends a grant; called exactly once for each.
     fn finish(&self, ticket: GrantTicket, outcome: TryOutcome);
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use control::{
     AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
-    TryClass, TryOutcome, TryReport,
+    TryClass, TryOutcome,
 };
 pub use listener::{ListenerHandle, ListenerSettings, run_listener};
 pub use routing::RoutingView;
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -12,7 +12,8 @@
     upstream::{SendError, UpstreamAddress},
     worker::WorkerState,
 };
-use kws_protocol::{RefusalReason, RetryReason, RouteSettings, RunState, TeamName};
+use kws_dispatch::TryFailure;
+use kws_protocol::{RouteSettings, RunState, TeamName};
 use ntex::{
     client::{Client, ClientRequest, ClientResponse},
     http::{Response, body::Body},
@@ -56,36 +57,53 @@
 
 /// A try without an answer for the caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct TryFailure {
-    /// The answer if no other try follows.
-    pub(crate) refused: Refused,
-    /// The reason for another try; absent when none can help.
-    pub(crate) retry: Option<RetryReason>,
+pub(crate) enum TryEnd {
+    /// No other try can help.
+    Final(Refused),
+    /// Another try may follow.
+    Failed {
+        /// How the try failed.
+        failure: TryFailure,
+        /// Whether a try beside it may have run.
+        may_have_run: bool,
+    },
 }
 
-impl TryFailure {
-    /// A failure after which the request may have run.
-    pub(crate) fn unknown(reason: RefusalReason, retry: RetryReason) -> Self {
-        Self {
-            refused: Refused::unknown(reason),
-            retry: Some(retry),
+impl TryEnd {
+    /// The end of a try that had no other beside it.
+    pub(crate) fn failed(failure: TryFailure) -> Self {
+        Self::Failed {
+            failure,
+            may_have_run: false,
         }
     }
 
-    /// A failure after which the request certainly did not run.
-    pub(crate) fn not_run(reason: RefusalReason, retry: RetryReason) -> Self {
-        Self {
-            refused: Refused::not_run(reason),
-            retry: Some(retry),
+    /// Whether a request that ended so may have run.
+    pub(crate) fn may_have_run(self) -> bool {
+        match self {
+            Self::Final(refused) => refused.run == RunState::Unknown,
+            Self::Failed {
+                failure,
+                may_have_run,
+            } => may_have_run || !failure.proves_not_run(),
         }
     }
 
-    /// Two failures: the last one, which may have run when either may have.
-    pub(crate) fn and(self, mut last: Self) -> Self {
-        if self.refused.run == RunState::Unknown {
-            last.refused.run = RunState::Unknown;
+    /// Two ends: the last one, which may have run when either may have.
+    pub(crate) fn and(self, last: Self) -> Self {
+        if !self.may_have_run() {
+            return last;
+        }
+        match last {
+            Self::Final(refused) => Self::Final(Refused {
+                run: RunState::Unknown,
+                ..refused
+            }),
+            Self::Failed { failure, .. } => Self::Failed {
+                failure,
+                may_have_run: true,
+            },
         }
-        last
     }
 }
 
@@ -93,7 +111,7 @@
 pub(crate) async fn run_try(
     context: TryContext<'_>,
     body: RequestBody,
-) -> Result<Response, TryFailure> {
+) -> Result<Response, TryEnd> {
     let mut guard = TryGuard::new(Arc::clone(&context.worker.control), context.grant.ticket);
     let sent = timeout_at(context.deadline, send(context, body.clone())).await;
     match sent {
@@ -108,36 +126,23 @@
         Err(_) => {
             context.worker.pool.doubt(context.upstream());
             guard.finish(TryClass::Late);
-            Err(TryFailure {
-                refused: Refused::unknown(RefusalReason::DeadlinePassed),
-                retry: None,
-            })
+            Err(TryEnd::failed(TryFailure::Timeout))
         }
     }
 }
 
-fn send_failure(error: SendError, body: &RequestBody, guard: &mut TryGuard) -> TryFailure {
+fn send_failure(error: SendError, body: &RequestBody, guard: &mut TryGuard) -> TryEnd {
     if let Some(reason) = body.failure() {
         guard.finish(TryClass::Cancelled);
-        return TryFailure {
-            refused: Refused::unknown(reason),
-            retry: None,
-        };
-    }
-    match error {
-        SendError::Connect => {
-            guard.finish(TryClass::ConnectFailed);
-            TryFailure::not_run(RefusalReason::NoServer, RetryReason::ConnectFailed)
-        }
-        SendError::Lost => {
-            guard.finish(TryClass::Bad);
-            TryFailure::unknown(RefusalReason::ConnectionLost, RetryReason::ConnectionLost)
-        }
-        SendError::Malformed => {
-            guard.finish(TryClass::Bad);
-            TryFailure::unknown(RefusalReason::BadAnswer, RetryReason::BadAnswer)
-        }
+        return TryEnd::Final(Refused::unknown(reason));
     }
+    let (class, failure) = match error {
+        SendError::Connect => (TryClass::ConnectFailed, TryFailure::ConnectFailed),
+        SendError::Lost => (TryClass::Bad, TryFailure::LostAfterWrite),
+        SendError::Malformed => (TryClass::Bad, TryFailure::BadAnswer),
+    };
+    guard.finish(class);
+    TryEnd::failed(failure)
 }
 
 async fn send(context: TryContext<'_>, body: RequestBody) -> Result<ClientResponse, SendError> {
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -1,15 +1,18 @@
 //! The tries of one request: the first, retries and a hedge.
 
 use crate::{
-    control::{RetryVerdict, ServerGrant, ServerRequest, TryReport},
+    control::{ForwardControl, RetryVerdict, ServerGrant, ServerRequest},
     judge::RequestJudge,
     reply::Refused,
     request_body::RequestBody,
-    single_try::{TryContext, TryFailure, run_try},
+    single_try::{TryContext, TryEnd, run_try},
     try_guard::TryGuard,
 };
 use futures_util::future::{Either, select};
-use kws_protocol::{RefusalReason, RetryReason, RouteSettings, RunState, ServerName, TeamName};
+use kws_dispatch::{FailedTry, RetryDecision, RetryPolicy, RetrySource};
+use kws_protocol::{
+    RefusalReason, RetryReason, RouteSettings, RunState, ServerName, ServiceName, TeamName,
+};
 use ntex::{http::Response, io::IoRef};
 use std::{collections::BTreeSet, future::Future, pin::pin, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -72,20 +75,47 @@
         let mut grant = self.acquire(history).await?;
         loop {
             history.start(&grant);
-            let failure = match self.try_hedged(&grant, history).await {
+            let end = match self.try_hedged(&grant, history).await {
                 Ok(response) => return Ok(response),
-                Err(failure) => failure,
+                Err(end) => end,
             };
-            history.may_have_run |= failure.refused.run == RunState::Unknown;
-            let refused = history.truth(failure.refused);
-            if !self.may_retry(failure, history) {
-                return Err(refused);
-            }
+            let refused = self.judge_end(end, history)?;
+            history.may_have_run |= end.may_have_run();
             // Without another server the failed try is what there is to tell.
             grant = self.acquire(history).await.map_err(|_| refused)?;
         }
     }
 
+    /// The refusal that stands in when the retry that is allowed can't be made.
+    ///
+    /// # Errors
+    /// The refusal, when no other try is allowed.
+    fn judge_end(&self, end: TryEnd, history: &TryHistory) -> Result<Refused, Refused> {
+        let (failure, beside) = match end {
+            TryEnd::Final(refused) => return Err(history.truth(refused)),
+            TryEnd::Failed {
+                failure,
+                may_have_run,
+            } => (failure, may_have_run),
+        };
+        let failed = FailedTry {
+            failure,
+            tries: history.tries,
+            may_have_run: history.may_have_run || beside,
+            body_intact: self.body.is_whole(),
+            deadline: self.deadline,
+        };
+        let now = Instant::now();
+        match self.policy().decide(&failed, &mut self.budget(), now) {
+            RetryDecision::Retry(reason) => {
+                self.judge.worker.control.count_retry(reason);
+                let (reason, run) = failed.refusal(now);
+                Ok(refused(reason, run))
+            }
+            RetryDecision::Stop(reason, run) => Err(refused(reason, run)),
+        }
+    }
+
     /// Waits for a slot, and judges the request again after the wait.
     async fn acquire(&self, history: &TryHistory) -> Result<ServerGrant, Refused> {
         let control = &self.judge.worker.control;
@@ -114,7 +144,7 @@
     fn try_on<'t>(
         &'t self,
         grant: &'t ServerGrant,
-    ) -> impl Future<Output = Result<Response, TryFailure>> + 't {
+    ) -> impl Future<Output = Result<Response, TryEnd>> + 't {
         let context = TryContext {
             worker: self.judge.worker,
             parts: self.judge.parts,
@@ -134,7 +164,7 @@
         &self,
         grant: &ServerGrant,
         history: &mut TryHistory,
-    ) -> Result<Response, TryFailure> {
+    ) -> Result<Response, TryEnd> {
         let mut first = pin!(self.try_on(grant));
         let Some(delay) = self.hedge_delay() else {
             return first.await;
@@ -144,9 +174,11 @@
             result = &mut first => return result,
             () = sleep(delay) => {}
         }
-        if !self.allows(RetryReason::Hedge, RunState::Unknown, history) {
+        if !self.policy().hedge(history.tries, &mut self.budget()) {
             return first.await;
         }
+        let control = &self.judge.worker.control;
+        control.count_retry(RetryReason::Hedge);
         let second = tokio::select! {
             biased;
             result = &mut first => return result,
@@ -161,53 +193,49 @@
 
     /// The delay of a hedge; absent where a second try must not run beside the first.
     fn hedge_delay(&self) -> Option<Duration> {
-        let hedged = self.is_repeatable() && self.body.is_empty();
-        self.route.hedge.filter(|_| hedged)
+        self.policy().hedge_after().filter(|_| self.body.is_empty())
     }
 
-    /// At most once: a request that may have run is sent again only when it may be repeated.
-    fn may_retry(&self, failure: TryFailure, history: &TryHistory) -> bool {
-        let safe = self.is_repeatable() || failure.refused.run == RunState::NotRun;
-        let whole = self.body.is_whole();
-        failure
-            .retry
-            .filter(|_| safe && whole)
-            .is_some_and(|reason| self.allows(reason, failure.refused.run, history))
+    fn policy(&self) -> RetryPolicy {
+        RetryPolicy::new(self.route, self.judge.parts.method.as_str())
     }
 
-    /// Whether the route and the control allow another try; counts one that is allowed.
-    fn allows(&self, reason: RetryReason, run: RunState, history: &TryHistory) -> bool {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        if history.tries >= self.route.tries || remaining.is_zero() {
-            return false;
+    fn budget(&self) -> ServiceBudget<'_> {
+        ServiceBudget {
+            control: &*self.judge.worker.control,
+            service: &self.route.service,
         }
-        let report = TryReport {
-            route: self.route.name.clone(),
-            service: self.route.service.clone(),
-            reason,
-            repeatable: self.is_repeatable(),
-            run,
-            tries: history.tries,
-            remaining,
-        };
-        let control = &self.judge.worker.control;
-        let allowed = control.retry(&report) == RetryVerdict::Retry;
-        if allowed {
-            control.count_retry(reason);
-        }
-        allowed
+    }
+}
+
+/// The retry budget of a service, kept by the control.
+struct ServiceBudget<'a> {
+    control: &'a dyn ForwardControl,
+    service: &'a ServiceName,
+}
+
+impl RetrySource for ServiceBudget<'_> {
+    fn spend(&mut self) -> bool {
+        self.control.retry(self.service) == RetryVerdict::Retry
+    }
+}
+
+fn refused(reason: RefusalReason, run: RunState) -> Refused {
+    match run {
+        RunState::NotRun => Refused::not_run(reason),
+        RunState::Unknown => Refused::unknown(reason),
     }
 }
 
 /// The first answer of two tries; the other try is given up.
-async fn first_answer<A, B>(first: A, second: B) -> Result<Response, TryFailure>
+async fn first_answer<A, B>(first: A, second: B) -> Result<Response, TryEnd>
 where
-    A: Future<Output = Result<Response, TryFailure>> + Unpin,
-    B: Future<Output = Result<Response, TryFailure>> + Unpin,
+    A: Future<Output = Result<Response, TryEnd>> + Unpin,
+    B: Future<Output = Result<Response, TryEnd>> + Unpin,
 {
     match select(first, second).await {
         Either::Left((Ok(response), _)) | Either::Right((Ok(response), _)) => Ok(response),
-        Either::Left((Err(failure), other)) => other.await.map_err(|last| failure.and(last)),
-        Either::Right((Err(failure), other)) => other.await.map_err(|last| failure.and(last)),
+        Either::Left((Err(end), other)) => other.await.map_err(|last| end.and(last)),
+        Either::Right((Err(end), other)) => other.await.map_err(|last| end.and(last)),
     }
 }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -5,8 +5,7 @@
 use kws_fixture::SampleFleet;
 use kws_forward::{
     AccessRecord, ForwardControl, GrantTicket, ListenerHandle, ListenerSettings, Refusal,
-    RetryVerdict, RoutingView, ServerGrant, ServerRequest, TryClass, TryOutcome, TryReport,
-    run_listener,
+    RetryVerdict, RoutingView, ServerGrant, ServerRequest, TryClass, TryOutcome, run_listener,
 };
 use kws_protocol::{
     AnswerChecks, FleetSettings, FleetSnapshot, KeyDigest, RefusalReason, RetryReason, RouteAccess,
@@ -95,7 +94,7 @@
         .boxed()
     }
 
-    fn retry(&self, _: &TryReport) -> RetryVerdict {
+    fn retry(&self, _: &ServiceName) -> RetryVerdict {
         *self.verdict.lock().unwrap()
     }
 
