--- a/crates/kws-bench/src/control.rs
+++ b/crates/kws-bench/src/control.rs
@@ -1,24 +1,12 @@
 //! What control costs a host: whole daemons over real sockets, without requests.
 
+use crate::daemons::{CENTER, REGION, daemon_options, publish_fleet, wait_ready};
 use clap::Args;
-use eyre::{Result, WrapErr, ensure};
-use kws_daemon::{DaemonOptions, RunningDaemon, start_daemon};
-use kws_peer::PeerSecret;
-use kws_protocol::{CenterName, HostList, HostName, HostState, ListedHost, RegionName};
+use eyre::{Result, WrapErr};
+use kws_daemon::{RunningDaemon, start_daemon};
 use kws_standin::PlatformService;
-use kws_tree::{HostSettings, PlatformSource};
-use std::{
-    fmt::Write,
-    fs,
-    net::SocketAddr,
-    thread::sleep,
-    time::{Duration, Instant},
-};
+use std::{fmt::Write, fs, thread::sleep, time::Duration};
 
-const REGION: &str = "local";
-const CENTER: &str = "local-a";
-/// How long the daemons may take to get ready.
-const PATIENCE: Duration = Duration::from_mins(1);
 /// How long the fleet settles before it is measured.
 const SETTLE: Duration = Duration::from_secs(5);
 /// How long it is measured.
@@ -56,7 +44,7 @@
         let platform = PlatformService::start();
         let before = resident_bytes()?;
         let daemons = self.start_daemons(&platform)?;
-        self.publish(&platform, &daemons)?;
+        publish_fleet(&platform, &daemons, &self.tree()?)?;
         wait_ready(&daemons)?;
         sleep(SETTLE);
         let first = sample(&daemons)?;
@@ -68,61 +56,15 @@
     }
 
     fn start_daemons(&self, platform: &PlatformService) -> Result<Vec<RunningDaemon>> {
-        let address: SocketAddr = platform.url().replace("http://", "").parse()?;
-        let any: SocketAddr = "127.0.0.1:0".parse()?;
         (0..self.hosts)
-            .map(|number| {
-                let settings = HostSettings {
-                    name: Some(format!("host-{number}")),
-                    region: RegionName::new(REGION),
-                    center: CenterName::new(CENTER),
-                    listen: any,
-                    admin: any,
-                    peer: any,
-                    peer_secret_file: None,
-                    backend_ca_file: None,
-                    platform: PlatformSource::Service {
-                        address,
-                        prefix: "fleet/".to_owned(),
-                    },
-                    tls: None,
-                    log: "error".to_owned(),
-                };
-                start_daemon(&DaemonOptions {
-                    settings,
-                    secret: PeerSecret::new(b"a secret of the benchmark")?,
-                    workers: 1,
-                    drain_lag: Duration::ZERO,
-                })
-            })
+            .map(|number| start_daemon(&daemon_options(platform, number)?))
             .collect()
     }
 
-    fn publish(&self, platform: &PlatformService, daemons: &[RunningDaemon]) -> Result<()> {
-        let hosts = daemons
-            .iter()
-            .enumerate()
-            .map(|(number, daemon)| ListedHost {
-                name: HostName::new(&format!("host-{number}")),
-                region: RegionName::new(REGION),
-                center: CenterName::new(CENTER),
-                peer: daemon.peer(),
-                state: HostState::Live,
-            });
-        let list = HostList {
-            hosts: hosts.collect(),
-            servers: Vec::new(),
-        };
-        let list = serde_json::to_string(&list)?;
-        let tree = self.tree()?;
-        platform.publish_all([("root.yaml", tree.as_str()), ("hosts.json", list.as_str())]);
-        Ok(())
-    }
-
     fn tree(&self) -> Result<String> {
         let mut tree = format!(
             "regions:\n  {REGION}: {{weight: 100%, centers: [{CENTER}]}}\n\
-             defaults:\n  service: {{server: {{region: {REGION}, center: {CENTER}}}}}\n\
+             defaults:\n  service: {{floor: 0%, server: {{region: {REGION}, center: {CENTER}}}}}\n\
              teams:\n  orchard: {{rate: 100/s, burst: 100}}\n\
              services:\n  listing:\n    servers:\n"
         );
@@ -155,15 +97,6 @@
     }
 }
 
-fn wait_ready(daemons: &[RunningDaemon]) -> Result<()> {
-    let deadline = Instant::now() + PATIENCE;
-    while !daemons.iter().all(RunningDaemon::is_ready) {
-        ensure!(Instant::now() < deadline, "a daemon didn't get ready");
-        sleep(Duration::from_millis(100));
-    }
-    Ok(())
-}
-
 fn sample(daemons: &[RunningDaemon]) -> Result<ControlSample> {
     let mut sum = ControlSample {
         cpu_seconds: cpu_seconds()?,
--- a/crates/kws-bench/src/forward.rs
+++ b/crates/kws-bench/src/forward.rs
@@ -3,12 +3,15 @@
 mod granting;
 mod process;
 
+use crate::daemons::{CENTER, REGION, daemon_options, publish_fleet, wait_ready};
 use clap::Args;
 use eyre::eyre;
 use granting::GrantingControl;
 use hdrhistogram::Histogram;
+use kws_daemon::{RunningDaemon, start_daemon};
 use kws_forward::{ListenerHandle, ListenerSettings, run_listener};
 use kws_standin::{
+    PlatformService,
     backend::{BackendHandle, BackendScript, BackendServer},
     caller::CallerConnection,
 };
@@ -21,11 +24,14 @@
 use tokio::{
     runtime::Builder,
     task::JoinSet,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// The request of every measurement.
-const REQUEST: &str = "GET /listing/rows HTTP/1.1\r\nhost: farm.test\r\naccept: */*\r\n\r\n";
+const REQUEST: &str = "GET /listing/rows HTTP/1.1\r\nhost: farm.test\r\n\
+    authorization: Bearer demo-orchard-key\r\naccept: */*\r\n\r\n";
+/// The digest of the key in the request.
+const KEY_DIGEST: &str = "sha256:a65e85820909c0c7bef91b959ced58e1db5e333d19557f436dbfa4f71b619756";
 /// The quantiles of the latency table.
 const QUANTILES: [f64; 3] = [0.5, 0.99, 0.999];
 /// The name of the threads that callers and the backend server run on.
@@ -52,12 +58,65 @@
     /// The size of answers, in bytes.
     #[arg(long, default_value_t = 1024)]
     body: u64,
+    /// Measure a whole daemon, with admission and dispatch, in place of the listener alone.
+    #[arg(long)]
+    daemon: bool,
 }
 
 /// A listener before one backend server.
 struct ForwardBench {
     backend: BackendHandle,
-    listener: ListenerHandle,
+    listener: BenchListener,
+}
+
+/// The listener with a control that always grants, or within a whole daemon.
+enum BenchListener {
+    Alone(ListenerHandle),
+    Daemon(RunningDaemon),
+}
+
+impl BenchListener {
+    fn address(&self) -> SocketAddr {
+        match self {
+            Self::Alone(listener) => listener.address(),
+            Self::Daemon(daemon) => daemon.address(),
+        }
+    }
+
+    async fn stop(self) {
+        match self {
+            Self::Alone(listener) => listener.stop().await,
+            Self::Daemon(daemon) => daemon.stop().await,
+        }
+    }
+}
+
+fn start_listener(backend: SocketAddr) -> eyre::Result<BenchListener> {
+    let control = Arc::new(GrantingControl::new(backend));
+    let settings = ListenerSettings::new((Ipv4Addr::LOCALHOST, 0).into(), 1);
+    Ok(BenchListener::Alone(run_listener(settings, control)?))
+}
+
+/// Starts a daemon whose only team may send as much as it likes, and waits until it admits.
+async fn start_whole(backend: SocketAddr) -> eyre::Result<BenchListener> {
+    let platform = PlatformService::start();
+    let daemons = [start_daemon(&daemon_options(&platform, 0)?)?];
+    let tree = format!(
+        "freshness: {{lease: 1s, list_lag: 500ms}}\n\
+         regions:\n  {REGION}: {{weight: 100%, centers: [{CENTER}]}}\n\
+         defaults:\n  service: {{floor: 0%, server: {{region: {REGION}, center: {CENTER}}}}}\n\
+         services:\n  listing:\n    servers:\n      \
+         listing-1: {{address: \"{backend}\", slots: 1000, connections: 10000}}\n\
+         routes:\n  rows: {{path: /listing, service: listing, access: any_team}}\n\
+         teams:\n  orchard: {{rate: 1000000/s, burst: 1000000, keys: [\"{KEY_DIGEST}\"]}}\n"
+    );
+    publish_fleet(&platform, &daemons, &tree)?;
+    wait_ready(&daemons)?;
+    let [daemon] = daemons;
+    while !is_admitted(daemon.address()).await? {
+        sleep(Duration::from_millis(100)).await;
+    }
+    Ok(BenchListener::Daemon(daemon))
 }
 
 impl ForwardArgs {
@@ -80,9 +139,11 @@
             ..BackendScript::default()
         };
         let backend = BackendServer::start(script).await?;
-        let control = Arc::new(GrantingControl::new(backend.address()));
-        let settings = ListenerSettings::new((Ipv4Addr::LOCALHOST, 0).into(), 1);
-        let listener = run_listener(settings, control)?;
+        let listener = if self.daemon {
+            start_whole(backend.address()).await?
+        } else {
+            start_listener(backend.address())?
+        };
         let bench = ForwardBench { backend, listener };
         self.print_latency(&bench).await?;
         self.print_rate(&bench).await?;
@@ -150,6 +211,11 @@
     }
 }
 
+async fn is_admitted(address: SocketAddr) -> eyre::Result<bool> {
+    let mut connection = CallerConnection::connect(address).await?;
+    Ok(connection.exchange(REQUEST).await?.status() == 200)
+}
+
 fn micros() -> eyre::Result<Histogram<u64>> {
     Ok(Histogram::new_with_bounds(1, 60_000_000, 3)?)
 }
--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backends;
 pub mod control;
+pub mod daemons;
 pub mod fleet;
 pub mod forward;
 pub mod limits;
