Judge slow servers on the fewer answers that they give

A slow server gives few answers: asking for 20 a data centre in 3 s judged it on the 10 s window only, after 10.4 s.

--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -30,10 +30,10 @@
 const SLOW_SHARE: f64 = 0.5;
 
 /// Answers of one host in a region below which it has no measure of what is usual there.
-const MIN_REFERENCE_ANSWERS: u32 = 15;
+const MIN_REFERENCE_ANSWERS: u32 = 30;
 
 /// Compared answers of a data centre below which it has no say on latency.
-const MIN_COMPARED_ANSWERS: f64 = 20.0;
+const MIN_COMPARED_ANSWERS: f64 = 10.0;
 
 /// Servers that a host must have seen before it compares them.
 const MIN_COMPARED: usize = 3;
@@ -156,7 +156,7 @@
     pub(crate) fn recent(now: Instant) -> Self {
         Self {
             since: now.checked_sub(RECENT),
-            min_answers: 20.0,
+            min_answers: 10.0,
         }
     }
 }
