--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -1,3 +1,7 @@
 //! Tables of measurements over the product and its baselines.
 
 pub mod backends;
+pub mod control;
+pub mod fleet;
+pub mod forward;
+pub mod limits;
--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -1,7 +1,10 @@
 //! Prints tables of measurements.
 
 use clap::{Parser, Subcommand};
-use kws_bench::backends::BackendsArgs;
+use kws_bench::{
+    backends::BackendsArgs, control::ControlArgs, fleet::FleetArgs, forward::ForwardArgs,
+    limits::LimitsArgs,
+};
 
 /// Measurements over the product and its baselines.
 #[derive(Debug, Parser)]
@@ -15,10 +18,22 @@
 enum BenchTable {
     /// Backend servers: detection, false ejections, bad answers, the worst-served team.
     Backends(BackendsArgs),
+    /// Control: traffic, processor time and memory of whole daemons.
+    Control(ControlArgs),
+    /// Forwarding: added latency, requests for a core's second, memory of idle connections.
+    Forward(ForwardArgs),
+    /// Limits: admitted over entitled, refusals within the rate, loans, waits.
+    Limits(LimitsArgs),
+    /// Freshness: time until a withdrawal is in force, and control traffic.
+    Fleet(FleetArgs),
 }
 
 fn main() -> eyre::Result<()> {
     match BenchArgs::parse().table {
         BenchTable::Backends(args) => args.run(),
+        BenchTable::Control(args) => args.run(),
+        BenchTable::Forward(args) => args.run(),
+        BenchTable::Limits(args) => args.run(),
+        BenchTable::Fleet(args) => args.run(),
     }
 }
--- a/crates/kws-daemon/src/checker.rs
+++ b/crates/kws-daemon/src/checker.rs
@@ -2,7 +2,7 @@
 
 use kws_membership::{CheckedTree, TreeChecker, TreeRejection};
 use kws_protocol::PublishedValues;
-use kws_tree::{Finding, resolve};
+use kws_tree::{Finding, resolve, resolve_hosts};
 
 /// Findings of a refused tree that are kept; the client's `check` shows all of them.
 const MAX_FINDINGS: usize = 20;
@@ -18,7 +18,10 @@
                 settings: snapshot.settings,
                 hosts: snapshot.hosts,
             }),
-            Err(findings) => Err(TreeRejection(findings_text(&findings))),
+            Err(findings) => Err(TreeRejection {
+                findings: findings_text(&findings),
+                hosts: resolve_hosts(values).ok(),
+            }),
         }
     }
 }
--- a/crates/kws-daemon/src/shared.rs
+++ b/crates/kws-daemon/src/shared.rs
@@ -3,19 +3,21 @@
 use crate::clock::SharedInstant;
 use arc_swap::ArcSwapOption;
 use kws_admin::FleetMetrics;
+use kws_forward::RoutingView;
 use kws_membership::{Readiness, UnreadyReason};
 use kws_peer::OutboundPeer;
+use kws_platform::WatchTiming;
 use kws_protocol::{
-    CenterName, FleetSnapshot, HostName, LoanMessage, PeerMessage, RegionName, ServerStatus,
+    CenterName, FleetSnapshot, HostName, ListedHost, LoanMessage, PeerMessage, RegionName,
+    ServerStatus,
 };
 use std::{
     collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
 };
 use tokio::{sync::mpsc::Sender, time::Instant};
 
@@ -33,47 +35,54 @@
     pub(crate) born: Instant,
     pub(crate) metrics: FleetMetrics,
     pub(crate) stopping: AtomicBool,
-    snapshot: ArcSwapOption<FleetSnapshot>,
+    view: ArcSwapOption<RoutingView>,
     addresses: ArcSwapOption<HashMap<HostName, SocketAddr>>,
     lease: SharedInstant,
     readiness: Mutex<Readiness>,
     servers: Mutex<Vec<ServerStatus>>,
-    watch_wait: AtomicU64,
+    watch: Mutex<WatchTiming>,
 }
 
 impl DaemonShared {
-    pub(crate) fn new(identity: DaemonIdentity, metrics: FleetMetrics, wait: Duration) -> Self {
+    pub(crate) fn new(identity: DaemonIdentity, metrics: FleetMetrics, watch: WatchTiming) -> Self {
         let born = Instant::now();
         Self {
             identity,
             born,
             metrics,
             stopping: AtomicBool::new(false),
-            snapshot: ArcSwapOption::empty(),
+            view: ArcSwapOption::empty(),
             addresses: ArcSwapOption::empty(),
             lease: SharedInstant::new(born),
             readiness: Mutex::new(Readiness::Unready(UnreadyReason::NoTree)),
             servers: Mutex::default(),
-            watch_wait: AtomicU64::new(wait.as_millis() as u64),
+            watch: Mutex::new(watch),
         }
     }
 
+    /// The snapshot in force with its lookups.
+    pub(crate) fn view(&self) -> Option<Arc<RoutingView>> {
+        self.view.load_full()
+    }
+
     pub(crate) fn snapshot(&self) -> Option<Arc<FleetSnapshot>> {
-        self.snapshot.load_full()
+        let view = self.view.load();
+        view.as_ref().map(|view| Arc::clone(&view.snapshot))
     }
 
     pub(crate) fn set_snapshot(&self, snapshot: &Arc<FleetSnapshot>) {
-        let addresses = snapshot
-            .hosts
-            .hosts
-            .iter()
-            .map(|host| (host.name.clone(), host.peer))
-            .collect();
-        self.addresses.store(Some(Arc::new(addresses)));
-        self.snapshot.store(Some(Arc::clone(snapshot)));
+        self.set_addresses(&snapshot.hosts.hosts);
+        let view = RoutingView::new(Arc::clone(snapshot));
+        self.view.store(Some(Arc::new(view)));
         self.metrics.set_revision(snapshot.revision.0);
     }
 
+    /// Takes the hosts that messages may be sent to.
+    pub(crate) fn set_addresses(&self, hosts: &[ListedHost]) {
+        let addresses = hosts.iter().map(|host| (host.name.clone(), host.peer));
+        self.addresses.store(Some(Arc::new(addresses.collect())));
+    }
+
     /// Whether the lease holds at this moment.
     pub(crate) fn is_current(&self) -> bool {
         self.lease.get().is_some_and(|until| Instant::now() < until)
@@ -99,13 +108,12 @@
         *lock(&self.servers) = servers;
     }
 
-    pub(crate) fn watch_wait(&self) -> Duration {
-        Duration::from_millis(self.watch_wait.load(Ordering::Relaxed))
+    pub(crate) fn watch_timing(&self) -> WatchTiming {
+        *lock(&self.watch)
     }
 
-    pub(crate) fn set_watch_wait(&self, wait: Duration) {
-        self.watch_wait
-            .store(wait.as_millis() as u64, Ordering::Relaxed);
+    pub(crate) fn set_watch_timing(&self, timing: WatchTiming) {
+        *lock(&self.watch) = timing;
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/kws-dispatch/src/retry.rs
+++ b/crates/kws-dispatch/src/retry.rs
@@ -4,10 +4,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Methods that may be repeated when the route says nothing. `PUT` and `DELETE` are idempotent by
-/// HTTP, but a late repeat can undo a change made in between, so the route has to allow it.
-const REPEATABLE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
-
 /// Retries that a service may save up, in requests.
 const BUDGET_CAP: f64 = 10.0;
 
@@ -17,13 +13,6 @@
 /// With less than this left before the deadline, another try is not worth its load.
 const SHORTEST_TRY: Duration = Duration::from_millis(2);
 
-/// Whether a request may run more than once: the route decides, else the method.
-pub fn is_repeatable(route: &RouteSettings, method: &str) -> bool {
-    route
-        .repeatable
-        .unwrap_or_else(|| REPEATABLE_METHODS.contains(&method))
-}
-
 /// How one try failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TryFailure {
@@ -79,6 +68,25 @@
     pub deadline: Instant,
 }
 
+impl FailedTry {
+    /// What the caller is told when no further try is made.
+    pub fn refusal(&self, now: Instant) -> (RefusalReason, RunState) {
+        let not_run = self.failure.proves_not_run() && !self.may_have_run;
+        let expired = now + SHORTEST_TRY > self.deadline;
+        let reason = if expired && not_run {
+            RefusalReason::DeadlineEarly
+        } else {
+            self.failure.refusal_reason()
+        };
+        let state = if not_run {
+            RunState::NotRun
+        } else {
+            RunState::Unknown
+        };
+        (reason, state)
+    }
+}
+
 /// What follows a failed try.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RetryDecision {
@@ -116,9 +124,16 @@
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.share).min(BUDGET_CAP);
     }
+}
+
+/// Where retries are taken from.
+pub trait RetrySource {
+    /// Takes one retry; false when none is left.
+    fn spend(&mut self) -> bool;
+}
 
-    /// Takes one retry; false when the budget is spent.
-    pub fn spend(&mut self) -> bool {
+impl RetrySource for RetryBudget {
+    fn spend(&mut self) -> bool {
         if self.tokens < 1.0 {
             return false;
         }
@@ -139,7 +154,7 @@
     /// The policy of `route` for a request of `method`.
     pub fn new(route: &RouteSettings, method: &str) -> Self {
         Self {
-            repeatable: is_repeatable(route, method),
+            repeatable: route.is_repeatable(method),
             tries: route.tries,
             hedge: route.hedge,
         }
@@ -156,21 +171,22 @@
     }
 
     /// Whether a hedge may be sent now; it spends from the budget when it may.
-    pub fn hedge(&self, tries: u32, budget: &mut RetryBudget) -> bool {
-        self.hedge_after().is_some() && tries < self.tries && budget.spend()
+    pub fn hedge(&self, tries: u32, source: &mut dyn RetrySource) -> bool {
+        self.hedge_after().is_some() && tries < self.tries && source.spend()
     }
 
     /// What follows a failed try; a retry spends from the budget.
     pub fn decide(
         &self,
         failed: &FailedTry,
-        budget: &mut RetryBudget,
+        source: &mut dyn RetrySource,
         now: Instant,
     ) -> RetryDecision {
-        if self.may_retry(failed, now) && budget.spend() {
+        if self.may_retry(failed, now) && source.spend() {
             return RetryDecision::Retry(failed.failure.retry_reason());
         }
-        stop(failed, now)
+        let (reason, state) = failed.refusal(now);
+        RetryDecision::Stop(reason, state)
     }
 
     fn may_retry(&self, failed: &FailedTry, now: Instant) -> bool {
@@ -180,20 +196,3 @@
             && now + SHORTEST_TRY <= failed.deadline
     }
 }
-
-/// What the caller is told when no further try is made.
-fn stop(failed: &FailedTry, now: Instant) -> RetryDecision {
-    let not_run = failed.failure.proves_not_run() && !failed.may_have_run;
-    let expired = now + SHORTEST_TRY > failed.deadline;
-    let reason = if expired && not_run {
-        RefusalReason::DeadlineEarly
-    } else {
-        failed.failure.refusal_reason()
-    };
-    let state = if not_run {
-        RunState::NotRun
-    } else {
-        RunState::Unknown
-    };
-    RetryDecision::Stop(reason, state)
-}
--- a/crates/kws-forward/src/answer.rs
+++ b/crates/kws-forward/src/answer.rs
@@ -1,13 +1,14 @@
 //! The head of a backend server's answer: what is believed, and what is passed on.
 
 use crate::{
-    answer_body::{AnswerBody, AnswerLength, AnswerTimes, HeadBody},
+    answer_body::{AnswerBody, AnswerLength, AnswerSource, AnswerTimes, HeadBody},
     control::TryClass,
     head::strip_answer,
-    single_try::{TryContext, TryFailure},
+    single_try::{TryContext, TryEnd},
     try_guard::TryGuard,
 };
-use kws_protocol::{AnswerChecks, RefusalReason, RetryReason};
+use kws_dispatch::TryFailure;
+use kws_protocol::{AnswerChecks, RefusalReason};
 use ntex::{
     client::ClientResponse,
     http::{
@@ -16,6 +17,7 @@
         header,
     },
 };
+use std::rc::Rc;
 
 /// The header by which a server tells whether it ran a request.
 const RUN_HEADER: &str = "knapweedseam-run";
@@ -28,21 +30,17 @@
     answer: &ClientResponse,
     times: AnswerTimes,
     mut guard: TryGuard,
-) -> Result<Response, TryFailure> {
+) -> Result<Response, TryEnd> {
     guard.head_came(is_draining(answer.headers()));
-    if says_not_run(answer) {
+    let own = is_own(context, answer.headers());
+    if own && says_not_run(answer) {
         guard.finish(TryClass::NotRun);
-        return Err(TryFailure::not_run(
-            RefusalReason::NoServer,
-            RetryReason::ServerNotRun,
-        ));
+        return Err(TryEnd::failed(TryFailure::ServerNotRun));
     }
-    let Ok((headers, framing)) = passed_answer(context, answer) else {
+    let passed = passed_answer(context, answer);
+    let Some((headers, framing)) = passed.ok().filter(|_| own) else {
         guard.finish(TryClass::Bad);
-        return Err(TryFailure::unknown(
-            RefusalReason::BadAnswer,
-            RetryReason::BadAnswer,
-        ));
+        return Err(TryEnd::failed(TryFailure::BadAnswer));
     };
     Ok(build_response(
         context, answer, headers, framing, times, guard,
@@ -55,7 +53,7 @@
     answer: &ClientResponse,
 ) -> Result<(HeaderMap, AnswerFraming), RefusalReason> {
     let headers = answer.headers();
-    if answer.status().as_u16() < 200 || is_crossed(headers, context.request_id) {
+    if answer.status().as_u16() < 200 {
         return Err(RefusalReason::BadAnswer);
     }
     if answer.status().is_success() && !satisfies(&context.route.checks, headers) {
@@ -135,11 +133,20 @@
         .is_some_and(|value| value.as_bytes() == b"1")
 }
 
-/// Whether the answer names another request than the one it came for.
-fn is_crossed(headers: &HeaderMap, request_id: &str) -> bool {
-    headers
-        .get_all("x-request-id")
-        .any(|echo| echo.as_bytes() != request_id.as_bytes())
+/// Whether the answer is for this request, as far as can be told: a server that names requests in
+/// its answers must name this one.
+fn is_own(context: TryContext<'_>, headers: &HeaderMap) -> bool {
+    let pool = &context.worker.pool;
+    let address = context.grant.address;
+    let mut echoes = headers.get_all("x-request-id").peekable();
+    if echoes.peek().is_none() {
+        return !pool.names_requests(address);
+    }
+    let own = echoes.all(|echo| echo.as_bytes() == context.request_id.as_bytes());
+    if own {
+        pool.note_naming(address);
+    }
+    own
 }
 
 fn satisfies(checks: &AnswerChecks, headers: &HeaderMap) -> bool {
@@ -176,8 +183,12 @@
             bodiless(length)
         }
         AnswerFraming::Body(length) => Body::from_message(AnswerBody::new(
-            answer.take_payload(),
-            length,
+            AnswerSource {
+                payload: answer.take_payload(),
+                length,
+                address: context.upstream(),
+                pool: Rc::clone(&context.worker.pool),
+            },
             times,
             context.caller.clone(),
             guard,
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -2,25 +2,36 @@
 
 mod answer;
 mod answer_body;
+mod caller_service;
+mod connections;
 mod control;
 mod credential;
 mod exchange;
+mod frame_guard;
+mod guard_layer;
 mod head;
+mod judge;
 mod listener;
+mod pending;
+mod protocol_reply;
 mod reply;
 mod request_body;
 mod request_id;
 mod route;
+mod routing;
 mod silence;
 mod single_try;
 mod target;
+mod tls;
+mod tries;
 mod try_guard;
 mod upstream;
 mod worker;
 
 pub use control::{
     AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
-    TryClass, TryOutcome, TryReport,
+    TryClass, TryOutcome,
 };
 pub use listener::{ListenerHandle, ListenerSettings, run_listener};
-pub use route::{find_route, is_repeatable};
+pub use routing::RoutingView;
+pub use tls::{BackendTrust, CertificateFiles, CertificateStore, TlsError};
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -1,18 +1,22 @@
 //! The listener for callers.
 
-use crate::{control::ForwardControl, exchange::serve, worker::WorkerState};
+use crate::{
+    caller_service::{plain_service, tls_service},
+    control::ForwardControl,
+    pending::PendingRequests,
+    tls::{BackendTrust, CertificateStore, server_config},
+    worker::WorkerParts,
+};
 use ntex::{
-    SharedCfg, fn_service,
-    http::{HttpService, HttpServiceConfig, Request},
+    SharedCfg,
+    http::HttpServiceConfig,
     rt::{DefaultRuntime, System},
     server::{self, Server},
-    service::fn_factory,
     time::{Millis, Seconds},
 };
 use std::{
     io,
-    net::SocketAddr,
-    rc::Rc,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -20,17 +24,17 @@
     thread,
     time::Duration,
 };
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::interval};
 
+/// How often the files of the certificate are read again.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
 /// The name of the service in the HTTP server.
 const SERVICE_NAME: &str = "callers";
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
-/// Header lines of a request.
-const MAX_HEADERS: usize = 128;
 
 /// The settings of a listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ListenerSettings {
     /// Where it listens; port 0 takes a free one.
     pub address: SocketAddr,
@@ -46,6 +50,10 @@
     pub head_timeout: Duration,
     /// After this long a graceful stop cuts what is still in flight; above every route's deadline.
     pub stop_timeout: Duration,
+    /// The certificate for callers; without one they speak plain HTTP.
+    pub certificate: Option<Arc<CertificateStore>>,
+    /// Whom to trust where a service's servers speak TLS; without it none of them is reached.
+    pub backend_trust: Option<BackendTrust>,
 }
 
 impl ListenerSettings {
@@ -59,6 +67,8 @@
             keep_alive: Duration::from_secs(75),
             head_timeout: Duration::from_secs(5),
             stop_timeout: Duration::from_hours(1),
+            certificate: None,
+            backend_trust: None,
         }
     }
 }
@@ -83,7 +93,8 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Accepts no more, and returns when every request in flight has ended.
+    /// Answers the requests that have begun to arrive, accepts no more, and returns when every
+    /// request in flight has ended.
     pub async fn stop(mut self) {
         self.drain();
         if let Some(stop) = self.stop.take() {
@@ -108,20 +119,17 @@
     let draining = Arc::new(AtomicBool::new(false));
     let (stop, stop_asked) = oneshot::channel();
     let (stopped_sender, stopped) = oneshot::channel();
-    let flag = Arc::clone(&draining);
+    let parts = WorkerParts {
+        control,
+        draining: Arc::clone(&draining),
+        pending: PendingRequests::default(),
+        trust: settings.backend_trust.clone(),
+    };
     thread::Builder::new()
         .name("kws-callers".to_owned())
         .spawn(move || {
             let system = System::new("kws-callers", DefaultRuntime);
-            system.block_on(async move {
-                match start_server(settings, listener, control, flag) {
-                    Ok(server) => {
-                        let _ = stop_asked.await;
-                        server.stop(true).await;
-                    }
-                    Err(error) => log::error!("caller listener: {error}"),
-                }
-            });
+            system.block_on(serve_until_stop(settings, listener, parts, stop_asked));
             let _ = stopped_sender.send(());
         })?;
     Ok(ListenerHandle {
@@ -132,39 +140,69 @@
     })
 }
 
-fn start_server(
+async fn serve_until_stop(
     settings: ListenerSettings,
-    listener: std::net::TcpListener,
-    control: Arc<dyn ForwardControl>,
-    draining: Arc<AtomicBool>,
+    listener: TcpListener,
+    parts: WorkerParts,
+    stop: oneshot::Receiver<()>,
+) {
+    let pending = parts.pending.clone();
+    match start_server(&settings, listener, parts) {
+        Ok(server) => {
+            wait_for_stop(stop, settings.certificate.as_deref()).await;
+            // The server would drop requests whose heads it has not read whole.
+            pending.settle(settings.head_timeout * 2).await;
+            server.stop(true).await;
+        }
+        Err(error) => log::error!("caller listener: {error}"),
+    }
+}
+
+/// Waits, and reads the certificate's files again from time to time.
+async fn wait_for_stop(mut stop: oneshot::Receiver<()>, certificate: Option<&CertificateStore>) {
+    let mut reload = interval(RELOAD_INTERVAL);
+    loop {
+        tokio::select! {
+            biased;
+            _ = &mut stop => return,
+            _ = reload.tick() => {}
+        }
+        if let Some(Err(error)) = certificate.map(CertificateStore::reload) {
+            log::warn!("the certificate in use stays: {error}");
+        }
+    }
+}
+
+fn start_server(
+    settings: &ListenerSettings,
+    listener: TcpListener,
+    parts: WorkerParts,
 ) -> io::Result<Server> {
     let builder = server::build()
         .workers(settings.workers)
         .maxconn(settings.connections)
         .disable_signals()
-        .shutdown_timeout(Millis(settings.stop_timeout.as_millis() as u32))
-        .listen(SERVICE_NAME, listener, async move |_| {
-            let (control, draining) = (Arc::clone(&control), Arc::clone(&draining));
-            HttpService::h1(fn_factory(async move || {
-                let worker = Rc::new(WorkerState::new(
-                    Arc::clone(&control),
-                    Arc::clone(&draining),
-                ));
-                Ok::<_, ()>(fn_service(move |request: Request| {
-                    let worker = Rc::clone(&worker);
-                    async move { Ok::<_, io::Error>(serve(worker, request).await) }
-                }))
-            }))
-        })?;
+        .shutdown_timeout(Millis(settings.stop_timeout.as_millis() as u32));
+    let max_head = settings.max_head;
+    let builder = match &settings.certificate {
+        Some(store) => {
+            let tls = server_config(Arc::clone(store)).map_err(io::Error::other)?;
+            builder.listen(SERVICE_NAME, listener, async move |_| {
+                tls_service(Arc::clone(&tls), max_head, parts.clone())
+            })?
+        }
+        None => builder.listen(SERVICE_NAME, listener, async move |_| {
+            plain_service(max_head, parts.clone())
+        })?,
+    };
     Ok(builder.config(SERVICE_NAME, http_config(settings)).run())
 }
 
-fn http_config(settings: ListenerSettings) -> SharedCfg {
+fn http_config(settings: &ListenerSettings) -> SharedCfg {
     let seconds = |time: Duration| Seconds(time.as_secs().max(1) as u16);
     SharedCfg::new("CALLERS")
         .add(
             HttpServiceConfig::new()
-                .set_max_headers(MAX_HEADERS)
                 .set_max_buf_size(settings.max_head)
                 .set_keepalive(seconds(settings.keep_alive))
                 .set_client_timeout(seconds(settings.head_timeout)),
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -9,10 +9,11 @@
     request_body::RequestBody,
     request_id::trace_parent,
     try_guard::TryGuard,
-    upstream::SendError,
+    upstream::{SendError, UpstreamAddress},
     worker::WorkerState,
 };
-use kws_protocol::{RefusalReason, RetryReason, RouteSettings, TeamName};
+use kws_dispatch::TryFailure;
+use kws_protocol::{RouteSettings, RunState, TeamName};
 use ntex::{
     client::{Client, ClientRequest, ClientResponse},
     http::{Response, body::Body},
@@ -36,35 +37,72 @@
     pub(crate) grant: &'a ServerGrant,
     /// Its identifier.
     pub(crate) request_id: &'a str,
+    /// Whether the server speaks TLS.
+    pub(crate) tls: bool,
     /// When it must have ended.
     pub(crate) deadline: Instant,
     /// The caller's connection.
     pub(crate) caller: &'a IoRef,
 }
 
+impl TryContext<'_> {
+    /// Where the server is.
+    pub(crate) fn upstream(&self) -> UpstreamAddress {
+        UpstreamAddress {
+            address: self.grant.address,
+            tls: self.tls,
+        }
+    }
+}
+
 /// A try without an answer for the caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct TryFailure {
-    /// The answer if no other try follows.
-    pub(crate) refused: Refused,
-    /// The reason for another try; absent when none can help.
-    pub(crate) retry: Option<RetryReason>,
+pub(crate) enum TryEnd {
+    /// No other try can help.
+    Final(Refused),
+    /// Another try may follow.
+    Failed {
+        /// How the try failed.
+        failure: TryFailure,
+        /// Whether a try beside it may have run.
+        may_have_run: bool,
+    },
 }
 
-impl TryFailure {
-    /// A failure after which the request may have run.
-    pub(crate) fn unknown(reason: RefusalReason, retry: RetryReason) -> Self {
-        Self {
-            refused: Refused::unknown(reason),
-            retry: Some(retry),
+impl TryEnd {
+    /// The end of a try that had no other beside it.
+    pub(crate) fn failed(failure: TryFailure) -> Self {
+        Self::Failed {
+            failure,
+            may_have_run: false,
+        }
+    }
+
+    /// Whether a request that ended so may have run.
+    pub(crate) fn may_have_run(self) -> bool {
+        match self {
+            Self::Final(refused) => refused.run == RunState::Unknown,
+            Self::Failed {
+                failure,
+                may_have_run,
+            } => may_have_run || !failure.proves_not_run(),
         }
     }
 
-    /// A failure after which the request certainly did not run.
-    pub(crate) fn not_run(reason: RefusalReason, retry: RetryReason) -> Self {
-        Self {
-            refused: Refused::not_run(reason),
-            retry: Some(retry),
+    /// Two ends: the last one, which may have run when either may have.
+    pub(crate) fn and(self, last: Self) -> Self {
+        if !self.may_have_run() {
+            return last;
+        }
+        match last {
+            Self::Final(refused) => Self::Final(Refused {
+                run: RunState::Unknown,
+                ..refused
+            }),
+            Self::Failed { failure, .. } => Self::Failed {
+                failure,
+                may_have_run: true,
+            },
         }
     }
 }
@@ -73,7 +111,7 @@
 pub(crate) async fn run_try(
     context: TryContext<'_>,
     body: RequestBody,
-) -> Result<Response, TryFailure> {
+) -> Result<Response, TryEnd> {
     let mut guard = TryGuard::new(Arc::clone(&context.worker.control), context.grant.ticket);
     let sent = timeout_at(context.deadline, send(context, body.clone())).await;
     match sent {
@@ -86,45 +124,40 @@
         }
         Ok(Err(error)) => Err(send_failure(error, &body, &mut guard)),
         Err(_) => {
-            context.worker.pool.doubt(context.grant.address);
+            context.worker.pool.doubt(context.upstream());
             guard.finish(TryClass::Late);
-            Err(TryFailure {
-                refused: Refused::unknown(RefusalReason::DeadlinePassed),
-                retry: None,
-            })
+            Err(TryEnd::failed(TryFailure::Timeout))
         }
     }
 }
 
-fn send_failure(error: SendError, body: &RequestBody, guard: &mut TryGuard) -> TryFailure {
+fn send_failure(error: SendError, body: &RequestBody, guard: &mut TryGuard) -> TryEnd {
     if let Some(reason) = body.failure() {
         guard.finish(TryClass::Cancelled);
-        return TryFailure {
-            refused: Refused::unknown(reason),
-            retry: None,
-        };
-    }
-    match error {
-        SendError::Connect => {
-            guard.finish(TryClass::ConnectFailed);
-            TryFailure::not_run(RefusalReason::NoServer, RetryReason::ConnectFailed)
-        }
-        SendError::Lost => {
-            guard.finish(TryClass::Bad);
-            TryFailure::unknown(RefusalReason::ConnectionLost, RetryReason::ConnectionLost)
-        }
-        SendError::Malformed => {
-            guard.finish(TryClass::Bad);
-            TryFailure::unknown(RefusalReason::BadAnswer, RetryReason::BadAnswer)
-        }
+        return TryEnd::Final(Refused::unknown(reason));
     }
+    let (class, failure) = match error {
+        SendError::Connect => (TryClass::ConnectFailed, TryFailure::ConnectFailed),
+        SendError::Lost => (TryClass::Bad, TryFailure::LostAfterWrite),
+        SendError::Malformed => (TryClass::Bad, TryFailure::BadAnswer),
+    };
+    guard.finish(class);
+    TryEnd::failed(failure)
 }
 
 async fn send(context: TryContext<'_>, body: RequestBody) -> Result<ClientResponse, SendError> {
     let address = context.grant.address;
-    let repeatable = crate::route::is_repeatable(context.route, context.parts.method.as_str());
-    let client = context.worker.pool.client(address, repeatable).await;
-    let request = build_request(context, &client.ok_or(SendError::Connect)?);
+    let repeatable = context.route.is_repeatable(context.parts.method.as_str());
+    let client = context
+        .worker
+        .pool
+        .client(context.upstream(), repeatable)
+        .await;
+    let mut request = build_request(context, &client.ok_or(SendError::Connect)?);
+    if !repeatable && !context.worker.pool.names_requests(address) {
+        // Nothing would tell a late answer on a reused connection from the answer to this request.
+        request = request.force_close();
+    }
     let body = if body.is_absent() {
         Body::None
     } else {
@@ -136,7 +169,7 @@
 
 fn build_request(context: TryContext<'_>, client: &Client) -> ClientRequest {
     let parts = context.parts;
-    let url = format!("http://{}{}", context.grant.address, parts.target());
+    let url = context.upstream().url(&parts.target());
     let mut request = client
         .request(parts.method.clone(), url.as_str())
         .no_decompress();
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,21 +1,36 @@
 //! What the requests of one worker share.
 
 use crate::{
-    control::ForwardControl, credential::KeyTable, request_id::IdSource, upstream::UpstreamPool,
+    control::ForwardControl, pending::PendingRequests, request_id::IdSource, tls::BackendTrust,
+    upstream::UpstreamPool,
 };
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
+/// What workers are made of.
+#[derive(Clone)]
+pub(crate) struct WorkerParts {
+    /// The decisions.
+    pub(crate) control: Arc<dyn ForwardControl>,
+    /// Set when callers are asked to leave.
+    pub(crate) draining: Arc<AtomicBool>,
+    /// Counts requests that are not answered yet.
+    pub(crate) pending: PendingRequests,
+    /// Whom to trust among backend servers.
+    pub(crate) trust: Option<BackendTrust>,
+}
+
 /// The state of one worker thread.
 pub(crate) struct WorkerState {
     /// The decisions.
     pub(crate) control: Arc<dyn ForwardControl>,
     /// Connections to backend servers.
-    pub(crate) pool: UpstreamPool,
-    /// Lookup of keys.
-    pub(crate) keys: KeyTable,
+    pub(crate) pool: Rc<UpstreamPool>,
     /// Identifiers of requests.
     pub(crate) ids: IdSource,
     draining: Arc<AtomicBool>,
@@ -23,13 +38,12 @@
 
 impl WorkerState {
     /// The state of a new worker.
-    pub(crate) fn new(control: Arc<dyn ForwardControl>, draining: Arc<AtomicBool>) -> Self {
+    pub(crate) fn new(parts: WorkerParts) -> Self {
         Self {
-            control,
-            pool: UpstreamPool::default(),
-            keys: KeyTable::default(),
+            control: parts.control,
+            pool: Rc::new(UpstreamPool::new(parts.trust)),
             ids: IdSource::new(),
-            draining,
+            draining: parts.draining,
         }
     }
 
--- a/crates/kws-limits/src/loan.rs
+++ b/crates/kws-limits/src/loan.rs
@@ -103,6 +103,12 @@
     pub(crate) tokens: f64,
     /// When it was sent.
     pub(crate) sent: Instant,
+    /// Whether the lender is in the own region.
+    pub(crate) near: bool,
+    /// Whether the lender was found silent.
+    pub(crate) overdue: bool,
+    /// How long the lender is spared when it is short.
+    pub(crate) dry_pause: Duration,
     /// Until when an answer is counted on; a later one is still taken within the term.
     pub(crate) expected: Instant,
 }
@@ -114,6 +120,8 @@
     pub(crate) lender: HostName,
     /// Until when it is not asked.
     pub(crate) until: Instant,
+    /// How long that was.
+    pub(crate) pause: Duration,
 }
 
 /// The demand for a team's tokens on this host, in requests a second, weighted to the recent.
@@ -146,3 +154,28 @@
         self.rate * (-elapsed / Self::MEMORY.as_secs_f64()).exp()
     }
 }
+
+/// How much of what is asked for is lent, weighted to the recent; between 0 and 1.
+#[derive(Debug)]
+pub(crate) struct FulfilledShare(f64);
+
+impl FulfilledShare {
+    /// The weight of the newest answer.
+    const STEP: f64 = 0.2;
+
+    /// All, until an answer says otherwise.
+    pub(crate) fn new() -> Self {
+        Self(1.0)
+    }
+
+    /// Counts one answer.
+    pub(crate) fn note(&mut self, lent: f64, asked: f64) {
+        let share = if lent < asked { lent / asked } else { 1.0 };
+        self.0 += Self::STEP * (share - self.0);
+    }
+
+    /// The share.
+    pub(crate) fn value(&self) -> f64 {
+        self.0
+    }
+}
--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -1,11 +1,13 @@
 //! What this host knows of the other hosts: from the list, and from their own words.
 
 mod plan;
+mod roster;
 
 use kws_protocol::{
-    FleetSnapshot, HostName, HostState, ListedHost, RegionName, RevisionView, TreeRevision,
+    HostList, HostName, HostState, ListedHost, RegionName, RevisionView, TreeRevision,
 };
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use roster::HostRoster;
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Which host this is.
@@ -77,7 +79,7 @@
 #[derive(Clone, Debug)]
 pub struct FleetMembers {
     identity: HostIdentity,
-    snapshot: Option<Arc<FleetSnapshot>>,
+    roster: Option<HostRoster>,
     seeds: Vec<HostName>,
     peers: BTreeMap<HostName, PeerRecord>,
 }
@@ -86,7 +88,7 @@
     pub(crate) fn new(identity: HostIdentity) -> Self {
         Self {
             identity,
-            snapshot: None,
+            roster: None,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
         }
@@ -99,10 +101,7 @@
 
     /// What is known of `name` at `now`, under a lease of `lease`.
     pub fn state(&self, name: &HostName, now: Instant, lease: Duration) -> MemberState {
-        if self
-            .listed(name)
-            .is_some_and(|host| host.state == HostState::Leaving)
-        {
+        if self.listed_state(name) == Some(HostState::Leaving) {
             return MemberState::Leaving;
         }
         let Some(peer) = self.peers.get(name) else {
@@ -118,18 +117,29 @@
         }
     }
 
-    pub(crate) fn set_list(&mut self, snapshot: &Arc<FleetSnapshot>) {
-        self.snapshot = Some(Arc::clone(snapshot));
+    pub(crate) fn set_list(&mut self, list: &HostList) {
+        self.roster = Some(HostRoster::new(list, &self.identity));
     }
 
     pub(crate) fn add_seed(&mut self, name: HostName) {
         self.seeds.push(name);
     }
 
+    /// Takes the live hosts of the own region as seeds and returns them.
+    pub(crate) fn seed_from(&mut self, list: &HostList) -> Vec<ListedHost> {
+        let in_region = list.in_region(&self.identity.region);
+        let peers: Vec<ListedHost> = in_region
+            .filter(|host| host.state == HostState::Live && host.name != self.identity.name)
+            .cloned()
+            .collect();
+        self.seeds
+            .extend(peers.iter().map(|host| host.name.clone()));
+        peers
+    }
+
     /// Whether the list says that this host is leaving.
     pub(crate) fn leaving(&self) -> bool {
-        self.listed(&self.identity.name)
-            .is_some_and(|host| host.state == HostState::Leaving)
+        self.listed_state(&self.identity.name) == Some(HostState::Leaving)
     }
 
     pub(crate) fn note_asked(&mut self, name: &HostName, now: Instant) {
@@ -159,13 +169,20 @@
         }
     }
 
+    /// Forgets every answer.
+    pub(crate) fn forget_words(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.word = None;
+        }
+    }
+
     /// Forgets hosts that are neither listed nor lately heard, so that memory stays bounded.
     pub(crate) fn prune(&mut self, now: Instant, lease: Duration) {
-        let Some(snapshot) = self.snapshot.clone() else {
+        let Some(roster) = &self.roster else {
             return;
         };
         self.peers
-            .retain(|name, peer| peer.heard(now, lease) || snapshot.hosts.host(name).is_some());
+            .retain(|name, peer| peer.heard(now, lease) || roster.state(name).is_some());
     }
 
     /// When the oldest question was sent of those whose answers make up a majority of the region
@@ -180,10 +197,14 @@
             .filter(|word| word.counts && agrees(&word.view))
             .map(|word| word.sent)
             .collect();
-        sent.sort_unstable_by(|left, right| right.cmp(left));
         match self.answers_needed()? {
             0 => Some(now),
-            needed => sent.get(needed - 1).copied(),
+            needed if needed > sent.len() => None,
+            needed => {
+                let (_, oldest, _) =
+                    sent.select_nth_unstable_by(needed - 1, |left, right| right.cmp(left));
+                Some(*oldest)
+            }
         }
     }
 
@@ -193,62 +214,70 @@
             .is_some_and(|needed| self.voter_words().count() >= needed)
     }
 
-    /// Hosts heard within the lease that hold a revision which `lacks` says is missing here, the
-    /// newest revision first and of equal ones the latest reached first.
+    /// Hosts heard within the lease that hold a revision which `lacks` says is missing here: the
+    /// newest revision first, of equal ones the own region, and there the latest reached.
     pub(crate) fn holders(
         &self,
         now: Instant,
         lease: Duration,
         lacks: impl Fn(TreeRevision) -> bool,
     ) -> Vec<(&HostName, TreeRevision)> {
-        let mut holders: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.heard(now, lease))
+        let heard = self.peers.iter().filter(|(_, peer)| peer.heard(now, lease));
+        let mut holders: Vec<_> = heard
             .filter_map(|(name, peer)| Some((name, peer.news?.revision, peer.word)))
             .filter(|(_, revision, _)| lacks(*revision))
             .collect();
-        holders.sort_by_key(|(_, revision, word)| (*revision, word.map(|word| word.sent)));
-        let newest_first = holders.into_iter().rev();
-        newest_first
+        holders.sort_by_key(|(name, revision, word)| {
+            // The link between regions is paid by volume.
+            let local = self.region_peers().contains(name);
+            Reverse((*revision, local, word.map(|word| word.sent)))
+        });
+        let holders = holders.into_iter();
+        holders
             .map(|(name, revision, _)| (name, revision))
             .collect()
     }
 
+    /// Whether [`Self::holders`] would name any.
+    pub(crate) fn any_holder(
+        &self,
+        now: Instant,
+        lease: Duration,
+        lacks: impl Fn(TreeRevision) -> bool,
+    ) -> bool {
+        self.peers
+            .values()
+            .filter(|peer| peer.heard(now, lease))
+            .any(|peer| peer.news.is_some_and(|news| lacks(news.revision)))
+    }
+
     /// The revision that `name` was last heard at.
     pub(crate) fn heard_revision(&self, name: &HostName) -> Option<TreeRevision> {
         Some(self.peers.get(name)?.news?.revision)
     }
 
-    fn listed(&self, name: &HostName) -> Option<&ListedHost> {
-        self.snapshot.as_ref()?.hosts.host(name)
+    /// Whether `name` has left a question open for `time` or longer.
+    pub(crate) fn waits(&self, name: &HostName, now: Instant, time: Duration) -> bool {
+        self.peers
+            .get(name)
+            .is_some_and(|peer| peer.waits(now, time))
     }
 
-    /// The live listed hosts of the region, this one included when it is listed.
-    fn voters(&self) -> impl Iterator<Item = &HostName> {
-        self.live_hosts()
-            .filter(|host| host.region == self.identity.region)
-            .map(|host| &host.name)
+    fn listed_state(&self, name: &HostName) -> Option<HostState> {
+        self.roster.as_ref()?.state(name)
     }
 
-    fn live_hosts(&self) -> impl Iterator<Item = &ListedHost> {
-        let hosts = self
-            .snapshot
-            .iter()
-            .flat_map(|snapshot| &snapshot.hosts.hosts);
-        hosts.filter(|host| host.state == HostState::Live)
+    /// The other live listed hosts of the region.
+    fn region_peers(&self) -> &[HostName] {
+        self.roster.as_ref().map_or(&[], HostRoster::peers)
     }
 
     fn voter_words(&self) -> impl Iterator<Item = PeerWord> {
-        self.voters()
-            .filter(|name| **name != self.identity.name)
-            .filter_map(|name| self.peers.get(name)?.word)
+        let peers = self.region_peers().iter();
+        peers.filter_map(|name| self.peers.get(name)?.word)
     }
 
-    /// Answers needed for a majority; none when the list names no live host of the region.
     fn answers_needed(&self) -> Option<usize> {
-        let voters = self.voters().count();
-        let own = self.voters().any(|name| *name == self.identity.name);
-        (voters > 0).then(|| voters / 2 + 1 - usize::from(own))
+        self.roster.as_ref()?.answers_needed()
     }
 }
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -1,14 +1,16 @@
 //! The one state machine of freshness: lease, membership and configuration of this host.
 
+mod asking;
+mod joining;
 mod spread;
 
 use crate::{
     ConfigStore, FleetAction, FleetCounters, FleetMembers, FreshnessLease, HostIdentity,
-    LeaseTerms, Readiness, StoreOutcome, TreeChecker, UnreadyReason, members::PeerWord,
-    questions::QuestionRounds,
+    LeaseTerms, Readiness, StoreOutcome, TreeChecker, UnreadyReason, questions::QuestionRounds,
 };
 use kws_protocol::{
-    FleetSnapshot, HostName, LeaseMessage, PeerMessage, PublishedValues, RevisionView, TreeRevision,
+    FleetSnapshot, HostList, HostName, LeaseMessage, PeerMessage, PublishedValues, RevisionView,
+    TreeRevision,
 };
 use spread::SpreadState;
 use std::{sync::Arc, time::Duration};
@@ -20,7 +22,10 @@
 /// With less than this part of the lease left, the platform counts as silent.
 const SILENT_PART: u32 = 4;
 
-/// A watch that is this part of the lease late, or failed, is asked again.
+/// Ticks in one lease.
+const TICKS_PER_LEASE: u32 = 12;
+
+/// A watch that is this part of the lease late has failed.
 const RETRY_PART: u32 = 12;
 
 /// What the platform last said.
@@ -40,7 +45,7 @@
     spread: SpreadState,
     counters: FleetCounters,
     platform: Option<PlatformWord>,
-    platform_failed: bool,
+    platform_failures: u32,
     born: Instant,
     round: u64,
     next_round: Instant,
@@ -66,7 +71,7 @@
             spread: SpreadState::default(),
             counters: FleetCounters::default(),
             platform: None,
-            platform_failed: false,
+            platform_failures: 0,
             born: now,
             round: 0,
             next_round: now,
@@ -133,11 +138,28 @@
         self.terms.lease / ROUNDS_PER_LEASE
     }
 
-    /// How late a watch may be before it counts as failed, and the pause before the next try.
+    /// How late a watch may be before it counts as failed.
     pub fn watch_grace(&self) -> Duration {
         self.terms.lease / RETRY_PART
     }
 
+    /// How often to call [`Self::tick`].
+    pub fn tick_interval(&self) -> Duration {
+        self.terms.lease / TICKS_PER_LEASE
+    }
+
+    /// The pause before the next call: none after an answer, and after failures one that doubles up
+    /// to a whole wait, so that a platform that is down gets no more calls than one that is up. The
+    /// call after a failure must not wait.
+    pub fn retry_pause(&self) -> Duration {
+        let Some(doublings) = self.platform_failures.checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        let longest = self.watch_wait();
+        let factor = 2_u32.saturating_pow(doublings);
+        self.watch_grace().saturating_mul(factor).min(longest)
+    }
+
     /// The platform answered with whole values, to a question sent at `sent`.
     pub fn platform_answer(
         &mut self,
@@ -147,7 +169,7 @@
     ) -> Vec<FleetAction> {
         let mut actions = Vec::new();
         let revision = values.revision;
-        self.platform_failed = false;
+        self.platform_failures = 0;
         let outcome = self.store.offer(values);
         let conflict = outcome == StoreOutcome::Conflict;
         self.settle(outcome, now, &mut actions);
@@ -164,7 +186,7 @@
         sent: Instant,
         now: Instant,
     ) -> Vec<FleetAction> {
-        self.platform_failed = false;
+        self.platform_failures = 0;
         self.note_platform(revision, sent);
         self.drive(now, Vec::new())
     }
@@ -172,10 +194,10 @@
     /// A call to the platform failed or timed out.
     pub fn platform_failed(&mut self, now: Instant) -> Vec<FleetAction> {
         self.counters.failed_platform += 1;
-        if !self.platform_failed {
-            self.platform_failed = true;
+        if self.platform_failures == 0 {
             self.next_round = now;
         }
+        self.platform_failures = self.platform_failures.saturating_add(1);
         self.drive(now, Vec::new())
     }
 
@@ -203,7 +225,18 @@
         self.drive(now, actions)
     }
 
-    /// Time passed; call several times within a round (a twelfth of the lease is enough).
+    /// The machine slept while its monotonic clock stood still: nothing measured by it holds, so the
+    /// lease ends and every open question is void.
+    pub fn clock_stood_still(&mut self, now: Instant) -> Vec<FleetAction> {
+        self.lease = FreshnessLease::default();
+        self.platform = None;
+        self.questions.void();
+        self.members.forget_words();
+        self.next_round = now;
+        self.drive(now, Vec::new())
+    }
+
+    /// Time passed; call it every [`Self::tick_interval`].
     pub fn tick(&mut self, now: Instant) -> Vec<FleetAction> {
         self.members.prune(now, self.terms.lease);
         self.drive(now, Vec::new())
@@ -228,6 +261,9 @@
         if let Some(word) = self.platform.filter(|word| word.revision == newest) {
             self.lease.confirm_platform(word.sent, &self.terms);
         }
+        if !self.platform_silent(now) || self.renewed_by_last_round() {
+            return;
+        }
         let store = &self.store;
         let agrees = |view: &RevisionView| {
             !store.lacks(view.revision) && !store.conflicts(view.revision, view.digest)
@@ -237,84 +273,19 @@
         }
     }
 
+    /// Whether answers to the latest questions cannot lengthen the lease any more.
+    fn renewed_by_last_round(&self) -> bool {
+        let longest = self
+            .questions
+            .last_sent()
+            .map(|sent| sent + self.terms.lease);
+        longest.is_some() && self.lease.until() >= longest
+    }
+
     /// Whether a host heard within the lease holds values that are missing here.
     fn is_behind(&self, now: Instant) -> bool {
         let lacks = |revision| self.store.lacks(revision);
-        let holders = self.members.holders(now, self.terms.lease, lacks);
-        !holders.is_empty()
-    }
-
-    fn ask(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        let silent = self.platform_silent(now);
-        if now < self.next_round {
-            return;
-        }
-        self.round += 1;
-        self.next_round = now + self.terms.lease / ROUNDS_PER_LEASE;
-        let mut targets = self.members.region_targets(self.round, silent);
-        let cross = self
-            .members
-            .cross_targets(self.round, now, self.terms.lease);
-        targets.extend(cross);
-        let nonce = self.questions.open(now, self.terms.lease);
-        let view = self.revision_view(now);
-        for to in targets {
-            self.members.note_asked(&to, now);
-            let message = PeerMessage::Lease(LeaseMessage::Question { nonce, view });
-            actions.push(FleetAction::Send { to, message });
-        }
-    }
-
-    fn platform_silent(&self, now: Instant) -> bool {
-        let needed = now + self.terms.lease / SILENT_PART;
-        self.platform_failed
-            || self
-                .lease
-                .platform_until()
-                .is_none_or(|until| until < needed)
-    }
-
-    fn answer(&self, to: &HostName, nonce: u64, now: Instant) -> FleetAction {
-        let old_enough = now.saturating_duration_since(self.born) >= self.terms.restart_wait;
-        FleetAction::Send {
-            to: to.clone(),
-            message: PeerMessage::Lease(LeaseMessage::Answer {
-                nonce,
-                view: self.revision_view(now),
-                counts: self.joined && old_enough,
-            }),
-        }
-    }
-
-    fn take_answer(
-        &mut self,
-        from: &HostName,
-        nonce: u64,
-        view: RevisionView,
-        counts: bool,
-        now: Instant,
-    ) {
-        self.note_view(from, view, now);
-        let Some(sent) = self.questions.sent(nonce) else {
-            self.counters.late_answers += 1;
-            return;
-        };
-        let word = PeerWord { sent, view, counts };
-        self.members.note_word(from, word, now);
-        // Only a peer that is not behind can vouch for the platform's word on the newest revision.
-        if view.revision >= self.store.held() && !self.store.lacks(view.revision) {
-            let age = self.terms.enlarged(view.platform_age);
-            if let Some(heard) = sent.checked_sub(age) {
-                self.lease.hear_platform(heard);
-            }
-        }
-    }
-
-    fn note_view(&mut self, from: &HostName, view: RevisionView, now: Instant) {
-        if self.store.conflicts(view.revision, view.digest) {
-            self.counters.conflicts += 1;
-        }
-        self.members.note_news(from, view.revision, now);
+        self.members.any_holder(now, self.terms.lease, lacks)
     }
 
     fn note_platform(&mut self, revision: TreeRevision, sent: Instant) {
@@ -337,13 +308,24 @@
                 self.counters.refused_trees += 1;
                 actions.push(FleetAction::Refuse {
                     revision: self.store.seen(),
-                    rejection,
+                    findings: rejection.findings,
                 });
+                self.contact(rejection.hosts, now, actions);
             }
             StoreOutcome::Known | StoreOutcome::Older => {}
         }
     }
 
+    /// Without a tree of its own, a host asks the peers that a refused revision lists.
+    fn contact(&mut self, hosts: Option<HostList>, now: Instant, actions: &mut Vec<FleetAction>) {
+        if self.store.snapshot().is_some() {
+            return;
+        }
+        let peers = self.members.seed_from(&hosts.unwrap_or_default());
+        self.next_round = now;
+        actions.push(FleetAction::Contact(peers));
+    }
+
     fn publish(
         &mut self,
         snapshot: &Arc<FleetSnapshot>,
@@ -353,47 +335,12 @@
         self.counters.adopted += 1;
         self.terms = LeaseTerms::new(&snapshot.settings.freshness);
         self.lease.change_terms(&self.terms, now);
-        self.members.set_list(snapshot);
+        self.members.set_list(&snapshot.hosts);
         self.spread.adopted(now, self.terms.lease);
-        if self.join_deadline.is_none() {
-            // The peers of the first list are asked at once.
-            self.join_deadline = Some(now + self.terms.lease);
-            self.next_round = now;
-        }
+        // Asked at once, peers learn of the revision by the question, and a new host of theirs.
+        self.next_round = now;
+        let deadline = now + self.terms.lease;
+        self.join_deadline = self.join_deadline.or(Some(deadline));
         actions.push(FleetAction::Publish(Arc::clone(snapshot)));
     }
-
-    fn join(&mut self, now: Instant) {
-        let Some(deadline) = self.join_deadline else {
-            return;
-        };
-        let asked = self.members.majority_answered() || now >= deadline;
-        if asked && !self.is_behind(now) {
-            self.joined = true;
-        }
-    }
-
-    fn decide_readiness(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        let readiness = self.judge_readiness(now);
-        if readiness != self.readiness {
-            self.readiness = readiness;
-            actions.push(FleetAction::Readiness(readiness));
-        }
-    }
-
-    fn judge_readiness(&self, now: Instant) -> Readiness {
-        if self.store.snapshot().is_none() {
-            return Readiness::Unready(UnreadyReason::NoTree);
-        }
-        if !self.joined {
-            return Readiness::Unready(UnreadyReason::Joining);
-        }
-        if self.members.leaving() {
-            return Readiness::Unready(UnreadyReason::Leaving);
-        }
-        if !self.is_current(now) {
-            return Readiness::Unready(UnreadyReason::NotCurrent);
-        }
-        Readiness::Ready
-    }
 }
--- a/crates/kws-membership/src/view/spread.rs
+++ b/crates/kws-membership/src/view/spread.rs
@@ -3,17 +3,21 @@
 use super::FleetView;
 use crate::{DeltaOutcome, FleetAction, StoreOutcome, TreeDelta};
 use kws_protocol::{ConfigMessage, HostName, PeerMessage, TreeRevision};
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use tokio::time::Instant;
 
 /// A fetch without result is tried again after this part of the lease.
 const FETCH_PART: u32 = 6;
 
+/// A change is pushed to peers that have left a question open for this part of the lease.
+const PUSH_PART: u32 = 6;
+
 /// What is under way.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SpreadState {
     fetch: Option<OpenFetch>,
-    fetches: usize,
+    /// Holders asked since the last adoption, or since all were asked.
+    tried: BTreeSet<HostName>,
     push_at: Option<Instant>,
     whole_copy: bool,
 }
@@ -25,18 +29,22 @@
 }
 
 impl SpreadState {
-    /// A revision came into force: nothing is being fetched, and peers not heard at it within a
-    /// lease get it pushed.
+    /// A revision came into force: nothing is being fetched, and silent peers get it pushed
+    /// soon.
     pub(super) fn adopted(&mut self, now: Instant, lease: Duration) {
         self.fetch = None;
+        self.tried.clear();
         self.whole_copy = false;
-        self.push_at = Some(now + lease / 2);
+        self.push_at = Some(now + lease / PUSH_PART);
     }
 }
 
 impl FleetView {
     /// Asks a holder for what is missing here.
     pub(super) fn fetch(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        if !self.is_behind(now) {
+            return;
+        }
         let Some((to, revision)) = self.fetch_target(now) else {
             return;
         };
@@ -44,7 +52,7 @@
             return;
         }
         self.spread.fetch = Some(OpenFetch { revision, at: now });
-        self.spread.fetches += 1;
+        self.spread.tried.insert(to.clone());
         self.counters.fetches += 1;
         let whole = self.spread.whole_copy;
         let since = if whole {
@@ -56,12 +64,17 @@
         actions.push(FleetAction::Send { to, message });
     }
 
-    /// The holders take turns, the one with the newest revision first: it may hear nothing.
-    fn fetch_target(&self, now: Instant) -> Option<(HostName, TreeRevision)> {
+    /// The first holder that was not asked yet: one that was may hear nothing.
+    fn fetch_target(&mut self, now: Instant) -> Option<(HostName, TreeRevision)> {
         let lacks = |revision| self.store.lacks(revision);
         let holders = self.members.holders(now, self.terms.lease, lacks);
-        let newest = holders.first()?.1;
-        let (name, _) = holders[self.spread.fetches % holders.len()];
+        let (first, newest) = *holders.first()?;
+        let tried = &mut self.spread.tried;
+        let untried = holders.iter().find(|(name, _)| !tried.contains(*name));
+        if untried.is_none() {
+            tried.clear();
+        }
+        let name = untried.map_or(first, |(name, _)| *name);
         Some((name.clone(), newest))
     }
 
@@ -72,16 +85,23 @@
         })
     }
 
-    /// Pushes the change in force, once, to some peers that were not heard at it.
+    /// Pushes the change in force, once, to some peers that do not answer and were not heard at it:
+    /// they may hear this host although it does not hear them.
     pub(super) fn push(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         if self.spread.push_at.is_none_or(|at| now < at) {
             return;
         }
         self.spread.push_at = None;
         let held = self.store.held();
-        let lags = |name: &HostName| self.members.heard_revision(name) < Some(held);
+        let patience = self.terms.lease / PUSH_PART;
+        let lags = |name: &HostName| {
+            self.members.waits(name, now, patience)
+                && self.members.heard_revision(name) < Some(held)
+        };
         for to in self.members.push_targets(lags) {
-            let since = self.members.heard_revision(&to).unwrap_or_default();
+            // Of a host never heard the likeliest is that it lacks the last change only.
+            let heard = self.members.heard_revision(&to);
+            let since = heard.unwrap_or(self.store.previous());
             if let Some(delta) = self.store.delta_since(since) {
                 self.counters.pushes += 1;
                 let message = PeerMessage::Config(delta);
--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -1,12 +1,13 @@
 //! The settings of one entry host, a small YAML file beside the daemon.
 
 use crate::{
-    Finding, FindingSeverity, Problem, SourcePlace,
+    Finding, Problem, SourcePlace,
     decode::SectionReader,
     fields::{check_section, name_finding, value_finding},
     node::TreeNode,
     parse::parse_yaml,
     references::report_missing,
+    resolve::has_errors,
     schema::{HOST, TLS},
 };
 use kws_protocol::{CenterName, RegionName};
@@ -38,7 +39,7 @@
 /// The settings of one entry host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HostSettings {
-    /// The prefix of the host's name.
+    /// Its name in the platform's list, new for each life of the daemon.
     pub name: Option<String>,
     /// Its region.
     pub region: RegionName,
@@ -52,6 +53,8 @@
     pub peer: SocketAddr,
     /// The file with the secret that the daemons share.
     pub peer_secret_file: Option<PathBuf>,
+    /// The file with the certificate authorities of backend servers.
+    pub backend_ca_file: Option<PathBuf>,
     /// Where the platform publishes.
     pub platform: PlatformSource,
     /// TLS towards callers.
@@ -75,10 +78,7 @@
     if let Some(tls) = node.member("tls") {
         report_missing(tls, &TLS, &mut findings);
     }
-    if findings
-        .iter()
-        .any(|finding| finding.severity() == FindingSeverity::Error)
-    {
+    if has_errors(&findings) {
         findings.sort();
         findings.dedup();
         return Err(findings);
@@ -97,6 +97,7 @@
         admin: reader.address("admin"),
         peer: reader.address("peer"),
         peer_secret_file: reader.text("peer_secret_file").map(PathBuf::from),
+        backend_ca_file: reader.text("backend_ca_file").map(PathBuf::from),
         platform: match platform.text("directory") {
             Some(directory) => PlatformSource::Directory(PathBuf::from(directory)),
             None => PlatformSource::Service {
@@ -128,6 +129,7 @@
         }
     }
     if let Some(peer) = node.member("peer")
+        && reader.value("peer").is_some()
         && !reader.address("peer").ip().is_loopback()
         && node.member("peer_secret_file").is_none()
     {
