Doubt a host by region

Two hosts without links, in the two data centres of a region, had three healthy servers ejected by all eight hosts: the servers of the other region that they had used before made them look sound. Doubt is now by region (test two_links_down: ejections [(0, 8), (2, 8), (4, 8)] before, none after). A new host's following of its peers has a test too (new_host fails without it).

--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -5,7 +5,10 @@
     phase::EjectionScope,
 };
 use kws_protocol::{CenterName, EjectionSettings, HostName, RegionName, ServerName};
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Hosts that must accuse a server before it is ejected for the fleet.
@@ -165,8 +168,8 @@
 struct HostLight<'a> {
     summaries: BTreeMap<&'a ServerName, AnswerSummary>,
     references: BTreeMap<&'a RegionName, Duration>,
-    /// The bad share of its typical server, between 0 and 1.
-    typical: f64,
+    /// The bad share of its typical server in each region, between 0 and 1.
+    typical: BTreeMap<&'a RegionName, f64>,
 }
 
 impl<'a> HostLight<'a> {
@@ -181,8 +184,10 @@
                 .filter(|(server, summary)| summary.answers > 0 && regions.contains_key(server))
         };
         let votes: BTreeMap<&ServerName, AnswerSummary> = summaries(since).collect();
-        let shares = votes.values().map(|summary| Share(summary.bad_share()));
-        let typical = lower_median(shares.collect()).map_or(0.0, |share| share.0);
+        let shares = votes
+            .iter()
+            .map(|(server, summary)| (regions[*server], summary.bad_share()));
+        let typical = typical_by_region(shares);
         Self {
             references: references(summaries(None), regions),
             summaries: votes,
@@ -190,16 +195,21 @@
         }
     }
 
-    /// Whether the host's own link is at fault: its typical server is bad, though by the word of all
-    /// hosts the same servers are not.
+    /// The regions to which the host's own link is at fault: its typical server there is bad, though by
+    /// the word of all hosts the same servers are not.
     fn contradicted(
         &self,
-        shares: &BTreeMap<&ServerName, f64>,
+        pooled: &BTreeMap<&ServerName, f64>,
+        regions: &BTreeMap<&'a ServerName, &'a RegionName>,
         settings: &EjectionSettings,
-    ) -> bool {
-        let seen = self.summaries.keys().map(|server| Share(shares[*server]));
-        let expected = lower_median(seen.collect()).map_or(0.0, |share| share.0);
-        self.typical - expected >= settings.bad_share
+    ) -> BTreeSet<&'a RegionName> {
+        let seen = self.summaries.keys();
+        let expected = typical_by_region(seen.map(|server| (regions[*server], pooled[*server])));
+        self.typical
+            .iter()
+            .filter(|(region, share)| *share - expected[*region] >= settings.bad_share)
+            .map(|(region, _)| *region)
+            .collect()
     }
 
     fn vote(
@@ -220,7 +230,7 @@
             bad: f64::from(summary.bad) * scale,
             slow,
             very_slow,
-            typical: self.typical,
+            typical: self.typical.get(region).copied().unwrap_or(0.0),
             summary,
         })
     }
@@ -259,6 +269,20 @@
     latency > reference.mul_f64(settings.slow_factor) + LATENCY_SLACK
 }
 
+/// The typical bad share in each region with servers enough to compare.
+fn typical_by_region<'a>(
+    shares: impl Iterator<Item = (&'a RegionName, f64)>,
+) -> BTreeMap<&'a RegionName, f64> {
+    let mut regions: BTreeMap<&RegionName, Vec<Share>> = BTreeMap::new();
+    for (region, share) in shares {
+        regions.entry(region).or_default().push(Share(share));
+    }
+    regions
+        .into_iter()
+        .filter_map(|(region, shares)| Some((region, lower_median(shares)?.0)))
+        .collect()
+}
+
 /// The usual latency of one host by region, where it has seen enough.
 fn references<'a>(
     summaries: impl Iterator<Item = (&'a ServerName, AnswerSummary)>,
@@ -319,7 +343,11 @@
         })
         .collect();
     let shares = pooled_shares(&opinions);
-    opinions.retain(|opinion| !opinion.light.contradicted(&shares, settings));
+    for opinion in &mut opinions {
+        let doubted = opinion.light.contradicted(&shares, regions, settings);
+        let summaries = &mut opinion.light.summaries;
+        summaries.retain(|server, _| !doubted.contains(regions[*server]));
+    }
     let ballots: Vec<ServerVotes<'_>> = regions
         .iter()
         .map(|(server, region)| {
--- a/crates/kws-health/tests/gray_failure.rs
+++ b/crates/kws-health/tests/gray_failure.rs
@@ -19,6 +19,14 @@
     pick(far, (Good, Duration::from_millis(80)))
 }
 
+/// Hosts use their own region; two of them, in two data centres, have lost their links.
+fn two_links(one: Try) -> Answer {
+    if one.host % 2 != one.server % 2 {
+        return (Shed, USUAL.1);
+    }
+    pick(one.host == 0 || one.host == 2, (Error, USUAL.1))
+}
+
 /// Eight hosts and ten servers over four data centres; what each try meets, and who ejects what.
 #[rstest]
 #[case::healthy(|_: Try| USUAL, &[])]
@@ -33,6 +41,7 @@
 #[case::failing_together(|one: Try| pick(one.tenths(6), (Error, USUAL.1)), &[])]
 #[case::other_region(far, &[])]
 #[case::host_link_down(|one: Try| pick(one.host == 2, (Error, USUAL.1)), &[])]
+#[case::two_links_down(two_links, &[])]
 #[case::host_link_slow(|one: Try| pick(one.host == 2, SLOW), &[])]
 #[case::host_to_one_server(|one: Try| pick(one.host == 2 && one.server == 3, (Error, USUAL.1)), &[(3, 1)])]
 #[case::center_to_one_server(
--- a/crates/kws-health/tests/support.rs
+++ b/crates/kws-health/tests/support.rs
@@ -82,7 +82,8 @@
         }
     }
 
-    fn exchange(&mut self) {
+    /// All exchange digests and judge.
+    pub fn exchange(&mut self) {
         let now = Instant::now();
         let messages: Vec<HealthMessage> = self
             .hosts
--- a/crates/kws-health/tests/trial_entry.rs
+++ b/crates/kws-health/tests/trial_entry.rs
@@ -2,10 +2,11 @@
 
 mod support;
 
-use kws_fixture::SampleFleet;
-use kws_health::AnswerOutcome::Error;
+use kws_fixture::{SampleFleet, host_name};
+use kws_health::{AnswerOutcome::Error, HealthJudge};
 use rstest::rstest;
 use support::{Answer, Judges, Try, USUAL};
+use tokio::time::Instant;
 
 fn third_fails(one: Try) -> Answer {
     if one.server == 3 {
@@ -114,3 +115,15 @@
     }
     assert_eq!(judges.round - start, 20);
 }
+
+/// A new host leaves alone what its peers have ejected, and doesn't report it as its own judgement.
+#[tokio::test(start_paused = true)]
+async fn new_host() {
+    let mut judges = ejected_judges().await;
+    judges.hosts[7] = HealthJudge::new(host_name(7));
+    judges.adopt();
+    judges.exchange();
+    assert_eq!(judges.ejected(7), [3]);
+    let digests = judges.hosts[7].digest(Instant::now());
+    assert_eq!(digests.iter().filter(|digest| digest.ejected).count(), 0);
+}
