--- /dev/null
+++ b/crates/kws-bench/src/capacity/dispatch.rs
@@ -0,0 +1,155 @@
+//! Choice of backend server, queues and subsets.
+
+use super::{
+    fit::FitPoint,
+    health::{peer_digest, services, tree},
+    probe::{best_of, nanos_each, on_fresh_heap, resident},
+    report::{BudgetLine, MeasuredSlope, RoleCost, RoleReport},
+    synthetic::{host_name, region_name, service_name, team_name},
+    target::{HOST_REQUESTS, HOSTS, REGION_PEERS, REGIONS, REVISION_RATE, SERVICES, UPSTREAMS},
+};
+use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, TicketEnd, TicketId};
+use kws_health::HealthJudge;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const UPSTREAM_SIZES: [usize; 3] = [100, 1_000, UPSTREAMS];
+const REQUESTS: usize = 2_000;
+const TICKS: usize = 20;
+/// Ticks of the dispatcher in a second.
+const TICK_RATE: f64 = 100.0;
+/// Connections that a server takes, and the fewest that are of use to a host.
+const CONNECTIONS: f64 = 330.0;
+const MIN_CONNECTIONS: f64 = 2.0;
+
+/// What one host measured at a number of servers.
+struct DispatchCost {
+    adopt: f64,
+    request: f64,
+    tick: f64,
+    receive: f64,
+    held: f64,
+}
+
+/// Measures the role.
+pub fn measure() -> RoleReport {
+    let costs = UPSTREAM_SIZES.map(|upstreams| {
+        let cost = on_fresh_heap(move || dispatch_cost(upstreams));
+        (upstreams, cost)
+    });
+    let slope = |what, unit, value: fn(&DispatchCost) -> f64| {
+        let points = costs.iter();
+        let points = points.map(|(upstreams, cost)| FitPoint::new(*upstreams, value(cost)));
+        MeasuredSlope::new(what, unit, "upstreams", points.collect(), UPSTREAMS as f64)
+    };
+    let adopt = slope("adopt a revision, with subsets", "ms", |cost| {
+        cost.adopt / 1e6
+    });
+    let request = slope("queue, choose and end one request", "ns", |cost| {
+        cost.request
+    });
+    let tick = slope("one tick, of which there are 100 a second", "us", |cost| {
+        cost.tick / 1e3
+    });
+    let receive = slope("take a peer's requests in flight", "us", |cost| {
+        cost.receive / 1e3
+    });
+    let held = slope("servers and peers held", "MB", |cost| cost.held / 1e6);
+    let core = request.at_target() * HOST_REQUESTS / 1e9
+        + tick.at_target() * TICK_RATE / 1e6
+        + receive.at_target() * REGION_PEERS as f64 / 1e6
+        + adopt.at_target() * REVISION_RATE / 1e3;
+    let lines = vec![
+        BudgetLine {
+            what: "hosts at one server, two connections each",
+            value: (CONNECTIONS / MIN_CONNECTIONS).floor() * MIN_CONNECTIONS,
+            budget: CONNECTIONS,
+            unit: "connections",
+        },
+        BudgetLine {
+            what: "hosts at one server without subsets, two connections each",
+            value: HOSTS as f64 * MIN_CONNECTIONS,
+            budget: CONNECTIONS,
+            unit: "connections",
+        },
+        BudgetLine {
+            what: "the dispatcher's thread held by one revision, of a tick",
+            value: adopt.at_target(),
+            budget: 1e3 / TICK_RATE,
+            unit: "ms",
+        },
+    ];
+    RoleReport {
+        role: "Choice and subsetting",
+        cost: RoleCost {
+            core,
+            memory: held.at_target() * 1e6,
+            ..RoleCost::default()
+        },
+        slopes: vec![adopt, request, tick, receive, held],
+        lines,
+    }
+}
+
+fn dispatch_cost(upstreams: usize) -> DispatchCost {
+    let tree = tree(upstreams);
+    let now = Instant::now();
+    let mut judge = HealthJudge::new(host_name(0));
+    judge.adopt(&tree, now);
+    let before = resident();
+    let mut dispatcher = new_dispatcher();
+    let adopt = best_of(3, || {
+        dispatcher = new_dispatcher();
+        dispatcher.adopt(&tree, now)
+    });
+    let mut receive = 0.0;
+    for peer in 1..=REGION_PEERS {
+        let message = peer_digest(peer, 0, upstreams);
+        let from = host_name(peer * REGIONS);
+        receive += nanos_each(1, |_| dispatcher.receive(&from, &message, now));
+    }
+    let held = resident() - before;
+    // The peers' digests are too old to count by then: at few servers they would take all room.
+    let later = now + Duration::from_secs(5);
+    let services = services(upstreams);
+    let request = nanos_each(REQUESTS, |call| {
+        serve(&mut dispatcher, &judge, call, services, later)
+    });
+    let tick = nanos_each(TICKS, |_| dispatcher.tick(&judge, later));
+    DispatchCost {
+        adopt,
+        request,
+        tick,
+        receive: receive / REGION_PEERS as f64,
+        held,
+    }
+}
+
+fn new_dispatcher() -> Dispatcher {
+    Dispatcher::new(host_name(0), region_name(0), "center-0".into())
+}
+
+fn serve(
+    dispatcher: &mut Dispatcher,
+    judge: &HealthJudge,
+    call: usize,
+    services: usize,
+    now: Instant,
+) {
+    let ticket = TicketId(call as u64);
+    let request = DispatchRequest {
+        ticket,
+        service: service_name(call % services.min(SERVICES)),
+        team: team_name(call),
+        weight: 1.0,
+        deadline: now + Duration::from_secs(5),
+        repeatable: true,
+        bytes: 1_024,
+        excluded: Vec::new(),
+    };
+    for action in dispatcher.enqueue(request, judge, now) {
+        if let DispatchAction::Grant(grant) = action {
+            dispatcher.complete(grant.ticket, TicketEnd::Answered, judge, now);
+        }
+    }
+}
--- a/crates/kws-bench/src/fleet.rs
+++ b/crates/kws-bench/src/fleet.rs
@@ -47,7 +47,7 @@
 }
 
 /// Runs one fleet under one fault.
-fn measure(hosts: usize, fault: FaultKind) -> eyre::Result<FleetTotals> {
+pub(crate) fn measure(hosts: usize, fault: FaultKind) -> eyre::Result<FleetTotals> {
     let meter = Arc::new(FleetMeter::default());
     let shared = Arc::clone(&meter);
     let factory = move |node: &_| MeteredNode::boxed(node, Arc::clone(&shared));
--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -1,7 +1,9 @@
 //! Prints tables of measurements.
 
 use clap::{Parser, Subcommand};
-use kws_bench::{backends::BackendsArgs, fleet::FleetArgs, limits::LimitsArgs};
+use kws_bench::{
+    backends::BackendsArgs, capacity::CapacityArgs, fleet::FleetArgs, limits::LimitsArgs,
+};
 
 /// Measurements over the product and its baselines.
 #[derive(Debug, Parser)]
@@ -15,6 +17,8 @@
 enum BenchTable {
     /// Backend servers: detection, false ejections, bad answers, the worst-served team.
     Backends(BackendsArgs),
+    /// Every role at the size to design for: processor time, memory, messages, margins.
+    Capacity(CapacityArgs),
     /// Limits: admitted over entitled, refusals within the rate, loans, waits.
     Limits(LimitsArgs),
     /// Freshness: time until a withdrawal is in force, and control traffic.
@@ -24,6 +28,7 @@
 fn main() -> eyre::Result<()> {
     match BenchArgs::parse().table {
         BenchTable::Backends(args) => args.run(),
+        BenchTable::Capacity(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
         BenchTable::Fleet(args) => args.run(),
     }
