--- a/crates/kws-bench/src/capacity/dispatch.rs
+++ b/crates/kws-bench/src/capacity/dispatch.rs
@@ -6,7 +6,7 @@
     probe::{best_of, nanos_each, on_fresh_heap, resident},
     report::{BudgetLine, MeasuredSlope, RoleCost, RoleReport},
     synthetic::{host_name, region_name, service_name, team_name},
-    target::{HOST_REQUESTS, HOSTS, REGION_PEERS, REGIONS, REVISION_RATE, SERVICES, UPSTREAMS},
+    target::{HOST_REQUESTS, HOSTS, REGION_PEERS, REGIONS, REVISION_RATE, UPSTREAMS},
 };
 use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, TicketEnd, TicketId};
 use kws_health::HealthJudge;
@@ -15,6 +15,8 @@
 use tokio::time::Instant;
 
 const UPSTREAM_SIZES: [usize; 3] = [100, 1_000, UPSTREAMS];
+/// Teams with a request in one queue.
+const WAITING_SIZES: [usize; 3] = [10, 30, 60];
 const REQUESTS: usize = 2_000;
 const TICKS: usize = 20;
 /// Ticks of the dispatcher in a second.
@@ -88,7 +90,7 @@
             memory: held.at_target() * 1e6,
             ..RoleCost::default()
         },
-        slopes: vec![adopt, request, tick, receive, held],
+        slopes: vec![adopt, request, tick, receive, held, waiting_slope()],
         lines,
     }
 }
@@ -112,9 +114,10 @@
     let held = resident() - before;
     // The peers' digests are too old to count by then: at few servers they would take all room.
     let later = now + Duration::from_secs(5);
+    dispatcher.tick(&judge, later);
     let services = services(upstreams);
     let request = nanos_each(REQUESTS, |call| {
-        serve(&mut dispatcher, &judge, call, services, later)
+        serve(&mut dispatcher, &judge, call, services, later);
     });
     let tick = nanos_each(TICKS, |_| dispatcher.tick(&judge, later));
     DispatchCost {
@@ -137,20 +140,52 @@
     services: usize,
     now: Instant,
 ) {
-    let ticket = TicketId(call as u64);
-    let request = DispatchRequest {
-        ticket,
-        service: service_name(call % services.min(SERVICES)),
+    let request = new_request(call, services, now);
+    for action in dispatcher.enqueue(request, judge, now) {
+        if let DispatchAction::Grant(grant) = action {
+            dispatcher.complete(grant.ticket, TicketEnd::Answered, judge, now);
+        }
+    }
+}
+
+fn new_request(call: usize, services: usize, now: Instant) -> DispatchRequest {
+    DispatchRequest {
+        ticket: TicketId(call as u64),
+        service: service_name(call % services),
         team: team_name(call),
         weight: 1.0,
-        deadline: now + Duration::from_secs(5),
+        deadline: now + Duration::from_secs(600),
         repeatable: true,
         bytes: 1_024,
         excluded: Vec::new(),
-    };
-    for action in dispatcher.enqueue(request, judge, now) {
-        if let DispatchAction::Grant(grant) = action {
-            dispatcher.complete(grant.ticket, TicketEnd::Answered, judge, now);
-        }
     }
 }
+
+/// What one more request costs while requests of other teams wait for the same service.
+fn waiting_slope() -> MeasuredSlope {
+    let upstreams = UPSTREAM_SIZES[0];
+    let tree = tree(upstreams);
+    let points = WAITING_SIZES.map(|waiting| {
+        let now = Instant::now();
+        let mut judge = HealthJudge::new(host_name(0));
+        judge.adopt(&tree, now);
+        let mut dispatcher = new_dispatcher();
+        dispatcher.adopt(&tree, now);
+        let mut calls = 0..;
+        let mut queued = 0;
+        while queued < waiting {
+            let request = new_request(calls.next().unwrap_or(0), 1, now);
+            queued += usize::from(dispatcher.enqueue(request, &judge, now).is_empty());
+        }
+        let request = new_request(calls.next().unwrap_or(0), 1, now);
+        let nanos = nanos_each(1, |_| dispatcher.enqueue(request.clone(), &judge, now));
+        FitPoint::new(waiting, nanos / 1e3)
+    });
+    MeasuredSlope::new(
+        "queue one more request behind others",
+        "us",
+        "teams that wait for the service",
+        points.into(),
+        WAITING_SIZES[2] as f64,
+    )
+}
--- a/crates/kws-bench/src/capacity/overlay.rs
+++ b/crates/kws-bench/src/capacity/overlay.rs
@@ -27,6 +27,8 @@
 const VISITED: f64 = 8.0;
 /// Pings and answers that a host sends on one link a second.
 const PING_RATE: f64 = 1.0;
+/// The same with a ping each 30 s.
+const SLOW_PING_RATE: f64 = 1.0 / 15.0;
 
 /// What one way costs a host.
 #[derive(Clone, Copy, Debug)]
@@ -47,14 +49,16 @@
     println!("|---|---|---|---|---|---|---|---|");
     for hosts in REGION_SIZES {
         for rate in RATES {
-            print_row(hosts, rate, "mesh", mesh(hosts, rate, hosts - 1));
+            print_row(hosts, rate, "mesh", mesh(hosts, rate, hosts - 1, PING_RATE));
             let used = used_links(hosts, rate);
             print_row(
                 hosts,
                 rate,
                 "mesh, idle links closed",
-                mesh(hosts, rate, used),
+                mesh(hosts, rate, used, PING_RATE),
             );
+            let slow = mesh(hosts, rate, hosts - 1, SLOW_PING_RATE);
+            print_row(hosts, rate, "mesh, pinged each 30 s", slow);
             print_row(hosts, rate, "greedy overlay", greedy(hosts, rate));
         }
     }
@@ -72,9 +76,9 @@
     );
 }
 
-fn mesh(hosts: usize, rate: usize, links: usize) -> OverlayCost {
+fn mesh(hosts: usize, rate: usize, links: usize, ping_rate: f64) -> OverlayCost {
     let started = rate as f64;
-    let pings = links.min(hosts - 1) as f64 * PING_RATE;
+    let pings = links.min(hosts - 1) as f64 * ping_rate;
     OverlayCost {
         links: links as f64,
         hops: 1.0,
