--- a/crates/kws-bench/src/capacity/target.rs
+++ b/crates/kws-bench/src/capacity/target.rs
@@ -28,8 +28,12 @@
 pub const RESTARTS: f64 = 2_700.0;
 /// Seconds of a day.
 const DAY: f64 = 86_400.0;
-/// Revisions a second: changes of the tree, and two changes of the list a restart.
-pub const REVISION_RATE: f64 = (CHANGES + 2.0 * RESTARTS) / DAY;
+/// Changes of the operators' tree, a second.
+pub const CHANGE_RATE: f64 = CHANGES / DAY;
+/// Changes of the list, a second: two a restart.
+pub const LIST_RATE: f64 = 2.0 * RESTARTS / DAY;
+/// Revisions a second.
+pub const REVISION_RATE: f64 = CHANGE_RATE + LIST_RATE;
 /// The lease, in seconds.
 pub const LEASE: f64 = 3.0;
 
