--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -2,8 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use kws_bench::{
-    backends::BackendsArgs, control::ControlArgs, fleet::FleetArgs, forward::ForwardArgs,
-    limits::LimitsArgs,
+    backends::BackendsArgs, capacity::CapacityArgs, control::ControlArgs, fleet::FleetArgs,
+    forward::ForwardArgs, limits::LimitsArgs,
 };
 
 /// Measurements over the product and its baselines.
@@ -18,6 +18,8 @@
 enum BenchTable {
     /// Backend servers: detection, false ejections, bad answers, the worst-served team.
     Backends(BackendsArgs),
+    /// Every role at the size to design for: processor time, memory, messages, margins.
+    Capacity(CapacityArgs),
     /// Control: traffic, processor time and memory of whole daemons.
     Control(ControlArgs),
     /// Forwarding: added latency, requests for a core's second, memory of idle connections.
@@ -31,6 +33,7 @@
 fn main() -> eyre::Result<()> {
     match BenchArgs::parse().table {
         BenchTable::Backends(args) => args.run(),
+        BenchTable::Capacity(args) => args.run(),
         BenchTable::Control(args) => args.run(),
         BenchTable::Forward(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
