Ping links that were written to, idle ones rarely

Ruled out: fewer pings on all links, which would notice a silent one late. Conclusion: a link that messages go to is tested within 2 s, an idle one each 30 s; a new test dials anew after a silent link. The idle link's loss shows only with its next message.

--- a/crates/kws-bench/src/capacity/listener.rs
+++ b/crates/kws-bench/src/capacity/listener.rs
@@ -7,7 +7,7 @@
     synthetic::{TreeSize, snapshot},
     target::{REVISION_RATE, ROUTES, SERVICES, TEAMS, UPSTREAMS},
 };
-use kws_forward::find_route;
+use kws_forward::RoutingView;
 use kws_membership::KeyIndex;
 use kws_protocol::{FleetSnapshot, KeyDigest};
 use std::sync::Arc;
@@ -56,9 +56,10 @@
     let paths: Vec<String> = (0..routes)
         .map(|route| format!("/part-{route:04}/item"))
         .collect();
+    let view = RoutingView::new(tree);
     let find = |call: usize| {
         let path = &paths[call % paths.len()];
-        find_route(&tree.settings, "gateway.example", path, "GET").is_some()
+        view.route("gateway.example", path, "GET").is_some()
     };
     best_of(5, || nanos_each(LOOKUPS, find)) / LOOKUPS as f64
 }
--- a/crates/kws-peer/src/link.rs
+++ b/crates/kws-peer/src/link.rs
@@ -13,12 +13,16 @@
 use kws_protocol::{
     CodecError, HostName, MAX_FRAME_BYTES, PeerMessage, decode_message, encode_message,
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
     sync::mpsc::{Receiver, Sender},
-    time::{interval, timeout},
+    time::{Instant, interval, timeout},
 };
 use tokio_tungstenite::{
     WebSocketStream, accept_async_with_config, client_async_with_config,
@@ -27,10 +31,12 @@
 
 /// How long dialling, and each step of the handshake, may take.
 const STEP_TIMEOUT: Duration = Duration::from_secs(1);
-/// How often an idle link is tested.
+/// How often a link that was written to is tested.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
-/// A link from which nothing comes for this long is lost.
-const SILENCE_LIMIT: Duration = Duration::from_secs(6);
+/// Ping intervals after which an idle link is tested too.
+const IDLE_INTERVALS: u32 = 15;
+/// A link that leaves a ping unanswered for this long is lost.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 /// A write that takes longer than this means that the link is lost.
 const WRITE_LIMIT: Duration = Duration::from_secs(3);
 /// The first size of a link's read buffer, in bytes; most messages are far smaller.
@@ -137,25 +143,68 @@
     observer: &dyn PeerObserver,
 ) -> LinkError {
     let (mut sink, mut stream) = link.split();
+    let pulse = LinkPulse::default();
     tokio::select! {
-        error = write_messages(&mut sink, queue, observer) => error,
-        error = read_messages(&mut stream, peer, inbound, observer) => error,
+        error = write_messages(&mut sink, queue, &pulse, observer) => error,
+        error = read_messages(&mut stream, peer, inbound, &pulse, observer) => error,
+    }
+}
+
+/// Whether the other end still answers.
+#[derive(Debug, Default)]
+struct LinkPulse(Mutex<Option<Instant>>);
+
+impl LinkPulse {
+    /// Anything came from the other end.
+    fn heard(&self) {
+        *self.pinged() = None;
+    }
+
+    /// How long the oldest unanswered ping has waited.
+    fn silence(&self) -> Option<Duration> {
+        self.pinged().map(|since| since.elapsed())
+    }
+
+    fn ping(&self) {
+        self.pinged().get_or_insert_with(Instant::now);
+    }
+
+    fn pinged(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 async fn write_messages(
     sink: &mut SplitSink<LinkStream, Message>,
     queue: &mut Receiver<PeerMessage>,
+    pulse: &LinkPulse,
     observer: &dyn PeerObserver,
 ) -> LinkError {
     let mut pings = interval(PING_INTERVAL);
+    let mut written = false;
+    let mut idle = 0;
     loop {
         let frame = tokio::select! {
             message = queue.recv() => match message {
-                Some(message) => next_frame(&message, observer),
+                Some(message) => {
+                    written = true;
+                    next_frame(&message, observer)
+                }
                 None => return LinkError::Closed,
             },
-            _ = pings.tick() => Ok(Message::Ping(Bytes::new())),
+            _ = pings.tick() => {
+                if pulse.silence().is_some_and(|silence| silence >= SILENCE_LIMIT) {
+                    return LinkError::Timeout;
+                }
+                idle += 1;
+                if !written && idle < IDLE_INTERVALS {
+                    continue;
+                }
+                written = false;
+                idle = 0;
+                pulse.ping();
+                Ok(Message::Ping(Bytes::new()))
+            }
         };
         let sent = match frame {
             Ok(frame) => timeout(WRITE_LIMIT, sink.send(frame)).await,
@@ -179,15 +228,17 @@
     stream: &mut SplitStream<LinkStream>,
     peer: &HostName,
     inbound: &Sender<InboundPeer>,
+    pulse: &LinkPulse,
     observer: &dyn PeerObserver,
 ) -> LinkError {
     loop {
-        let frame = match timeout(SILENCE_LIMIT, stream.next()).await {
-            Ok(Some(Ok(Message::Binary(frame)))) => frame,
-            Ok(Some(Ok(Message::Close(_))) | None) => return LinkError::Closed,
-            Ok(Some(Ok(_))) => continue,
-            Ok(Some(Err(error))) => return error.into(),
-            Err(_) => return LinkError::Timeout,
+        let next = stream.next().await;
+        pulse.heard();
+        let frame = match next {
+            Some(Ok(Message::Binary(frame))) => frame,
+            Some(Ok(Message::Close(_))) | None => return LinkError::Closed,
+            Some(Ok(_)) => continue,
+            Some(Err(error)) => return error.into(),
         };
         let message = match decode_message(&frame) {
             Ok(message) => message,
--- a/crates/kws-peer/tests/peer_exchange.rs
+++ b/crates/kws-peer/tests/peer_exchange.rs
@@ -13,7 +13,8 @@
     time::Duration,
 };
 use tokio::{
-    net::TcpListener,
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
     sync::mpsc::{Receiver, Sender, channel},
     time::timeout,
 };
@@ -126,6 +127,40 @@
     );
 }
 
+/// A link whose other end goes silent without closing is lost, and the next message dials anew.
+#[tokio::test]
+async fn silent_link() {
+    let left = start_peer("left", "a secret of the fleet").await;
+    let mut right = start_peer("right", "a secret of the fleet").await;
+    let relay = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let (target, address) = (right.address, relay.local_addr().expect("address"));
+    right.address = address;
+    let relayed = tokio::spawn(async move {
+        let (mut from, _) = relay.accept().await.expect("a dial");
+        let mut to = TcpStream::connect(target).await.expect("a peer");
+        // Long enough for the handshake and the first message; then both ends hear nothing.
+        let passed = copy_bidirectional(&mut from, &mut to);
+        let _ = timeout(Duration::from_millis(500), passed).await;
+        (relay, from, to)
+    });
+    left.send(&right, &fetch(1)).await;
+    assert!(right.receive().await.is_some());
+    let (relay, _from, _to) = relayed.await.expect("relayed");
+    let redialled = async {
+        loop {
+            left.send(&right, &fetch(2)).await;
+            if timeout(Duration::from_millis(200), relay.accept())
+                .await
+                .is_ok()
+            {
+                return;
+            }
+        }
+    };
+    let patience = Duration::from_secs(30);
+    assert!(timeout(patience, redialled).await.is_ok(), "no new dial");
+}
+
 #[test]
 fn urgent_last() {
     let (queue, receiver) = PeerQueue::new();
