Limits traces on the loop of the tables; a list that every host skips stops all

The virtual-time loop, its lease and score move from the tables to kws-replay, so that replay runs traces of the feature 'limits' on it. New in the loop: a stale replica, a host at another's address, the pace.

Two lists within a millisecond: no host knows the first, so it leaves by age only, and all hosts refuse for stale_region + W. Ruled out by trials: with the lists 4 s apart, or with stale_region at 4 s, it passes; with stale_region at 60 s nothing is admitted from 60 s to 72 s, and the rate again from 80 s to 90 s.

--- a/crates/kws-bench/src/limits/scenario.rs
+++ b/crates/kws-bench/src/limits/scenario.rs
@@ -1,8 +1,8 @@
 //! Fleets, arrivals and faults that the table and the tests share.
 
 use super::{
-    model::{FleetEvent, FleetModel, NetworkModel, PLATFORM, RuleMaker},
-    rule::{LimitRule, SingleOwner, StaticSplit},
+    model::{FleetEvent, LimitsFleet, NetworkModel, PLATFORM, RuleMaker},
+    rule::{SingleOwner, StaticSplit},
     score::RunScore,
 };
 use clap::ValueEnum;
@@ -11,6 +11,7 @@
     FleetSettings, FleetSnapshot, FreshnessSettings, HostList, HostName, HostState, ListedHost,
     RegionName, RegionSettings, TeamName, TeamSettings, TreeRevision,
 };
+use kws_replay::limits::LimitRule;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -194,7 +195,7 @@
             late_by: Duration::ZERO,
         };
         let maker = rule_maker(self.rule, &self.policy);
-        let mut model = FleetModel::new(1, network, &plan.teams, SCORED_FROM, maker);
+        let mut model = LimitsFleet::new(1, network, &plan.teams, SCORED_FROM, maker);
         let hosts: Vec<(HostName, usize)> = (0..self.hosts).map(host).collect();
         for (name, region) in &hosts {
             start(&mut model, Duration::ZERO, name, *region);
@@ -207,7 +208,7 @@
         model.score
     }
 
-    fn plan_fault(&self, model: &mut FleetModel, plan: &FleetPlan, hosts: Vec<(HostName, usize)>) {
+    fn plan_fault(&self, model: &mut LimitsFleet, plan: &FleetPlan, hosts: Vec<(HostName, usize)>) {
         let hold = Duration::from_secs(8);
         let few: Vec<usize> = (0..4).collect();
         match self.fault {
@@ -227,7 +228,7 @@
         }
     }
 
-    fn plan_arrivals(&self, model: &mut FleetModel) {
+    fn plan_arrivals(&self, model: &mut LimitsFleet) {
         let mut rng = StdRng::seed_from_u64(2);
         for (team, rate) in RATES.iter().enumerate() {
             let flood = self.fault == FaultKind::Flood && team == 0;
@@ -265,14 +266,14 @@
     )
 }
 
-fn start(model: &mut FleetModel, at: Duration, name: &HostName, region: usize) {
+fn start(model: &mut LimitsFleet, at: Duration, name: &HostName, region: usize) {
     let region = RegionName::new(REGIONS[region]);
     model.plan(at, FleetEvent::Start(name.clone(), region, 0.0));
 }
 
 /// Lists new hosts in the place of the first `count`.
 fn replace(
-    model: &mut FleetModel,
+    model: &mut LimitsFleet,
     plan: &FleetPlan,
     mut hosts: Vec<(HostName, usize)>,
     count: usize,
--- a/crates/kws-replay/src/lib.rs
+++ b/crates/kws-replay/src/lib.rs
@@ -4,11 +4,13 @@
 //! hold. The feature's [`TraceModel`] runs it on virtual time, with no socket and no real wait.
 
 mod fleet;
+pub mod limits;
 mod model;
 mod report;
 mod runner;
 
 pub use fleet::{FleetModel, FleetNode, NodeFactory, NodeIdentity, TraceChecker};
+pub use limits::LimitsModel;
 pub use model::TraceModel;
 pub use report::{ReplayError, ReplayFinding, ReplayReport};
 pub use runner::{replay_file, replay_with};
--- a/crates/kws-bench/src/limits/model.rs
+++ b/crates/kws-replay/src/limits/model.rs
@@ -63,6 +63,10 @@
     Pause(usize, Duration),
     /// Messages from the first to the second are lost for a while.
     Cut(Vec<usize>, Vec<usize>, Duration),
+    /// For a while the platform answers these hosts with this revision.
+    Stale(Vec<usize>, TreeRevision, Duration),
+    /// From now on messages to the first host reach the second, which has its address.
+    Readdress(HostName, HostName),
     /// A request of a team arrives at one of the hosts, the first of them that is ready.
     Request(usize, Vec<usize>),
 }
@@ -108,11 +112,17 @@
     until: Duration,
 }
 
+struct StaleAnswer {
+    hosts: Vec<usize>,
+    revision: TreeRevision,
+    until: Duration,
+}
+
 /// Makes the rule of a host that starts.
 pub type RuleMaker = Box<dyn Fn(HostName, RegionName, Instant) -> Box<dyn LimitRule>>;
 
 /// The fleet and its future.
-pub struct FleetModel {
+pub struct LimitsFleet {
     base: Instant,
     now: Duration,
     queue: BTreeMap<(Duration, u64), ModelEvent>,
@@ -124,13 +134,16 @@
     hosts: Vec<ModelHost>,
     names: HashMap<HostName, usize>,
     cuts: Vec<NetworkCut>,
+    stale: Vec<StaleAnswer>,
+    tick: Duration,
+    poll: Duration,
     published: Vec<(Duration, Arc<FleetSnapshot>)>,
     scored_from: Duration,
     /// What was measured.
     pub score: RunScore,
 }
 
-impl FleetModel {
+impl LimitsFleet {
     /// An empty fleet; teams are (name, rate, burst), outcomes count from `scored_from` on.
     pub fn new(
         seed: u64,
@@ -154,6 +167,9 @@
             hosts: Vec::new(),
             names: HashMap::new(),
             cuts: Vec::new(),
+            stale: Vec::new(),
+            tick: TICK,
+            poll: POLL,
             published: Vec::new(),
             scored_from,
             score: RunScore {
@@ -163,6 +179,13 @@
         }
     }
 
+    /// Ticks the ledgers and asks for news at another pace than every 4 ms and every 300 ms.
+    #[must_use]
+    pub fn with_pace(mut self, tick: Duration, poll: Duration) -> Self {
+        (self.tick, self.poll) = (tick, poll);
+        self
+    }
+
     /// Plans an event.
     pub fn plan(&mut self, at: Duration, event: FleetEvent) {
         self.push(at, ModelEvent::Fleet(event));
@@ -201,6 +224,15 @@
                 let until = self.now + time;
                 self.cuts.push(NetworkCut { from, to, until });
             }
+            FleetEvent::Stale(hosts, revision, time) => self.stale.push(StaleAnswer {
+                hosts,
+                revision,
+                until: self.now + time,
+            }),
+            FleetEvent::Readdress(from, to) => {
+                let to = self.names.get(&to).copied();
+                self.names.extend(to.map(|to| (from, to)));
+            }
             FleetEvent::Request(team, hosts) => {
                 let counts = self.now >= self.scored_from;
                 self.score.teams[team].offer(self.now, counts);
@@ -237,9 +269,9 @@
             alive: true,
             waiting: HashMap::new(),
         });
-        let stagger = POLL.mul_f64(self.rng.random());
+        let stagger = self.poll.mul_f64(self.rng.random());
         self.later(index, stagger, HostEvent::Poll);
-        let stagger = TICK.mul_f64(self.rng.random());
+        let stagger = self.tick.mul_f64(self.rng.random());
         self.later(index, stagger, HostEvent::Tick);
     }
 
@@ -258,7 +290,7 @@
             HostEvent::Tick => {
                 self.hosts[host].ticked = self.now;
                 self.hosts[host].rule.tick(now);
-                self.later(host, TICK, HostEvent::Tick);
+                self.later(host, self.tick, HostEvent::Tick);
             }
             HostEvent::Platform(sent, snapshot) => self.hear_platform(host, sent, &snapshot, now),
             HostEvent::Question(from, sent, revision) => {
@@ -288,7 +320,7 @@
     fn decide(&mut self, team: usize, offered: Duration, decision: AdmitDecision) {
         let counts = offered >= self.scored_from;
         if decision == AdmitDecision::Admitted {
-            self.score.teams[team].admit(self.now, counts);
+            self.score.teams[team].admit(self.now, offered, counts);
         }
         if counts {
             let wait = self.now.saturating_sub(offered);
@@ -361,7 +393,7 @@
     }
 
     fn poll(&mut self, host: usize, now: Instant) {
-        self.later(host, POLL, HostEvent::Poll);
+        self.later(host, self.poll, HostEvent::Poll);
         if !self.is_cut(host, PLATFORM) && !self.is_cut(PLATFORM, host) {
             self.ask_platform(host, now);
         }
@@ -388,12 +420,27 @@
             .list_lag
             .mul_f64(self.rng.random());
         let seen = self.now.saturating_sub(lag);
-        let known = self.published.iter().rev().find(|(at, _)| *at <= seen);
+        let stale = self.stale_revision(host);
+        let known = self.published.iter().rev().find(|(at, snapshot)| {
+            *at <= seen && stale.is_none_or(|stale| snapshot.revision <= stale)
+        });
+        // A replica behind what the host holds is refused, as the daemon does.
+        let held = self.hosts[host].lease.held.as_ref();
+        let behind = held.map(|held| held.revision) > stale;
+        if stale.is_some() && behind {
+            return;
+        }
         if let Some((_, snapshot)) = known.cloned() {
             self.later(host, self.network.near, HostEvent::Platform(now, snapshot));
         }
     }
 
+    fn stale_revision(&self, host: usize) -> Option<TreeRevision> {
+        let stale = self.stale.iter();
+        let mut open = stale.filter(|stale| stale.until > self.now && stale.hosts.contains(&host));
+        open.next_back().map(|stale| stale.revision)
+    }
+
     fn hear_platform(
         &mut self,
         host: usize,
--- a/crates/kws-bench/src/limits/score.rs
+++ b/crates/kws-replay/src/limits/score.rs
@@ -1,6 +1,9 @@
 //! What a run measured.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
+
+/// What sums of floating-point numbers may be off by, in requests.
+const ROUNDING: f64 = 1e-6;
 
 /// Halvings of the interval in which the largest ratio is searched.
 const SEARCH_STEPS: usize = 40;
@@ -14,6 +17,8 @@
     ideal_level: f64,
     ideal_seen: f64,
     ideal: usize,
+    ideal_offers: Vec<Duration>,
+    admitted_offers: Vec<Duration>,
     counted: usize,
 }
 
@@ -27,25 +32,29 @@
             ideal_level: burst,
             ideal_seen: 0.0,
             ideal: 0,
+            ideal_offers: Vec::new(),
+            admitted_offers: Vec::new(),
             counted: 0,
         }
     }
 
     /// Counts a request offered; `counts` when its outcome is scored.
-    pub fn offer(&mut self, at: Duration, counts: bool) {
-        let at = at.as_secs_f64();
+    pub fn offer(&mut self, offered: Duration, counts: bool) {
+        let at = offered.as_secs_f64();
         let filled = self.ideal_level + self.rate * (at - self.ideal_seen);
         self.ideal_level = filled.min(self.burst);
         self.ideal_seen = at;
         if self.ideal_level >= 1.0 {
             self.ideal_level -= 1.0;
             self.ideal += usize::from(counts);
+            self.ideal_offers.push(offered);
         }
     }
 
-    /// Counts a request admitted; calls are in the order of time.
-    pub fn admit(&mut self, at: Duration, counts: bool) {
+    /// Counts a request admitted at `at`; calls are in the order of time.
+    pub fn admit(&mut self, at: Duration, offered: Duration, counts: bool) {
         self.admitted.push(at.as_secs_f64());
+        self.admitted_offers.push(offered);
         self.counted += usize::from(counts);
     }
 
@@ -59,6 +68,26 @@
         self.ideal.saturating_sub(self.counted)
     }
 
+    /// Of the requests offered in a span, how many one exact bucket would have admitted.
+    pub fn ideal_in(&self, span: &RangeInclusive<Duration>) -> usize {
+        let offers = self.ideal_offers.iter();
+        offers.filter(|at| span.contains(at)).count()
+    }
+
+    /// Of the requests offered in a span, how many were admitted.
+    pub fn admitted_in(&self, span: &RangeInclusive<Duration>) -> usize {
+        let offers = self.admitted_offers.iter();
+        offers.filter(|at| span.contains(at)).count()
+    }
+
+    /// When a window first holds more than its entitlement and `slack`, and by how much it exceeds its rate.
+    pub fn first_excess(&self, slack: f64) -> Option<(Duration, f64)> {
+        let allowed = self.burst + slack + ROUNDING;
+        let mut running = self.running_excess(self.rate);
+        let (at, excess) = running.find(|(_, excess)| *excess > allowed)?;
+        Some((Duration::from_secs_f64(at), excess))
+    }
+
     /// All requests admitted.
     pub fn admitted(&self) -> usize {
         self.admitted.len()
@@ -89,15 +118,18 @@
     }
 
     fn excess_over(&self, rate: f64) -> f64 {
-        let mut most: f64 = 0.0;
-        let mut excess: f64 = 0.0;
-        let mut last = 0.0;
-        for at in &self.admitted {
+        let excesses = self.running_excess(rate).map(|(_, excess)| excess);
+        excesses.fold(0.0, f64::max)
+    }
+
+    /// At each admission the most by which any window that ends there exceeds `rate`.
+    fn running_excess(&self, rate: f64) -> impl Iterator<Item = (f64, f64)> {
+        let (mut excess, mut last): (f64, f64) = (0.0, 0.0);
+        self.admitted.iter().map(move |at| {
             excess = (excess - rate * (at - last)).max(0.0) + 1.0;
             last = *at;
-            most = most.max(excess);
-        }
-        most
+            (*at, excess)
+        })
     }
 }
 
--- a/crates/kws-replay/src/runner.rs
+++ b/crates/kws-replay/src/runner.rs
@@ -1,6 +1,6 @@
 //! Picks the model of a trace and runs it.
 
-use crate::{FleetModel, ReplayError, ReplayReport, TraceModel};
+use crate::{FleetModel, LimitsModel, ReplayError, ReplayReport, TraceModel};
 use serde::Deserialize;
 use std::{fs, path::Path};
 
@@ -15,7 +15,7 @@
 /// # Errors
 /// Any [`ReplayError`]; an outcome that does not hold is no error but a finding.
 pub fn replay_file(path: &Path) -> Result<ReplayReport, ReplayError> {
-    replay_with(path, &[&FleetModel::default()])
+    replay_with(path, &[&FleetModel::default(), &LimitsModel::default()])
 }
 
 /// Runs the trace in the file at `path` by the one of `models` that its feature names.
