A revision that every host skipped no longer stops the fleet

Cause: a skipped revision's members are unknown, so nothing proved that no host can use it, and it bounded all shares at zero until stale_region + W; with the default, four hours. Two lists published within a millisecond do it. Ruled out: asking peers or the platform for the skipped content, which nobody holds; a list that never loses a name for good, since lists flap. The evidence counts the hosts listed before and after; the new assumption A8 says how much a skipped list may differ from both.

--- a/crates/kws-limits/src/window/entry.rs
+++ b/crates/kws-limits/src/window/entry.rs
@@ -29,6 +29,8 @@
     pub(super) last: TreeRevision,
     pub(super) content: Option<Arc<FleetSnapshot>>,
     members: Vec<ListedMember>,
+    /// Whether it stands for unknown revisions whose members are those listed before or after.
+    is_between: bool,
     /// The regions with listed hosts.
     pub(super) regions: BTreeSet<RegionName>,
     pub(super) entered: Instant,
@@ -67,6 +69,7 @@
             last,
             content,
             members,
+            is_between: false,
             regions,
             entered: now,
             superseded: None,
@@ -76,6 +79,29 @@
         }
     }
 
+    /// Unknown revisions between two known ones: whom they listed is judged by those around them.
+    pub(super) fn between(
+        mut self,
+        before: &FleetSnapshot,
+        after: &FleetSnapshot,
+        region: &RegionName,
+    ) -> Self {
+        let earlier = live_hosts(before, region);
+        let later = live_hosts(after, region);
+        let around = before.hosts.in_region(region);
+        let around = around.chain(after.hosts.in_region(region));
+        let names: BTreeSet<&HostName> = around.map(|host| &host.name).collect();
+        self.members = names
+            .into_iter()
+            .map(|name| ListedMember {
+                name: name.clone(),
+                live: earlier.contains(name) && later.contains(name),
+            })
+            .collect();
+        self.is_between = true;
+        self
+    }
+
     /// Whether it stands for everything before the first revision adopted.
     pub(super) fn is_past(&self) -> bool {
         self.first == TreeRevision(0) && self.content.is_none()
@@ -119,15 +145,14 @@
     }
 
     /// Notes whether half of the entry's hosts are known to hold a newer revision: then any
-    /// majority of them has one that denies the entry. Both all listed and the live are counted,
-    /// so that the rule holds whichever of the two the lease asks.
+    /// majority of them has one that denies the entry.
     pub(super) fn count_holders(
         &mut self,
         own: &HostName,
         peers: &HashMap<HostName, TreeRevision>,
         now: Instant,
     ) {
-        if self.superseded.is_none() || self.content.is_none() || self.outvoted.is_some() {
+        if self.superseded.is_none() || self.outvoted.is_some() {
             return;
         }
         let newer = |member: &&ListedMember| {
@@ -136,10 +161,15 @@
                     .get(&member.name)
                     .is_some_and(|held| *held > self.last)
         };
-        let live = || self.members.iter().filter(|member| member.live);
-        let of_all = 2 * self.members.iter().filter(newer).count() >= self.members.len();
-        let of_live = 2 * live().filter(newer).count() >= live().count();
-        if of_all && of_live {
+        let all = MemberCount::new(self.members.iter(), newer);
+        let live = MemberCount::new(self.members.iter().filter(|member| member.live), newer);
+        let outvoted = match (&self.content, self.is_between) {
+            // Whichever of the two the lease asks.
+            (Some(_), _) => all.is_half() && live.is_half(),
+            (None, true) => all.outvotes_unknown(&live),
+            (None, false) => false,
+        };
+        if outvoted {
             self.outvoted = Some(now);
         }
     }
@@ -200,6 +230,49 @@
     }
 }
 
+/// Members of an entry, and how many of them are known to hold a newer revision.
+#[derive(Clone, Copy, Debug)]
+struct MemberCount {
+    members: usize,
+    newer: usize,
+}
+
+impl MemberCount {
+    fn new<'a>(
+        members: impl Iterator<Item = &'a ListedMember>,
+        newer: impl Fn(&&ListedMember) -> bool,
+    ) -> Self {
+        let mut count = Self {
+            members: 0,
+            newer: 0,
+        };
+        for member in members {
+            count.members += 1;
+            count.newer += usize::from(newer(&member));
+        }
+        count
+    }
+
+    fn is_half(&self) -> bool {
+        2 * self.newer >= self.members
+    }
+
+    /// Whether half of the hosts that each unknown revision listed are known to hold a newer one.
+    /// `self` counts the hosts around them, `kept` those that are live on both sides. Listed were
+    /// all of `kept` but some, and of the others at most those not known to be newer and some that
+    /// came and went; the two kinds are taken as a third of the hosts around at the most (A8).
+    fn outvotes_unknown(&self, kept: &Self) -> bool {
+        let unheard = self.members - self.newer;
+        self.members > 0 && 3 * kept.newer >= 3 * unheard + self.members
+    }
+}
+
+fn live_hosts<'a>(snapshot: &'a FleetSnapshot, region: &'a RegionName) -> BTreeSet<&'a HostName> {
+    let listed = snapshot.hosts.in_region(region);
+    let live = listed.filter(|host| host.state == HostState::Live);
+    live.map(|host| &host.name).collect()
+}
+
 /// How long a host may use a superseded revision at the most, loans included.
 fn window_length(entry: &WindowEntry, newest: &FleetSnapshot) -> Duration {
     let settings = entry.settings(newest);
