--- a/crates/kws-bench/src/capacity/configuration.rs
+++ b/crates/kws-bench/src/capacity/configuration.rs
@@ -16,11 +16,11 @@
 
 const TEAM_SIZES: [usize; 3] = [2_000, 20_000, TEAMS];
 const BRANCH_SIZES: [usize; 3] = [500, 2_000, BRANCH_TEAMS];
-/// Calls of one host in the first second of refusals, by the daemon's pauses: 75 ms on average at
-/// first, doubled each time.
-const FIRST_TRIES: f64 = 4.0;
+/// Calls of one host in the first second of refusals, by the daemon's pauses: 190 ms on average
+/// at first, doubled each time.
+const FIRST_TRIES: f64 = 3.0;
 /// The longest of these pauses on average, in seconds.
-const LONGEST_PAUSE: f64 = 1.5;
+const LONGEST_PAUSE: f64 = 0.75;
 /// Bits of a byte.
 const BYTE_BITS: f64 = 8.0;
 /// Answers of the platform in a lease; each is a call.
--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -2,5 +2,7 @@
 
 pub mod backends;
 pub mod capacity;
+pub mod control;
 pub mod fleet;
+pub mod forward;
 pub mod limits;
--- a/crates/kws-bench/src/limits.rs
+++ b/crates/kws-bench/src/limits.rs
@@ -1,5 +1,6 @@
 //! The table of limits: the product against naive rules, in virtual time.
 
+pub mod cost;
 pub mod lease;
 pub mod model;
 pub mod rule;
@@ -9,7 +10,7 @@
 use clap::Args;
 use kws_limits::LimitsPolicy;
 use scenario::{ArrivalKind, FaultKind, RuleKind, SCORED_SECONDS, TableRun};
-use std::thread;
+use std::{thread, time::Duration};
 
 const ARRIVALS: [ArrivalKind; 3] = [ArrivalKind::Even, ArrivalKind::Skewed, ArrivalKind::Single];
 
@@ -43,6 +44,15 @@
     /// Milliseconds of demand that are borrowed ahead within a region.
     #[arg(long, default_value_t = LimitsPolicy::default().region_ahead.as_millis() as u64)]
     region_ahead: u64,
+    /// Milliseconds of demand that are borrowed ahead from other regions.
+    #[arg(long, default_value_t = LimitsPolicy::default().remote_ahead.as_millis() as u64)]
+    remote_ahead: u64,
+    /// Milliseconds for which a lender of the region that was short is spared.
+    #[arg(long, default_value_t = LimitsPolicy::default().max_near_pause.as_millis() as u64)]
+    near_pause: u64,
+    /// Measure the cost of the ledger with 570 hosts and 54,000 teams instead.
+    #[arg(long)]
+    cost: bool,
 }
 
 impl LimitsArgs {
@@ -51,14 +61,20 @@
     /// # Errors
     /// None; the signature is that of every table.
     pub fn run(&self) -> eyre::Result<()> {
+        if self.cost {
+            println!("{:#?}", cost::measure());
+            return Ok(());
+        }
         println!(
-            "{:8} {:7} {:11} {:>9} {:>10} {:>11} {:>8} {:>8} {:>8}",
+            "{:8} {:7} {:11} {:>9} {:>10} {:>8} {:>11} {:>11} {:>8} {:>8} {:>8}",
             "rule",
             "arrival",
             "fault",
             "largest",
             "refused %",
+            "worst %",
             "msg/host/s",
+            "link kbit/s",
             "p50 ms",
             "p99 ms",
             "max ms"
@@ -91,7 +107,9 @@
             policy: LimitsPolicy {
                 rate_per_holder: self.rate_per_holder,
                 min_holders: self.min_holders,
-                region_ahead: std::time::Duration::from_millis(self.region_ahead),
+                region_ahead: Duration::from_millis(self.region_ahead),
+                max_near_pause: Duration::from_millis(self.near_pause),
+                remote_ahead: Duration::from_millis(self.remote_ahead),
                 ..LimitsPolicy::default()
             },
             arrival,
@@ -106,13 +124,15 @@
     let score = run.run();
     let messages = score.messages as f64 / run.hosts as f64 / SCORED_SECONDS;
     format!(
-        "{:8} {:7} {:11} {:>9.3} {:>10.2} {:>11.1} {:>8.2} {:>8.2} {:>8.2}",
+        "{:8} {:7} {:11} {:>9.3} {:>10.2} {:>8.2} {:>11.1} {:>11.1} {:>8.2} {:>8.2} {:>8.2}",
         format!("{:?}", run.rule),
         format!("{:?}", run.arrival),
         format!("{:?}", run.fault),
         score.largest_ratio(),
         score.refused_percent(),
+        score.worst_percent(),
         messages,
+        score.link_bytes as f64 * 8e-3 / SCORED_SECONDS,
         score.wait(50.0),
         score.wait(99.0),
         score.wait(100.0)
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -20,6 +20,8 @@
 /// What is known of a request for its record.
 #[derive(Debug, Default)]
 struct ExchangeLog {
+    /// Empty for a head that failed its checks: it may hold a key.
+    path: String,
     route: Option<RouteName>,
     team: Option<TeamName>,
     tried: TryHistory,
@@ -58,6 +60,7 @@
     let mut log = ExchangeLog::default();
     let result = match read_head(&request) {
         Ok(parts) => {
+            log.path.clone_from(&parts.path);
             let mut exchange = Exchange {
                 judge: RequestJudge {
                     worker,
@@ -90,7 +93,7 @@
         request_id,
         caller: request.peer_addr(),
         method: request.method().to_string(),
-        path: request.uri().path().to_owned(),
+        path: log.path,
         route: log.route,
         team: log.team,
         server: log.tried.last,
@@ -112,11 +115,11 @@
 
 impl Exchange<'_> {
     async fn run(&mut self, payload: Payload) -> Result<Response, Refused> {
-        let snapshot = self.judge.current_snapshot()?;
-        let route = self.judge.route(&snapshot)?;
+        let view = self.judge.current_view()?;
+        let route = self.judge.route(&view)?;
         self.log.route = Some(route.name.clone());
         self.judge.check_size(route)?;
-        let team = self.judge.authenticate(&snapshot, route)?;
+        let team = self.judge.authenticate(&view, route)?;
         self.log.team.clone_from(&team);
         let deadline = self.started + route.deadline;
         if let Some(team) = &team {
@@ -127,7 +130,7 @@
             max_bytes: route.max_body,
             idle: route.idle,
         };
-        let service = snapshot.settings.services.get(&route.service);
+        let service = view.snapshot.settings.services.get(&route.service);
         let series = TrySeries {
             judge: self.judge,
             route,
--- a/crates/kws-forward/src/head.rs
+++ b/crates/kws-forward/src/head.rs
@@ -1,10 +1,15 @@
 //! Checks of a request's head, and the headers that pass in each direction.
 
-use crate::{credential::take_key, target::check_path};
+use crate::{
+    credential::{KeyPlaces, take_key},
+    target::check_path,
+};
 use kws_protocol::{KeyDigest, RefusalReason};
 use ntex::http::{HeaderMap, Method, Request, Version, header};
 use std::{collections::BTreeSet, net::SocketAddr};
 
+/// Header lines of a request at the most; the HTTP server's own limit counts otherwise.
+const MAX_HEADERS: usize = 128;
 /// Prefix of the headers that only daemons set.
 const OWN_PREFIX: &str = "x-knapweedseam-";
 /// Prefix of the headers by which the daemon and backend servers talk.
@@ -97,8 +102,11 @@
 /// Checks a request's head and takes it apart.
 ///
 /// # Errors
-/// [`RefusalReason::BadRequest`] or [`RefusalReason::KeyTwice`].
+/// [`RefusalReason::BadRequest`], [`RefusalReason::HeadTooLarge`] or [`RefusalReason::KeyTwice`].
 pub(crate) fn read_head(request: &Request) -> Result<RequestParts, RefusalReason> {
+    if request.headers().iter().count() > MAX_HEADERS {
+        return Err(RefusalReason::HeadTooLarge);
+    }
     check_method(request)?;
     check_path(request.uri().path())?;
     let authority = single_host(request)?;
@@ -106,7 +114,11 @@
     let size = head_size(request);
     let mut headers = request.headers().clone();
     let mut query = request.uri().query().map(str::to_owned);
-    let key = take_key(&mut headers, &mut query)?;
+    let key = take_key(KeyPlaces {
+        headers: &mut headers,
+        path: request.uri().path(),
+        query: &mut query,
+    })?;
     let trace = single_text(&headers, "traceparent");
     strip_hop(&mut headers)?;
     strip_identity(&mut headers);
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -12,11 +12,13 @@
 mod head;
 mod judge;
 mod listener;
+mod pending;
 mod protocol_reply;
 mod reply;
 mod request_body;
 mod request_id;
 mod route;
+mod routing;
 mod silence;
 mod single_try;
 mod target;
@@ -28,8 +30,8 @@
 
 pub use control::{
     AccessRecord, ForwardControl, GrantTicket, Refusal, RetryVerdict, ServerGrant, ServerRequest,
-    TryClass, TryOutcome, TryReport,
+    TryClass, TryOutcome,
 };
 pub use listener::{ListenerHandle, ListenerSettings, run_listener};
-pub use route::{find_route, is_repeatable};
+pub use routing::RoutingView;
 pub use tls::{BackendTrust, CertificateFiles, CertificateStore, TlsError};
--- a/crates/kws-forward/src/protocol_reply.rs
+++ b/crates/kws-forward/src/protocol_reply.rs
@@ -44,8 +44,12 @@
 
 fn refusal_of(error: &ProtocolError) -> Option<RefusalReason> {
     match error {
-        ProtocolError::Decode(DecodeError::TooLarge(_)) => Some(RefusalReason::HeadTooLarge),
-        ProtocolError::Decode(_) => Some(RefusalReason::BadRequest),
+        ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
+            Some(RefusalReason::HeadTooLarge)
+        }
+        ProtocolError::Decode(_) | ProtocolError::SlowRequestTimeout => {
+            Some(RefusalReason::BadRequest)
+        }
         _ => None,
     }
 }
--- a/crates/kws-forward/tests/whole_answer.rs
+++ b/crates/kws-forward/tests/whole_answer.rs
@@ -178,3 +178,70 @@
     assert!(!second.text.contains("extra"), "{second:?}");
     assert!(second.is_whole(), "{second:?}");
 }
+
+#[rstest]
+#[case::silent_head(BackendFault::SilentHead)]
+#[case::silent_body(BackendFault::SilentBody(60))]
+#[tokio::test]
+async fn doubted_siblings(#[case] fault: BackendFault) {
+    let slow = route("/slow", |route| {
+        route.deadline = Duration::from_millis(500);
+        route.idle = Duration::from_millis(100);
+        route.tries = 1;
+    });
+    let together = BackendScript {
+        delay_ms: 100,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::with_routes([slow], [together]).await;
+    tokio::join!(fleet.get("/slow"), fleet.get("/slow"));
+    fleet.classes(2).await;
+    fleet.backends[0].set_script(script(BodyFraming::Length, fault));
+    fleet.get("/slow").await;
+    fleet.classes(3).await;
+    fleet.backends[0].set_script(BackendScript::default());
+    assert!(fleet.get("/slow").await.is_whole());
+    assert_eq!(fleet.backends[0].seen()[3].connection, 2);
+}
+
+#[rstest]
+#[case::redirect(302, "location", "http://127.0.0.1:1/other")]
+#[case::coded(200, "content-encoding", "gzip")]
+#[case::not_found(404, "x-row", "4")]
+#[tokio::test]
+async fn unchanged_answer(#[case] status: u16, #[case] name: &str, #[case] value: &str) {
+    let script = BackendScript {
+        status,
+        headers: [(name.to_owned(), value.to_owned())].into(),
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([script]).await;
+    let answer = fleet.get("/listing").await;
+    assert_eq!(
+        (answer.status(), answer.header(name)),
+        (status, Some(value))
+    );
+    assert!(
+        answer.is_whole()
+            && answer
+                .body()
+                .starts_with(answer.header("x-request-id").unwrap_or("?"))
+    );
+    assert_eq!(fleet.arrivals(), 1);
+}
+
+#[rstest]
+#[case::no_content(204)]
+#[case::not_modified(304)]
+#[tokio::test]
+async fn bodiless_status(#[case] status: u16) {
+    let script = BackendScript {
+        status,
+        body_bytes: 0,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([script]).await;
+    let answer = fleet.get("/listing").await;
+    assert_eq!((answer.status(), answer.body()), (status, ""));
+    assert_eq!(fleet.classes(1).await, [TryClass::Good]);
+}
--- a/crates/kws-limits/src/account.rs
+++ b/crates/kws-limits/src/account.rs
@@ -3,7 +3,7 @@
 use crate::{
     AdmitTicket, LimitsPolicy,
     lease::LeaseState,
-    loan::{BorrowedLoan, DemandRate, DryLender, LentLoans, PendingLoan},
+    loan::{BorrowedLoan, DemandRate, DryLender, FulfilledShare, LentLoans, PendingLoan},
     window::{Allotment, RevisionWindow, ShareCache},
 };
 use kws_protocol::{HostName, TeamName, TreeRevision};
@@ -13,6 +13,13 @@
 /// Rounding that may be missing from a whole token; the level then goes below 0 by as much.
 const ROUNDING: f64 = 1e-9;
 
+/// Requests for loans to one lender of another region that may be under way at once; one of the
+/// own region answers so soon that the next can wait.
+const MAX_FAR_LOANS: usize = 4;
+
+/// Several requests wait for the own region only when so much of what is asked for is lent.
+const MIN_FULFILLED: f64 = 0.25;
+
 /// A request that waits.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
@@ -37,15 +44,22 @@
     pub(crate) dry_pause: Duration,
 }
 
-/// Who may be asked for a loan, best first.
-#[derive(Debug, Default)]
+/// Who may be asked for a loan.
+#[derive(Debug)]
 pub(crate) struct LenderList {
     /// The revision that named them.
     pub(crate) revision: TreeRevision,
-    /// Holders in the own region.
-    pub(crate) local: Vec<LoanSource>,
-    /// Holders in other regions.
-    pub(crate) remote: Vec<LoanSource>,
+    /// The hosts.
+    pub(crate) sources: Arc<[LoanSource]>,
+}
+
+impl LenderList {
+    fn new() -> Self {
+        Self {
+            revision: TreeRevision(0),
+            sources: Arc::new([]),
+        }
+    }
 }
 
 /// What the account's tokens depend on.
@@ -80,8 +94,14 @@
     pub(crate) waiting: VecDeque<WaitingRequest>,
     /// The demand seen.
     pub(crate) demand: DemandRate,
-    /// Who may lend.
-    pub(crate) lenders: Arc<LenderList>,
+    /// Who may lend in the own region.
+    pub(crate) near: LenderList,
+    /// Who may lend in other regions.
+    pub(crate) far: LenderList,
+    /// How much of what the own region is asked for it lends.
+    fulfilled_near: FulfilledShare,
+    /// How much of what other regions are asked for they lend.
+    fulfilled_far: FulfilledShare,
     /// Whose turn it is to be asked.
     pub(crate) turn: usize,
 }
@@ -102,7 +122,10 @@
             dry: Vec::new(),
             waiting: VecDeque::new(),
             demand: DemandRate::new(now),
-            lenders: Arc::default(),
+            near: LenderList::new(),
+            far: LenderList::new(),
+            fulfilled_near: FulfilledShare::new(),
+            fulfilled_far: FulfilledShare::new(),
             turn: 0,
         }
     }
@@ -223,15 +246,19 @@
     }
 
     /// Whether the lender is asked already or was short or silent lately.
-    pub(crate) fn is_spared(&self, lender: &HostName, now: Instant) -> bool {
-        let dry = self
-            .dry
-            .iter()
-            .any(|dry| &dry.lender == lender && dry.until > now);
-        dry || self
+    pub(crate) fn is_spared(&self, source: &LoanSource, now: Instant) -> bool {
+        let lender = &source.lender;
+        let asked = self
             .pending
             .iter()
-            .any(|loan| &loan.lender == lender && loan.expected > now)
+            .filter(|loan| &loan.lender == lender && loan.expected > now)
+            .count();
+        let most = if source.near { 1 } else { MAX_FAR_LOANS };
+        asked >= most
+            || self
+                .dry
+                .iter()
+                .any(|dry| &dry.lender == lender && dry.until > now)
     }
 
     /// Whether an answer from the own region may still be counted on.
@@ -242,16 +269,40 @@
     }
 
     /// Whether all that wait and `more` requests may still get tokens. An answer from the own region
-    /// is waited for in any case, since others can be asked in time after it.
+    /// is waited for in any case, since others can be asked in time after it; of other answers as
+    /// much is counted on as lately came. One request may always wait for an answer.
     pub(crate) fn covers(&self, more: usize, now: Instant) -> bool {
         let wanted = (self.waiting.len() + more) as f64;
-        self.expects_near(now) || self.in_hand() + self.expected(now) >= wanted - ROUNDING
+        let near = self.expects_near(now);
+        if wanted <= 1.0 {
+            return near || self.in_hand() + self.expected(now) >= wanted - ROUNDING;
+        }
+        let pending = self.pending.iter().filter(|loan| loan.expected > now);
+        let likely = |loan: &PendingLoan| {
+            let share = if loan.near {
+                &self.fulfilled_near
+            } else {
+                &self.fulfilled_far
+            };
+            loan.tokens * share.value()
+        };
+        self.in_hand() + pending.map(likely).sum::<f64>() >= wanted - ROUNDING
+            || near && self.fulfilled_near.value() >= MIN_FULFILLED
+    }
+
+    /// How much of what lenders near or far are asked for is lent, lately.
+    pub(crate) fn fulfilled(&mut self, near: bool) -> &mut FulfilledShare {
+        if near {
+            &mut self.fulfilled_near
+        } else {
+            &mut self.fulfilled_far
+        }
     }
 
     /// Whether every lender of the own region was short or silent lately.
     pub(crate) fn is_near_dry(&self, now: Instant) -> bool {
-        let mut near = self.lenders.local.iter();
-        near.all(|source| self.is_spared(&source.lender, now))
+        let mut near = self.near.sources.iter();
+        near.all(|source| self.is_spared(source, now))
     }
 
     /// Spares a lender for `pause`, or for longer, up to `most`, when it was marked just before.
@@ -263,6 +314,10 @@
         now: Instant,
     ) {
         let marked = self.dry.iter().find(|dry| &dry.lender == lender);
+        if marked.is_some_and(|dry| now < dry.until) {
+            // Another answer of the same round is no news.
+            return;
+        }
         let again = marked.filter(|dry| now < dry.until + dry.pause);
         let pause = again.map_or(pause, |dry| (dry.pause * 2).min(most).max(pause));
         self.dry
--- a/crates/kws-limits/tests/revision_window.rs
+++ b/crates/kws-limits/tests/revision_window.rs
@@ -5,7 +5,7 @@
 }
 
 use common::fleet::{snapshot, stale, window};
-use kws_limits::{AdmitDecision, LimitsLedger, LimitsPolicy};
+use kws_limits::{AdmitDecision, LOAN_TERM, LimitsLedger, LimitsPolicy};
 use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RegionName, TeamName, TreeRevision};
 use rstest::rstest;
 use std::{sync::Arc, time::Duration};
@@ -32,15 +32,13 @@
 use News::{Adopt, Mark, Peer, Refuse, Wait, Weigh};
 
 fn published(revision: u64, hosts: usize, weight: f64) -> Arc<FleetSnapshot> {
-    let hosts = &[("a", "a1"), ("a", "a2"), ("a", "a3")][..hosts];
-    let weights = [("a", weight), ("b", 1.0 - weight)];
-    let regions = if weight < 1.0 { 2 } else { 1 };
-    snapshot(
-        revision,
-        hosts,
-        &[("shop", 12.0, 12.0)],
-        &weights[..regions],
-    )
+    let mut listed = [("a", "a1"), ("a", "a2"), ("a", "a3")][..hosts].to_vec();
+    let mut weights = vec![("a", weight)];
+    if weight < 1.0 {
+        listed.push(("b", "b1"));
+        weights.push(("b", 1.0 - weight));
+    }
+    snapshot(revision, &listed, &[("shop", 12.0, 12.0)], &weights)
 }
 
 fn learn(ledger: &mut LimitsLedger, news: &News, now: Instant) {
@@ -66,6 +64,7 @@
 #[case::unheard_majority(vec![Adopt(2, 2), Wait(window())], 4)]
 #[case::heard_lately(vec![Adopt(2, 2), Wait(window()), Peer("a2", 2)], 4)]
 #[case::heard_majority(vec![Adopt(2, 2), Peer("a2", 2), Wait(window())], 6)]
+#[case::heard_too_short(vec![Adopt(2, 2), Peer("a2", 2), Wait(window().saturating_sub(LOAN_TERM))], 4)]
 #[case::heard_stranger(vec![Adopt(2, 2), Peer("a7", 2), Wait(window())], 4)]
 #[case::cut_off_too_long(vec![Adopt(2, 2), Wait(stale())], 6)]
 #[case::marked(vec![Adopt(2, 2), Mark("a", 2)], 6)]
--- a/crates/kws-membership/src/members.rs
+++ b/crates/kws-membership/src/members.rs
@@ -7,7 +7,7 @@
     HostList, HostName, HostState, ListedHost, RegionName, RevisionView, TreeRevision,
 };
 use roster::HostRoster;
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Which host this is.
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Forgets every answer.
+    pub(crate) fn forget_words(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.word = None;
+        }
+    }
+
     /// Forgets hosts that are neither listed nor lately heard, so that memory stays bounded.
     pub(crate) fn prune(&mut self, now: Instant, lease: Duration) {
         let Some(roster) = &self.roster else {
@@ -190,10 +197,14 @@
             .filter(|word| word.counts && agrees(&word.view))
             .map(|word| word.sent)
             .collect();
-        sent.sort_unstable_by(|left, right| right.cmp(left));
         match self.answers_needed()? {
             0 => Some(now),
-            needed => sent.get(needed - 1).copied(),
+            needed if needed > sent.len() => None,
+            needed => {
+                let (_, oldest, _) =
+                    sent.select_nth_unstable_by(needed - 1, |left, right| right.cmp(left));
+                Some(*oldest)
+            }
         }
     }
 
@@ -203,24 +214,26 @@
             .is_some_and(|needed| self.voter_words().count() >= needed)
     }
 
-    /// Hosts heard within the lease that hold a revision which `lacks` says is missing here, the
-    /// newest revision first and of equal ones the latest reached first.
+    /// Hosts heard within the lease that hold a revision which `lacks` says is missing here: the
+    /// newest revision first, of equal ones the own region, and there the latest reached.
     pub(crate) fn holders(
         &self,
         now: Instant,
         lease: Duration,
         lacks: impl Fn(TreeRevision) -> bool,
     ) -> Vec<(&HostName, TreeRevision)> {
-        let mut holders: Vec<_> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.heard(now, lease))
+        let heard = self.peers.iter().filter(|(_, peer)| peer.heard(now, lease));
+        let mut holders: Vec<_> = heard
             .filter_map(|(name, peer)| Some((name, peer.news?.revision, peer.word)))
             .filter(|(_, revision, _)| lacks(*revision))
             .collect();
-        holders.sort_by_key(|(_, revision, word)| (*revision, word.map(|word| word.sent)));
-        let newest_first = holders.into_iter().rev();
-        newest_first
+        holders.sort_by_key(|(name, revision, word)| {
+            // The link between regions is paid by volume.
+            let local = self.region_peers().contains(name);
+            Reverse((*revision, local, word.map(|word| word.sent)))
+        });
+        let holders = holders.into_iter();
+        holders
             .map(|(name, revision, _)| (name, revision))
             .collect()
     }
--- a/crates/kws-membership/tests/fleet_view.rs
+++ b/crates/kws-membership/tests/fleet_view.rs
@@ -171,7 +171,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn one_newer_blocks() {
+async fn one_newer() {
     let mut host = TestHost::joined();
     host.pass(LAST_WORD).await;
     host.answer("e", host.nonce, view_of(6), true);
@@ -233,7 +233,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn laggard_vouches_for_nothing() {
+async fn laggard_age() {
     let mut host = TestHost::joined();
     host.pass(Duration::from_mins(2)).await;
     for (peer, revision, age) in [("b", 5, 50), ("c", 5, 50), ("d", 4, 0)] {
@@ -247,7 +247,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn questions_are_no_answers() {
+async fn mere_questions() {
     let mut host = TestHost::joined();
     host.pass(LEASE).await;
     host.pass(LEASE).await;
@@ -365,8 +365,34 @@
     assert_eq!(*counts, expected);
 }
 
+#[rstest]
+#[case::own_region(&[("x", 6), ("y", 6), ("b", 6)], "b")]
+#[case::newest(&[("x", 6), ("b", 6), ("y", 7), ("c", 6)], "b")]
+#[case::no_other(&[("x", 6)], "x")]
 #[tokio::test(start_paused = true)]
-async fn newer_peer_is_fetched() {
+async fn next_source(#[case] heard: &[(&str, u64)], #[case] source: &str) {
+    let mut host = TestHost::joined();
+    for (peer, revision) in heard {
+        let (nonce, view) = (1, view_of(*revision));
+        host.receive(
+            peer,
+            PeerMessage::Lease(LeaseMessage::Question { nonce, view }),
+        );
+    }
+    // Whoever was heard first, or at a newer revision, was asked at once and did not deliver.
+    let actions = host.pass(LEASE / 6).await;
+    let fetches = actions.iter().filter_map(|action| match action {
+        FleetAction::Send {
+            to,
+            message: PeerMessage::Config(ConfigMessage::Fetch { .. }),
+        } => Some(to.as_str()),
+        _ => None,
+    });
+    assert_eq!(fetches.collect::<Vec<_>>(), [source]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn newer_peer() {
     let mut host = TestHost::joined();
     let actions = host.answer("b", host.nonce, view_of(6), true);
     let fetch = FleetAction::Send {
@@ -411,3 +437,20 @@
     }
     assert_eq!(host.view.retry_pause(), Duration::from_millis(millis));
 }
+
+#[tokio::test(start_paused = true)]
+async fn clock_stood_still() {
+    let mut host = TestHost::joined();
+    let open = host.nonce;
+    let actions = host.view.clock_stood_still(Instant::now());
+    host.note_nonce(&actions);
+    assert!(!host.is_current());
+    for peer in PEERS {
+        host.answer(peer, open, view_of(5), true);
+    }
+    assert!(!host.is_current());
+    for peer in PEERS {
+        host.answer(peer, host.nonce, view_of(5), true);
+    }
+    assert!(host.is_current());
+}
--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{
     io::{AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::oneshot,
     task::{AbortHandle, JoinSet, spawn, yield_now},
 };
@@ -27,6 +27,7 @@
     address: SocketAddr,
     state: Arc<ServerState>,
     task: AbortHandle,
+    bound: Mutex<Option<TcpSocket>>,
 }
 
 /// A request that waits for another to swap answers with.
@@ -69,6 +70,7 @@
             address,
             state,
             task,
+            bound: Mutex::default(),
         })
     }
 }
@@ -90,11 +92,14 @@
     }
 
     /// Ends the listener and every connection; new connections are refused from then on.
+    ///
+    /// The port stays bound, so that no other listener takes it while the handle lives.
     pub async fn stop(&self) {
         self.task.abort();
         while !self.task.is_finished() {
             yield_now().await;
         }
+        *lock(&self.bound) = bind_only(self.address).ok();
     }
 }
 
@@ -108,6 +113,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn bind_only(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// The connections live in the set, and end with this task.
 async fn accept(listener: TcpListener, state: Arc<ServerState>) {
     let mut connections = JoinSet::new();
@@ -127,9 +139,10 @@
     let (reader, mut writer) = stream.split();
     let mut reader = BufReader::new(reader);
     while let Some(mut request) = read_head(&mut reader).await? {
+        let script = lock(&state.script).clone();
         request.connection = connection;
+        request.fault = script.fault;
         let index = state.note(request.clone());
-        let script = lock(&state.script).clone();
         if script.fault != BackendFault::Early {
             let read = read_body(&mut reader, &mut request).await;
             lock(&state.seen)[index] = request.clone();
