--- a/crates/kws-replay/src/lib.rs
+++ b/crates/kws-replay/src/lib.rs
@@ -3,12 +3,14 @@
 //! A trace is a YAML file with a `feature`, what happens at which virtual time, and what must then
 //! hold. The feature's [`TraceModel`] runs it on virtual time, with no socket and no real wait.
 
+mod backends;
 mod fleet;
 pub mod limits;
 mod model;
 mod report;
 mod runner;
 
+pub use backends::BackendsModel;
 pub use fleet::{FleetModel, FleetNode, NodeFactory, NodeIdentity, TraceChecker};
 pub use limits::LimitsModel;
 pub use model::TraceModel;
--- a/crates/kws-replay/src/runner.rs
+++ b/crates/kws-replay/src/runner.rs
@@ -1,6 +1,6 @@
 //! Picks the model of a trace and runs it.
 
-use crate::{FleetModel, LimitsModel, ReplayError, ReplayReport, TraceModel};
+use crate::{BackendsModel, FleetModel, LimitsModel, ReplayError, ReplayReport, TraceModel};
 use serde::Deserialize;
 use std::{fs, path::Path};
 
@@ -15,7 +15,12 @@
 /// # Errors
 /// Any [`ReplayError`]; an outcome that does not hold is no error but a finding.
 pub fn replay_file(path: &Path) -> Result<ReplayReport, ReplayError> {
-    replay_with(path, &[&FleetModel::default(), &LimitsModel::default()])
+    let models: [&dyn TraceModel; 3] = [
+        &BackendsModel,
+        &FleetModel::default(),
+        &LimitsModel::default(),
+    ];
+    replay_with(path, &models)
 }
 
 /// Runs the trace in the file at `path` by the one of `models` that its feature names.
