--- a/crates/kws-health/src/phase.rs
+++ b/crates/kws-health/src/phase.rs
@@ -46,7 +46,12 @@
         scope: EjectionScope,
     },
     /// Out, but tried.
-    Trial { since: Instant, record: TrialRecord },
+    Trial {
+        since: Instant,
+        record: TrialRecord,
+        /// Whether this host alone had ejected it: then only its own answers bring it back.
+        local: bool,
+    },
 }
 
 /// A server's phase, with its record of ejections.
@@ -135,11 +140,12 @@
         self.sickness = 1.0;
     }
 
-    /// Puts it on trial.
-    pub(crate) fn start_trial(&mut self, now: Instant) {
+    /// Puts it on trial; `local` when no peers report it as ejected too.
+    pub(crate) fn start_trial(&mut self, local: bool, now: Instant) {
         self.phase = ServerPhase::Trial {
             since: now,
             record: TrialRecord::default(),
+            local,
         };
     }
 
@@ -158,6 +164,14 @@
         }
     }
 
+    /// On whose evidence a failed trial ejects it again.
+    pub(crate) fn trial_scope(&self) -> EjectionScope {
+        match self.phase {
+            ServerPhase::Trial { local: true, .. } => EjectionScope::Local,
+            _ => EjectionScope::Fleet,
+        }
+    }
+
     /// Takes a trial answer of this host's own; `true` when the trial failed.
     pub(crate) fn own_trial(&mut self, bad: bool, now: Instant) -> bool {
         let ServerPhase::Trial { record, .. } = &mut self.phase else {
@@ -175,9 +189,10 @@
 
     /// Takes a peer's trial answers; `true` when the peers agree that the trial failed.
     pub(crate) fn peer_trial(&mut self, from: &HostName, bad: bool, now: Instant) -> bool {
-        let ServerPhase::Trial { record, .. } = &mut self.phase else {
+        let ServerPhase::Trial { record, local, .. } = &mut self.phase else {
             return false;
         };
+        let alone = *local;
         let peers = if bad {
             &mut record.bad_peers
         } else {
@@ -187,7 +202,7 @@
         if record.bad_peers.len() >= TRIAL_PEERS {
             return true;
         }
-        if record.good_peers.len() >= TRIAL_PEERS {
+        if record.good_peers.len() >= TRIAL_PEERS && !alone {
             self.serve(true, now);
         }
         false
--- a/crates/kws-health/src/server.rs
+++ b/crates/kws-health/src/server.rs
@@ -32,6 +32,8 @@
     pub(crate) drained_by_peer: Option<Instant>,
     pub(crate) load: Option<(LoadReport, Instant)>,
     pub(crate) suspect: bool,
+    /// Since when it is found slow or bad.
+    pub(crate) slow_since: Option<Instant>,
     pub(crate) trial_host: bool,
 }
 
@@ -46,6 +48,7 @@
             drained_by_peer: None,
             load: None,
             suspect: false,
+            slow_since: None,
             trial_host: false,
         }
     }
@@ -79,7 +82,7 @@
         self.drained = self.drained.filter(|at| !old(at));
         self.drained_by_peer = self.drained_by_peer.filter(|at| !old(at));
         if !self.draining() {
-            self.life.start_trial(now);
+            self.life.start_trial(false, now);
         }
     }
 
--- a/crates/kws-health/src/service.rs
+++ b/crates/kws-health/src/service.rs
@@ -12,7 +12,10 @@
     CenterName, FleetSnapshot, HostName, HostState, RegionName, ServerDigest, ServerName,
     ServiceName, ServiceSettings, rendezvous_order,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// A peer not heard for this long has no say on drains, ejections and trials.
@@ -30,6 +33,10 @@
 /// Peers that must report an ejection before this host counts on it.
 const REPORTING_PEERS: usize = 2;
 
+/// A server must be found slow for this long: a service that slows as a whole does so unevenly, some
+/// servers some answers before the others.
+const SLOW_CONFIRMATION: Duration = Duration::from_millis(750);
+
 /// Judges the servers of one service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceJudge {
@@ -164,6 +171,7 @@
         let Some(state) = self.servers.get_mut(server) else {
             return;
         };
+        let scope = state.life.trial_scope();
         let failed = if own {
             state.life.own_trial(bad, now)
         } else {
@@ -171,7 +179,7 @@
         };
         if failed {
             let sickness = state.life.sickness;
-            self.eject(server, EjectionScope::Fleet, sickness, now);
+            self.eject(server, scope, sickness, now);
         }
     }
 
@@ -263,7 +271,13 @@
 
     fn advance_phases(&mut self, now: Instant) {
         let max = self.settings.ejection.max;
-        for state in self.servers.values_mut() {
+        let shared: BTreeSet<ServerName> = self
+            .servers
+            .keys()
+            .filter(|name| self.reports(name, now) >= REPORTING_PEERS)
+            .cloned()
+            .collect();
+        for (name, state) in &mut self.servers {
             state.expire_drain(now);
             state.life.decay(max, now);
             match state.life.phase {
@@ -271,7 +285,8 @@
                     if scope == EjectionScope::Followed {
                         state.life.serve(true, now);
                     } else {
-                        state.life.start_trial(now);
+                        let local = scope == EjectionScope::Local && !shared.contains(name);
+                        state.life.start_trial(local, now);
                     }
                 }
                 _ => {}
@@ -314,10 +329,8 @@
 
     fn eject_sick(&mut self, now: Instant) {
         let mut sick = self.sick(EvidenceSpan::recent(now));
-        sick.extend(self.sick(EvidenceSpan::WHOLE));
-        for state in self.servers.values_mut() {
-            state.suspect = false;
-        }
+        sick.extend(self.sick(EvidenceSpan::whole(now)));
+        self.note_slow(&sick, now);
         for found in sick {
             let entries = self.floor_entries(now);
             let room = may_eject(&entries, self.settings.floor, &found.server);
@@ -327,6 +340,10 @@
             if !state.life.serves() || !state.available() {
                 continue;
             }
+            let slow_for = state.slow_since.map(|since| now.duration_since(since));
+            if found.slow_only && slow_for.is_none_or(|time| time < SLOW_CONFIRMATION) {
+                continue;
+            }
             if room {
                 self.eject(&found.server, found.scope, found.sickness, now);
             } else {
@@ -335,6 +352,15 @@
         }
     }
 
+    /// Notes since when servers are found slow without a break.
+    fn note_slow(&mut self, sick: &[SickServer], now: Instant) {
+        for (name, state) in &mut self.servers {
+            state.suspect = false;
+            let found = sick.iter().any(|found| &found.server == name);
+            state.slow_since = found.then(|| state.slow_since.unwrap_or(now));
+        }
+    }
+
     fn sick(&self, span: EvidenceSpan) -> Vec<SickServer> {
         let regions = self.regions();
         sick_servers(
@@ -396,14 +422,14 @@
             .collect();
         hosts.push(self.own.clone());
         for (name, state) in &mut self.servers {
-            let ServerPhase::Trial { since, .. } = &state.life.phase else {
+            let ServerPhase::Trial { since, local, .. } = &state.life.phase else {
                 continue;
             };
             let patient = now.duration_since(*since) < TRIAL_PATIENCE;
             let order = rendezvous_order(name.as_str(), hosts.iter().map(HostName::as_str));
             let chosen = order.iter().take(TRIAL_HOSTS);
             state.trial_host =
-                !patient || chosen.into_iter().any(|host| *host == self.own.as_str());
+                *local || !patient || chosen.into_iter().any(|host| *host == self.own.as_str());
         }
     }
 
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -54,6 +54,8 @@
     pub(crate) scope: EjectionScope,
     /// Between 0 and 2: the bad share plus the slow share.
     pub(crate) sickness: f64,
+    /// Whether only its latency speaks against it.
+    pub(crate) slow_only: bool,
 }
 
 /// One host's word on one server, in the light of what it saw of the others.
@@ -97,10 +99,14 @@
         self.slow / self.compared.max(MIN_COMPARED_ANSWERS)
     }
 
-    /// Whether the server stands out from what is typical for the service.
+    /// Whether the server's bad answers stand out from what is typical for the service.
+    fn bad(&self, typical: TypicalShares, settings: &EjectionSettings) -> bool {
+        self.bad >= MIN_BAD && self.bad_share() - typical.bad >= settings.bad_share
+    }
+
+    /// Whether the server stands out in any way.
     fn sick(&self, typical: TypicalShares, settings: &EjectionSettings) -> bool {
-        let bad = self.bad >= MIN_BAD && self.bad_share() - typical.bad >= settings.bad_share;
-        bad || self.slow_share() - typical.slow >= SLOW_SHARE
+        self.bad(typical, settings) || self.slow_share() - typical.slow >= SLOW_SHARE
     }
 }
 
@@ -145,20 +151,33 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EvidenceSpan {
     since: Option<Instant>,
+    /// Since when answers must be slow too: a server that was slow is not slow.
+    latest: Option<Instant>,
     min_answers: f64,
 }
 
 impl EvidenceSpan {
-    /// The whole window, on few answers.
-    pub(crate) const WHOLE: Self = Self {
+    /// All answers held, whenever they came.
+    const UNBOUNDED: Self = Self {
         since: None,
+        latest: None,
         min_answers: 10.0,
     };
 
+    /// The whole window, on few answers.
+    pub(crate) fn whole(now: Instant) -> Self {
+        Self {
+            since: None,
+            latest: now.checked_sub(RECENT),
+            min_answers: 10.0,
+        }
+    }
+
     /// The last seconds, on many answers: a busy service is judged before its older answers fade.
     pub(crate) fn recent(now: Instant) -> Self {
         Self {
             since: now.checked_sub(RECENT),
+            latest: None,
             min_answers: 10.0,
         }
     }
@@ -167,6 +186,8 @@
 /// One host's summaries, with what is typical for it.
 struct HostLight<'a> {
     summaries: BTreeMap<&'a ServerName, AnswerSummary>,
+    /// Median latencies of the latest answers, where they are asked for.
+    latest: BTreeMap<&'a ServerName, Duration>,
     references: BTreeMap<&'a RegionName, Duration>,
     /// The bad share of its typical server in each region, between 0 and 1.
     typical: BTreeMap<&'a RegionName, f64>,
@@ -176,19 +197,24 @@
     fn new(
         evidence: &'a HostEvidence,
         regions: &BTreeMap<&'a ServerName, &'a RegionName>,
-        since: Option<Instant>,
+        span: EvidenceSpan,
     ) -> Self {
         let summaries = |since| {
             let all = evidence.windows.iter();
             all.map(move |(server, window)| (server, window.summary(since)))
                 .filter(|(server, summary)| summary.answers > 0 && regions.contains_key(server))
         };
-        let votes: BTreeMap<&ServerName, AnswerSummary> = summaries(since).collect();
+        let votes: BTreeMap<&ServerName, AnswerSummary> = summaries(span.since).collect();
+        let latest = span.latest.map(|latest| summaries(Some(latest)));
+        let latest = latest.into_iter().flatten();
         let shares = votes
             .iter()
             .map(|(server, summary)| (regions[*server], summary.bad_share()));
         let typical = typical_by_region(shares);
         Self {
+            latest: latest
+                .filter_map(|(server, summary)| Some((server, summary.median?)))
+                .collect(),
             references: references(summaries(None), regions),
             summaries: votes,
             typical,
@@ -221,9 +247,13 @@
         let summary = *self.summaries.get(server)?;
         let scale = (MAX_ANSWERS_A_HOST / f64::from(summary.answers)).min(1.0);
         let compared = summary.median.zip(self.references.get(region).copied());
-        let slow = compared.map(|(median, reference)| slower(median, reference, settings));
+        let latest = self.latest.get(server);
+        let slow = compared.map(|(median, reference)| {
+            let still = latest.is_none_or(|latest| slower(*latest, reference, settings));
+            still && slower(median, reference, settings)
+        });
         let very_slow = compared.is_some_and(|(median, reference)| {
-            slower(median, reference.mul_f64(STRONG_SLOW_FACTOR), settings)
+            slow == Some(true) && slower(median, reference.mul_f64(STRONG_SLOW_FACTOR), settings)
         });
         Some(HostVote {
             answers: f64::from(summary.answers) * scale,
@@ -258,7 +288,7 @@
     server: &ServerName,
     latency: Duration,
 ) -> Option<bool> {
-    let light = HostLight::new(evidence, regions, None);
+    let light = HostLight::new(evidence, regions, EvidenceSpan::UNBOUNDED);
     regions
         .get(server)
         .and_then(|region| light.references.get(region))
@@ -339,7 +369,7 @@
         .map(|(host, evidence)| HostOpinion {
             host,
             center: evidence.center.as_ref(),
-            light: HostLight::new(evidence, regions, span.since),
+            light: HostLight::new(evidence, regions, span),
         })
         .collect();
     let shares = pooled_shares(&opinions);
@@ -392,36 +422,37 @@
         .iter()
         .filter(|(_, _, vote)| vote.bad > 0.0 || vote.slow == Some(true))
         .count();
-    let judging = centers
+    let judging: Vec<&VoteSum> = centers
         .values()
         .filter(|sum| sum.answers >= span.min_answers)
-        .count();
-    let accusing = centers
-        .values()
-        .filter(|sum| sum.answers >= span.min_answers && sum.sick(typical, settings))
-        .count();
-    if accusers >= ACCUSERS && accusing * 2 > judging {
+        .collect();
+    let most = |accuses: &dyn Fn(&VoteSum) -> bool| {
+        judging.iter().filter(|sum| accuses(sum)).count() * 2 > judging.len()
+    };
+    if accusers >= ACCUSERS && most(&|sum| sum.sick(typical, settings)) {
         let total = ballot.total();
         return Some(SickServer {
             server: ballot.server.clone(),
             scope: EjectionScope::Fleet,
             sickness: total.bad_share() + total.slow_share(),
+            slow_only: !most(&|sum| sum.bad(typical, settings)),
         });
     }
     let (_, _, vote) = votes.iter().find(|(host, ..)| *host == own)?;
-    alone(vote, settings).map(|sickness| SickServer {
-        server: ballot.server.clone(),
-        scope: EjectionScope::Local,
-        sickness,
-    })
+    alone(ballot.server, vote, settings)
 }
 
-/// How sick one host finds a server by strong evidence of its own.
-fn alone(vote: &HostVote, settings: &EjectionSettings) -> Option<f64> {
+/// The word of one host by strong evidence of its own.
+fn alone(server: &ServerName, vote: &HostVote, settings: &EjectionSettings) -> Option<SickServer> {
     let summary = &vote.summary;
     let share = summary.bad_share();
     let stands_out = share - vote.typical >= settings.bad_share.max(STRONG_BAD_SHARE);
     let bad = f64::from(summary.bad) >= MIN_BAD && stands_out;
     let slow = summary.answers >= MIN_SLOW_ANSWERS && vote.very_slow;
-    (bad || slow).then_some(share + if slow { 1.0 } else { 0.0 })
+    (bad || slow).then(|| SickServer {
+        server: server.clone(),
+        scope: EjectionScope::Local,
+        sickness: share + if slow { 1.0 } else { 0.0 },
+        slow_only: !bad,
+    })
 }
