--- a/crates/kws-health/src/server.rs
+++ b/crates/kws-health/src/server.rs
@@ -20,6 +20,15 @@
 /// The time in which a load report loses half its weight.
 const LOAD_HALF_LIFE: Duration = Duration::from_secs(1);
 
+/// A verdict that must stand for a while before it counts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlowVerdict {
+    /// When it was first found.
+    pub(crate) since: Instant,
+    /// When it was last found.
+    pub(crate) last: Instant,
+}
+
 /// One server as this host knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerState {
@@ -32,8 +41,8 @@
     pub(crate) drained_by_peer: Option<Instant>,
     pub(crate) load: Option<(LoadReport, Instant)>,
     pub(crate) suspect: bool,
-    /// Since when it is found slow or bad.
-    pub(crate) slow_since: Option<Instant>,
+    /// Its verdict, when it is found slow or bad.
+    pub(crate) slow: Option<SlowVerdict>,
     pub(crate) trial_host: bool,
 }
 
@@ -48,7 +57,7 @@
             drained_by_peer: None,
             load: None,
             suspect: false,
-            slow_since: None,
+            slow: None,
             trial_host: false,
         }
     }
--- a/crates/kws-health/src/service.rs
+++ b/crates/kws-health/src/service.rs
@@ -5,7 +5,7 @@
     evidence::{AnswerWindow, EVIDENCE_WINDOW, HostEvidence},
     floor::{FloorEntry, may_eject, to_restore},
     phase::{EjectionScope, ServerPhase},
-    server::ServerState,
+    server::{ServerState, SlowVerdict},
     verdict::{EvidenceSpan, SickServer, is_slow, sick_servers},
 };
 use kws_protocol::{
@@ -37,6 +37,9 @@
 /// servers some answers before the others.
 const SLOW_CONFIRMATION: Duration = Duration::from_millis(750);
 
+/// A verdict of slowness is forgotten when it doesn't come again for this long.
+const SLOW_BREAK: Duration = Duration::from_secs(1);
+
 /// Judges the servers of one service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceJudge {
@@ -340,7 +343,7 @@
             if !state.life.serves() || !state.available() {
                 continue;
             }
-            let slow_for = state.slow_since.map(|since| now.duration_since(since));
+            let slow_for = state.slow.map(|slow| now.duration_since(slow.since));
             if found.slow_only && slow_for.is_none_or(|time| time < SLOW_CONFIRMATION) {
                 continue;
             }
@@ -352,12 +355,19 @@
         }
     }
 
-    /// Notes since when servers are found slow without a break.
+    /// Notes since when servers are found slow. Few answers make a verdict flicker, so that a short
+    /// break doesn't end it.
     fn note_slow(&mut self, sick: &[SickServer], now: Instant) {
         for (name, state) in &mut self.servers {
             state.suspect = false;
-            let found = sick.iter().any(|found| &found.server == name);
-            state.slow_since = found.then(|| state.slow_since.unwrap_or(now));
+            if sick.iter().any(|found| &found.server == name) {
+                let since = state.slow.map_or(now, |slow| slow.since);
+                state.slow = Some(SlowVerdict { since, last: now });
+            }
+            let forgotten = |slow: SlowVerdict| now.duration_since(slow.last) > SLOW_BREAK;
+            if state.slow.is_some_and(forgotten) {
+                state.slow = None;
+            }
         }
     }
 
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -20,6 +20,9 @@
 /// How far back a busy service is judged.
 const RECENT: Duration = Duration::from_secs(3);
 
+/// Latest answers of one host below which they contradict no older ones.
+const MIN_LATEST_ANSWERS: u32 = 5;
+
 /// Answers of one host acting alone, below which it has no say on latency.
 const MIN_SLOW_ANSWERS: u32 = 8;
 
@@ -213,6 +216,7 @@
         let typical = typical_by_region(shares);
         Self {
             latest: latest
+                .filter(|(_, summary)| summary.answers >= MIN_LATEST_ANSWERS)
                 .filter_map(|(server, summary)| Some((server, summary.median?)))
                 .collect(),
             references: references(summaries(None), regions),
