Count peers' reports only for ejections that end; one walk over a trace's members

Cause: every judgement counted the peers' reports of every server, although only a local ejection that ends at that moment asks for them; three spans of evidence carried one constant; the walk over hosts or servers with their data centres stood four times in the traces of backend servers. Ruled out: merging the trace shapes of the features, which are alike but may change alone.

--- a/crates/kws-health/src/service.rs
+++ b/crates/kws-health/src/service.rs
@@ -274,12 +274,7 @@
 
     fn advance_phases(&mut self, now: Instant) {
         let max = self.settings.ejection.max;
-        let shared: BTreeSet<ServerName> = self
-            .servers
-            .keys()
-            .filter(|name| self.reports(name, now) >= REPORTING_PEERS)
-            .cloned()
-            .collect();
+        let alone = self.ejected_alone(now);
         for (name, state) in &mut self.servers {
             state.expire_drain(now);
             state.life.decay(max, now);
@@ -288,8 +283,7 @@
                     if scope == EjectionScope::Followed {
                         state.life.serve(true, now);
                     } else {
-                        let local = scope == EjectionScope::Local && !shared.contains(name);
-                        state.life.start_trial(local, now);
+                        state.life.start_trial(alone.contains(name), now);
                     }
                 }
                 _ => {}
@@ -297,6 +291,21 @@
         }
     }
 
+    /// Servers whose ejection by this host ends now, and which too few peers report as ejected.
+    fn ejected_alone(&self, now: Instant) -> BTreeSet<ServerName> {
+        let ends = |state: &ServerState| {
+            matches!(
+                state.life.phase,
+                ServerPhase::Ejected { until, scope: EjectionScope::Local } if until <= now
+            )
+        };
+        let ended = self.servers.iter().filter(|(_, state)| ends(state));
+        ended
+            .filter(|(name, _)| self.reports(name, now) < REPORTING_PEERS)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Leaves alone what enough peers have ejected and this host knows nothing of.
     fn follow_peers(&mut self, now: Instant) {
         let fresh = self.fresh_peers(now).count();
--- a/crates/kws-health/src/verdict.rs
+++ b/crates/kws-health/src/verdict.rs
@@ -17,6 +17,9 @@
 /// Bad answers of a data centre, or of one host acting alone, below which they may be chance.
 const MIN_BAD: f64 = 4.0;
 
+/// Answers of a data centre below which it has no say.
+const MIN_ANSWERS: f64 = 10.0;
+
 /// How far back a busy service is judged.
 const RECENT: Duration = Duration::from_secs(3);
 
@@ -150,13 +153,12 @@
     }
 }
 
-/// How far back the votes look, and how many answers of a data centre they need.
+/// How far back the votes look.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EvidenceSpan {
     since: Option<Instant>,
     /// Since when answers must be slow too: a server that was slow is not slow.
     latest: Option<Instant>,
-    min_answers: f64,
 }
 
 impl EvidenceSpan {
@@ -164,24 +166,21 @@
     const UNBOUNDED: Self = Self {
         since: None,
         latest: None,
-        min_answers: 10.0,
     };
 
-    /// The whole window, on few answers.
+    /// The whole window.
     pub(crate) fn whole(now: Instant) -> Self {
         Self {
             since: None,
             latest: now.checked_sub(RECENT),
-            min_answers: 10.0,
         }
     }
 
-    /// The last seconds, on many answers: a busy service is judged before its older answers fade.
+    /// The last seconds: a busy service is judged before its older answers fade.
     pub(crate) fn recent(now: Instant) -> Self {
         Self {
             since: now.checked_sub(RECENT),
             latest: None,
-            min_answers: 10.0,
         }
     }
 }
@@ -399,7 +398,7 @@
     let typical = TypicalShares::of(&sums);
     let mut sick: Vec<SickServer> = ballots
         .iter()
-        .filter_map(|ballot| judge_server(own, ballot, typical, settings, span))
+        .filter_map(|ballot| judge_server(own, ballot, typical, settings))
         .collect();
     sick.sort_by(|left, right| {
         right
@@ -415,7 +414,6 @@
     ballot: &ServerVotes<'_>,
     typical: TypicalShares,
     settings: &EjectionSettings,
-    span: EvidenceSpan,
 ) -> Option<SickServer> {
     let votes = &ballot.votes;
     let mut centers: BTreeMap<Option<&CenterName>, VoteSum> = BTreeMap::new();
@@ -428,7 +426,7 @@
         .count();
     let judging: Vec<&VoteSum> = centers
         .values()
-        .filter(|sum| sum.answers >= span.min_answers)
+        .filter(|sum| sum.answers >= MIN_ANSWERS)
         .collect();
     let most = |accuses: &dyn Fn(&VoteSum) -> bool| {
         judging.iter().filter(|sum| accuses(sum)).count() * 2 > judging.len()
--- a/crates/kws-replay/src/backends/condition.rs
+++ b/crates/kws-replay/src/backends/condition.rs
@@ -22,7 +22,8 @@
 }
 
 impl PlacedName<'_> {
-    fn is_in(self, names: &[String]) -> bool {
+    /// Whether one of `names` stands for it.
+    pub(super) fn is_in(self, names: &[String]) -> bool {
         names_member(names, self.center, self.name)
     }
 }
--- a/crates/kws-replay/src/backends/fleet.rs
+++ b/crates/kws-replay/src/backends/fleet.rs
@@ -4,7 +4,7 @@
     condition::{PlacedName, server_condition},
     outcome::{HostView, OutcomeBook, ServerView},
     settings::{REGION, SERVICE, trace_snapshot},
-    trace::{BackendsTrace, TraceStep, names_member},
+    trace::{BackendsTrace, TraceStep, placed_members},
 };
 use crate::ReplayFinding;
 use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, ServerGrant, TicketEnd, TicketId};
@@ -302,14 +302,10 @@
 }
 
 fn trace_hosts(trace: &BackendsTrace) -> Vec<TraceHost> {
-    let hosts = trace
-        .hosts
-        .iter()
-        .flat_map(|(center, hosts)| hosts.iter().map(move |host| (center, host)));
-    hosts
-        .map(|(center, name)| TraceHost {
-            center: center.clone(),
-            name: name.clone(),
+    placed_members(&trace.hosts)
+        .map(|PlacedName { center, name }| TraceHost {
+            center: center.to_owned(),
+            name: name.to_owned(),
             judge: HealthJudge::new(HostName::new(name)),
             dispatcher: Dispatcher::new(
                 HostName::new(name),
@@ -323,20 +319,16 @@
 }
 
 fn named_servers(trace: &BackendsTrace, names: &[String]) -> Vec<ServerName> {
-    let servers = trace
-        .servers
-        .iter()
-        .flat_map(|(center, servers)| servers.iter().map(move |server| (center, server)));
-    servers
-        .filter(|(center, server)| names_member(names, center, server))
-        .map(|(_, server)| ServerName::new(server))
+    placed_members(&trace.servers)
+        .filter(|server| server.is_in(names))
+        .map(|server| ServerName::new(server.name))
         .collect()
 }
 
 fn server_center<'t>(trace: &'t BackendsTrace, server: &ServerName) -> &'t str {
-    let holds = |servers: &Vec<String>| servers.iter().any(|name| name == server.as_str());
-    let center = trace.servers.iter().find(|(_, servers)| holds(servers));
-    center.map_or("", |(center, _)| center.as_str())
+    placed_members(&trace.servers)
+        .find(|placed| placed.name == server.as_str())
+        .map_or("", |placed| placed.center)
 }
 
 fn is_due(at: Duration, period: Duration) -> bool {
--- a/crates/kws-replay/src/backends/settings.rs
+++ b/crates/kws-replay/src/backends/settings.rs
@@ -1,6 +1,6 @@
 //! The snapshot that a trace of backend servers runs on.
 
-use super::trace::BackendsTrace;
+use super::trace::{BackendsTrace, placed_members};
 use kws_protocol::{
     CenterName, EjectionSettings, FleetSettings, FleetSnapshot, FreshnessSettings, HostList,
     HostName, HostState, ListedHost, ListedServer, RegionName, RegionSettings, ServerName,
@@ -66,15 +66,11 @@
 }
 
 fn listed_hosts(trace: &BackendsTrace) -> Vec<ListedHost> {
-    let hosts = trace
-        .hosts
-        .iter()
-        .flat_map(|(center, hosts)| hosts.iter().map(move |host| (center, host)));
-    hosts
-        .map(|(center, host)| ListedHost {
-            name: HostName::new(host),
+    placed_members(&trace.hosts)
+        .map(|host| ListedHost {
+            name: HostName::new(host.name),
             region: RegionName::new(REGION),
-            center: CenterName::new(center),
+            center: CenterName::new(host.center),
             peer: SocketAddr::from(NOWHERE),
             state: HostState::Live,
         })
@@ -82,10 +78,7 @@
 }
 
 fn service_settings(trace: &BackendsTrace, floor: f64) -> ServiceSettings {
-    let servers = trace
-        .servers
-        .iter()
-        .flat_map(|(center, servers)| servers.iter().map(move |server| (center, server)));
+    let servers = placed_members(&trace.servers);
     ServiceSettings {
         name: ServiceName::new(SERVICE),
         floor: floor / 100.0,
@@ -100,12 +93,12 @@
         },
         tls: false,
         servers: servers
-            .map(|(center, server)| {
+            .map(|server| {
                 let settings = ServerSettings {
-                    name: ServerName::new(server),
+                    name: ServerName::new(server.name),
                     address: SocketAddr::from(NOWHERE),
                     region: RegionName::new(REGION),
-                    center: CenterName::new(center),
+                    center: CenterName::new(server.center),
                     slots: SLOTS,
                     connections: 400,
                 };
--- a/crates/kws-replay/src/backends/trace.rs
+++ b/crates/kws-replay/src/backends/trace.rs
@@ -1,6 +1,7 @@
 //! The shape of a trace of backend servers. Times are in seconds from the start; a name is a host,
 //! a server, a data centre, or `all`.
 
+use super::condition::PlacedName;
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::collections::BTreeMap;
@@ -111,6 +112,15 @@
         .any(|given| given == ALL || given == center || given == name)
 }
 
+/// The members of all data centres, each with its data centre.
+pub(super) fn placed_members(
+    groups: &BTreeMap<String, Vec<String>>,
+) -> impl Iterator<Item = PlacedName<'_>> {
+    groups
+        .iter()
+        .flat_map(|(center, members)| members.iter().map(move |name| PlacedName { center, name }))
+}
+
 impl BackendsTrace {
     /// The first name that stands for nothing.
     pub(super) fn unknown_name(&self) -> Option<&str> {
