--- a/crates/kws-bench/src/backends/model.rs
+++ b/crates/kws-bench/src/backends/model.rs
@@ -205,7 +205,9 @@
             team: TeamName::new(&format!("team-{team}")),
             weight: TEAMS[team],
             deadline: now + DEADLINE,
+            priority: 0,
             repeatable: true,
+            repeat: false,
             bytes: 2_000,
             excluded: Vec::new(),
         };
--- a/crates/kws-bench/src/capacity/dispatch.rs
+++ b/crates/kws-bench/src/capacity/dispatch.rs
@@ -155,7 +155,9 @@
         team: team_name(call),
         weight: 1.0,
         deadline: now + Duration::from_mins(10),
+        priority: 0,
         repeatable: true,
+        repeat: false,
         bytes: 1_024,
         excluded: Vec::new(),
     }
--- a/crates/kws-bench/src/capacity/links.rs
+++ b/crates/kws-bench/src/capacity/links.rs
@@ -146,7 +146,7 @@
         });
         let outbound = OutboundPeer {
             to: host_name(index + 1),
-            address: *address,
+            address: Some(*address),
             message,
         };
         hub.send(outbound).await.expect("the exchange runs");
--- a/crates/kws-bench/src/daemons.rs
+++ b/crates/kws-bench/src/daemons.rs
@@ -7,6 +7,7 @@
 use kws_standin::PlatformService;
 use kws_tree::{HostSettings, PlatformSource};
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     thread::sleep,
     time::{Duration, Instant},
@@ -29,6 +30,11 @@
         name: Some(host_name(number)),
         region: RegionName::new(REGION),
         center: CenterName::new(CENTER),
+        centers: BTreeMap::new(),
+        grace: Duration::from_secs(30),
+        ready: None,
+        seeds: Vec::new(),
+        trust_peer_network: false,
         listen: any,
         admin: any,
         peer: any,
--- a/crates/kws-bench/src/forward/granting.rs
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -42,6 +42,8 @@
         path: "/".to_owned(),
         methods: BTreeSet::new(),
         service: ServiceName::new("listing"),
+        split: Vec::new(),
+        priority: 2,
         access: RouteAccess::Open,
         repeatable: None,
         deadline: Duration::from_secs(10),
@@ -67,7 +69,7 @@
         ready(Ok(())).boxed()
     }
 
-    fn acquire(&self, _: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>> {
+    fn acquire(&self, _: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
         ready(Ok(self.grant.clone())).boxed()
     }
 
--- a/crates/kws-bench/src/limits/scenario.rs
+++ b/crates/kws-bench/src/limits/scenario.rs
@@ -92,6 +92,7 @@
                 rate: *rate,
                 burst: *burst,
                 weight: 1.0,
+                priority: None,
                 keys: BTreeSet::new(),
             };
             (name.clone(), settings)
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -37,6 +37,7 @@
     ledger: Sender<LedgerEvent>,
     dispatch: Sender<DispatchEvent>,
     places: Arc<TicketPlaces>,
+    placed_together: bool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
 }
 
@@ -81,11 +82,13 @@
         shared: Arc<DaemonShared>,
         ledger: Sender<LedgerEvent>,
         dispatch: Sender<DispatchEvent>,
+        placed_together: bool,
     ) -> Self {
         Self {
             shared,
             ledger,
             dispatch,
+            placed_together,
             places: Arc::default(),
             budgets: Mutex::default(),
         }
@@ -132,7 +135,9 @@
             team,
             weight,
             deadline: request.deadline,
+            priority: request.priority,
             repeatable: request.repeatable,
+            repeat: request.repeat,
             bytes: EXPECTED_BYTES,
             excluded: request.excluded.into_iter().collect(),
         }
@@ -152,7 +157,7 @@
     }
 }
 
-type GrantResult = Result<kws_dispatch::ServerGrant, RefusalReason>;
+type GrantResult = Result<kws_dispatch::ServerGrant, Refusal>;
 
 impl ForwardControl for RingControl {
     fn view(&self) -> Option<Arc<RoutingView>> {
@@ -183,14 +188,16 @@
     fn acquire(
         &self,
         request: ServerRequest,
-    ) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>> {
-        if request.excluded.is_empty() {
+    ) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
+        if !request.repeat {
             self.with_budget(&request.service, RetryBudget::earn);
         }
         let queued = self.enqueue(request);
         Box::pin(async move {
-            let (mut guard, granted) = queued?;
-            let result = granted.await.unwrap_or(Err(RefusalReason::Stopping));
+            let (mut guard, granted) = queued.map_err(Refusal::from)?;
+            let result = granted
+                .await
+                .unwrap_or(Err(RefusalReason::Stopping.into()));
             let ticket = guard.ticket.take();
             match (result, ticket) {
                 (Ok(grant), _) => Ok(ServerGrant {
@@ -207,7 +214,8 @@
     }
 
     fn retry(&self, service: &ServiceName) -> RetryVerdict {
-        if self.with_budget(service, RetryBudget::spend) {
+        // Where hosts place together, the budget is paid at the host that places.
+        if self.placed_together || self.with_budget(service, RetryBudget::spend) {
             return RetryVerdict::Retry;
         }
         RetryVerdict::Stop
--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -8,8 +8,10 @@
     fleet::{FleetOutlets, FleetRings, start_fleet},
     ledger::{LedgerEvent, start_ledger},
     peers::{PeerOutlets, start_peers},
+    placement::start_placement,
     platform::start_watch,
     shared::{DaemonIdentity, DaemonShared, PeerSender},
+    tokens::start_tokens,
 };
 use eyre::{Result, WrapErr};
 use kws_admin::FleetMetrics;
@@ -19,6 +21,7 @@
 };
 use kws_platform::WatchTiming;
 use kws_protocol::HostName;
+use kws_tree::{HostSettings, PlatformSource};
 use std::{
     net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering},
@@ -43,6 +46,8 @@
 const FIRST_TIMING: WatchTiming = WatchTiming {
     wait: Duration::from_secs(1),
     grace: Duration::from_millis(250),
+    pause: Duration::ZERO,
+    idle: false,
 };
 
 /// A daemon that runs.
@@ -110,16 +115,24 @@
     let peer = bind("peer", settings.peer)?;
     let (admin_address, peer_address) = (admin.local_addr()?, peer.local_addr()?);
     let identity = DaemonIdentity {
-        host: host_name(settings.name.as_deref(), peer_address),
+        host: host_name(settings, peer_address),
         region: settings.region.clone(),
         center: settings.center.clone(),
     };
     let metrics = FleetMetrics::new().wrap_err("the metrics can't be registered")?;
     let shared = Arc::new(DaemonShared::new(identity, metrics, FIRST_TIMING));
     start_admin(Arc::clone(&shared), admin)?;
+    if let Some(ready) = settings.ready {
+        start_admin(Arc::clone(&shared), bind("readiness", ready)?)?;
+    }
     let rings = start_duties(&shared, options, peer)?;
 
-    let control = RingControl::new(Arc::clone(&shared), rings.ledger.clone(), rings.dispatch);
+    let control = RingControl::new(
+        Arc::clone(&shared),
+        rings.ledger.clone(),
+        rings.dispatch,
+        places_together(settings),
+    );
     let listener = listener_settings(options)?;
     let listener = run_listener(listener, Arc::new(control))
         .wrap_err_with(|| format!("callers can't be served on {}", settings.listen))?;
@@ -143,6 +156,9 @@
 fn listener_settings(options: &DaemonOptions) -> Result<ListenerSettings> {
     let settings = &options.settings;
     let mut listener = ListenerSettings::new(settings.listen, options.workers);
+    if places_together(settings) {
+        listener.dialect = kws_adapter::HEADERS;
+    }
     if let Some(tls) = &settings.tls {
         let files = CertificateFiles {
             chain: tls.certificate.clone(),
@@ -176,8 +192,13 @@
     let (outbound, outbound_messages) = channel(OUTBOUND_RING);
     let peers = PeerSender::new(Arc::clone(shared), outbound);
 
-    start_ledger(Arc::clone(shared), ledger_events, peers.clone())?;
-    start_dispatch(Arc::clone(shared), dispatch_events, peers.clone())?;
+    if places_together(&options.settings) {
+        start_tokens(Arc::clone(shared), ledger_events, peers.clone())?;
+        start_placement(Arc::clone(shared), dispatch_events, peers.clone())?;
+    } else {
+        start_ledger(Arc::clone(shared), ledger_events, peers.clone())?;
+        start_dispatch(Arc::clone(shared), dispatch_events, peers.clone())?;
+    }
     let outlets = PeerOutlets {
         fleet: fleet_messages,
         ledger: ledger.clone(),
@@ -200,7 +221,7 @@
         ledger: ledger.clone(),
         dispatch: dispatch.clone(),
     };
-    start_fleet(Arc::clone(shared), rings, outlets)?;
+    start_fleet(Arc::clone(shared), &options.settings, rings, outlets)?;
     let source = options.settings.platform.clone();
     start_watch(source, Arc::clone(shared), platform_events)?;
     Ok(RequestRings { ledger, dispatch })
@@ -210,7 +231,18 @@
     TcpListener::bind(address).wrap_err_with(|| format!("{duty} can't listen on {address}"))
 }
 
-/// The name from the settings, which is new for each life, or the peer address.
-fn host_name(name: Option<&str>, peer: SocketAddr) -> HostName {
+/// Whether the hosts of a region place requests and keep tokens together: they do where they find
+/// each other.
+fn places_together(settings: &HostSettings) -> bool {
+    matches!(settings.platform, PlatformSource::Store { .. })
+}
+
+/// The name from the settings, which is new for each life, or one made from the peer address.
+fn host_name(settings: &HostSettings, peer: SocketAddr) -> HostName {
+    if places_together(settings) {
+        let life = format!("{:08x}", rand::random::<u32>());
+        return HostName::of_life(&peer.to_string(), &life);
+    }
+    let name = settings.name.as_deref();
     name.map_or_else(|| HostName::new(&peer.to_string()), HostName::new)
 }
--- a/crates/kws-daemon/src/dispatch.rs
+++ b/crates/kws-daemon/src/dispatch.rs
@@ -6,11 +6,11 @@
 };
 use eyre::Result;
 use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, ServerGrant, TicketEnd, TicketId};
-use kws_forward::{TryClass, TryOutcome};
+use kws_forward::{Refusal, TryClass, TryOutcome};
 use kws_health::{AnswerOutcome, HealthJudge, StandingBar, StandingSource};
 use kws_protocol::{
-    FleetSnapshot, HealthMessage, HostName, PeerMessage, RefusalReason, ServerName, ServerStatus,
-    ServiceName,
+    FleetSnapshot, HealthMessage, HostName, PeerMessage, ServerName, ServerStatus, ServiceName,
+    TicketMessage,
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -30,7 +30,7 @@
 const DIGEST_PERIOD: Duration = Duration::from_secs(1);
 
 /// Where the grant of one request goes.
-pub(crate) type GrantReply = oneshot::Sender<Result<ServerGrant, RefusalReason>>;
+pub(crate) type GrantReply = oneshot::Sender<Result<ServerGrant, Refusal>>;
 
 /// What the duty is told.
 pub(crate) enum DispatchEvent {
@@ -48,6 +48,10 @@
         from: HostName,
         message: HealthMessage,
     },
+    Ticket {
+        from: HostName,
+        message: TicketMessage,
+    },
 }
 
 /// Starts the duty.
@@ -129,6 +133,8 @@
                 self.judge.receive(&from, &message, now);
                 self.dispatcher.receive(&from, &message, now);
             }
+            // Only hosts that place together speak of tickets.
+            DispatchEvent::Ticket { .. } => {}
         }
     }
 
@@ -165,7 +171,7 @@
                 DispatchAction::Grant(grant) => self.grant(grant, now),
                 DispatchAction::Refuse { ticket, reason } => {
                     if let Some((_, reply)) = self.waiting.remove(&ticket) {
-                        let _ = reply.send(Err(reason));
+                        let _ = reply.send(Err(reason.into()));
                     }
                 }
             }
@@ -265,7 +271,7 @@
 fn ticket_end(class: TryClass) -> TicketEnd {
     match class {
         TryClass::Good | TryClass::Bad => TicketEnd::Answered,
-        TryClass::NotRun => TicketEnd::Shed,
+        TryClass::NotRun | TryClass::Misdirected => TicketEnd::Shed,
         TryClass::Cancelled | TryClass::ConnectFailed | TryClass::Late => TicketEnd::Failed,
     }
 }
@@ -276,7 +282,7 @@
         TryClass::Bad => Some(AnswerOutcome::Error),
         TryClass::Late => Some(AnswerOutcome::Late),
         TryClass::ConnectFailed => Some(AnswerOutcome::Broken),
-        TryClass::NotRun => Some(AnswerOutcome::Shed),
+        TryClass::NotRun | TryClass::Misdirected => Some(AnswerOutcome::Shed),
         TryClass::Cancelled => None,
     }
 }
--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -10,10 +10,14 @@
 };
 use eyre::Result;
 use kws_admin::PlatformResult;
-use kws_membership::{FleetAction, FleetCounters, FleetView, HostIdentity};
+use kws_adapter::{SiteTerms, StoreChecker};
+use kws_membership::{
+    FleetAction, FleetCounters, FleetView, FreshnessRule, HostIdentity, MeshView,
+};
 use kws_peer::InboundPeer;
 use kws_platform::{PlatformEvent, WatchTiming};
-use kws_protocol::FleetSnapshot;
+use kws_protocol::{FleetSnapshot, MeshMember};
+use kws_tree::{HostSettings, PlatformSource};
 use std::{
     hash::{BuildHasher, RandomState},
     sync::Arc,
@@ -39,29 +43,38 @@
 /// Starts the duty.
 pub(crate) fn start_fleet(
     shared: Arc<DaemonShared>,
+    settings: &HostSettings,
     rings: FleetRings,
     outlets: FleetOutlets,
 ) -> Result<()> {
-    start_duty("fleet", move || run_fleet(shared, rings, outlets))
+    let rule = new_rule(&shared, settings);
+    start_duty("fleet", move || run_fleet(shared, rule, rings, outlets))
 }
 
 struct FleetDuty {
     shared: Arc<DaemonShared>,
     outlets: FleetOutlets,
-    view: FleetView,
+    rule: Box<dyn FreshnessRule>,
     lease: Option<Instant>,
     counted: FleetCounters,
     watch: SuspendWatch,
+    left: bool,
 }
 
-async fn run_fleet(shared: Arc<DaemonShared>, mut rings: FleetRings, outlets: FleetOutlets) {
+async fn run_fleet(
+    shared: Arc<DaemonShared>,
+    rule: Box<dyn FreshnessRule>,
+    mut rings: FleetRings,
+    outlets: FleetOutlets,
+) {
     let mut duty = FleetDuty {
-        view: new_view(&shared),
+        rule,
         shared,
         outlets,
         lease: None,
         counted: FleetCounters::default(),
         watch: SuspendWatch::new(),
+        left: false,
     };
     let mut ticked = Instant::now();
     loop {
@@ -71,10 +84,10 @@
                 None => return,
             },
             message = rings.peers.recv() => match message {
-                Some(inbound) => duty.view.receive(&inbound.from, inbound.message, Instant::now()),
+                Some(inbound) => duty.rule.receive(&inbound.from, inbound.message, Instant::now()),
                 None => return,
             },
-            () = sleep_until(ticked + duty.view.tick_interval()) => {
+            () = sleep_until(ticked + duty.rule.tick_interval()) => {
                 ticked = Instant::now();
                 duty.pass_time(ticked)
             }
@@ -83,23 +96,45 @@
     }
 }
 
-fn new_view(shared: &DaemonShared) -> FleetView {
-    let identity = HostIdentity {
-        name: shared.identity.host.clone(),
-        region: shared.identity.region.clone(),
-    };
+/// Hosts of a metadata store find each other by seeds; elsewhere the platform lists them.
+fn new_rule(shared: &DaemonShared, settings: &HostSettings) -> Box<dyn FreshnessRule> {
+    let identity = &shared.identity;
     // A new hasher's keys are random, so two lives of one host don't share nonces.
-    let seed = RandomState::new().hash_one(shared.identity.host.as_str());
-    FleetView::new(identity, Box::new(ResolveChecker), seed, shared.born)
+    let seed = RandomState::new().hash_one(identity.host.as_str());
+    let PlatformSource::Store { terms, .. } = &settings.platform else {
+        let identity = HostIdentity {
+            name: identity.host.clone(),
+            region: identity.region.clone(),
+        };
+        let view = FleetView::new(identity, Box::new(ResolveChecker), seed, shared.born);
+        return Box::new(view);
+    };
+    let own = MeshMember {
+        name: identity.host.clone(),
+        region: identity.region.clone(),
+        center: identity.center.clone(),
+        address: settings.peer,
+    };
+    let checker = StoreChecker::new(SiteTerms {
+        centers: settings.centers.clone(),
+        floor: terms.floor,
+        retry_ratio: terms.retry_ratio,
+    });
+    let view = MeshView::new(own, &settings.seeds, Box::new(checker), seed, shared.born);
+    Box::new(view)
 }
 
 impl FleetDuty {
     fn pass_time(&mut self, now: Instant) -> Vec<FleetAction> {
         if self.watch.slept() {
             log::warn!("the machine was suspended; the lease ends");
-            return self.view.clock_stood_still(now);
+            return self.rule.clock_stood_still(now);
+        }
+        if self.shared.is_stopping() && !self.left {
+            self.left = true;
+            return self.rule.leave(now);
         }
-        self.view.tick(now)
+        self.rule.tick(now)
     }
 
     fn hear_platform(&mut self, event: PlatformEvent) -> Vec<FleetAction> {
@@ -112,7 +147,7 @@
                 bytes,
             } => {
                 metrics.platform(PlatformResult::Changed, bytes);
-                self.view.platform_answer(values, sent, now)
+                self.rule.platform_answer(values, sent, now)
             }
             PlatformEvent::Confirmed {
                 revision,
@@ -120,12 +155,12 @@
                 bytes,
             } => {
                 metrics.platform(PlatformResult::Unchanged, bytes);
-                self.view.platform_confirmed(revision, sent, now)
+                self.rule.platform_confirmed(revision, sent, now)
             }
             PlatformEvent::Failed { error } => {
                 metrics.platform(PlatformResult::Failed, 0);
                 log::warn!(error = error.to_string().as_str(); "the platform can't be read");
-                self.view.platform_failed(now)
+                self.rule.platform_failed(now)
             }
         }
     }
@@ -135,7 +170,7 @@
             match action {
                 FleetAction::Send { to, message } => self.outlets.peers.send(&to, message),
                 FleetAction::Publish(snapshot) => self.publish(snapshot).await,
-                FleetAction::Contact(hosts) => self.shared.set_addresses(&hosts),
+                FleetAction::Contact(hosts) => self.shared.set_contacts(&hosts),
                 FleetAction::Refuse { revision, findings } => {
                     log::error!(revision = revision.0, findings = findings.as_str(); "tree refused");
                     let event = LedgerEvent::RefuseRevision(revision);
@@ -147,6 +182,7 @@
                 }
             }
         }
+        self.share_timing();
         self.share_lease().await;
         self.count();
     }
@@ -156,10 +192,6 @@
     async fn publish(&self, snapshot: Arc<FleetSnapshot>) {
         log::info!(revision = snapshot.revision.0; "revision in force");
         self.shared.set_snapshot(&snapshot);
-        self.shared.set_watch_timing(WatchTiming {
-            wait: self.view.watch_wait(),
-            grace: self.view.watch_grace(),
-        });
         let ledger = LedgerEvent::Adopt(Arc::clone(&snapshot));
         let _ = self.outlets.ledger.send(ledger).await;
         let _ = self
@@ -169,8 +201,18 @@
             .await;
     }
 
+    fn share_timing(&self) {
+        let now = Instant::now();
+        self.shared.set_watch_timing(WatchTiming {
+            wait: self.rule.watch_wait(),
+            grace: self.rule.watch_grace(),
+            pause: self.rule.watch_pause(),
+            idle: !self.rule.reads_platform(now),
+        });
+    }
+
     async fn share_lease(&mut self) {
-        let until = self.view.current_until();
+        let until = self.rule.current_until();
         if until == self.lease {
             return;
         }
@@ -181,7 +223,7 @@
     }
 
     fn count(&mut self) {
-        let counters = *self.view.counters();
+        let counters = *self.rule.counters();
         let metrics = &self.shared.metrics;
         for (reason, before, after) in [
             ("check", self.counted.refused_trees, counters.refused_trees),
--- a/crates/kws-daemon/src/ledger.rs
+++ b/crates/kws-daemon/src/ledger.rs
@@ -7,7 +7,7 @@
 use eyre::Result;
 use kws_forward::Refusal;
 use kws_limits::{AdmitDecision, AdmitTicket, LedgerAction, LimitsLedger, RefusalCause};
-use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RefusalReason, TeamName, TreeRevision};
+use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RefusalReason, TeamName, TicketMessage, TreeRevision};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc::Receiver, oneshot},
@@ -42,6 +42,10 @@
     },
     RefuseRevision(TreeRevision),
     Stop,
+    Token {
+        from: HostName,
+        message: TicketMessage,
+    },
 }
 
 /// Starts the duty.
@@ -109,6 +113,8 @@
             }
             LedgerEvent::RefuseRevision(revision) => self.ledger.refuse_revision(revision, now),
             LedgerEvent::Stop => self.ledger.stop(now),
+            // Only hosts that find each other ask for single tokens.
+            LedgerEvent::Token { .. } => {}
         }
     }
 
--- a/crates/kws-daemon/src/lib.rs
+++ b/crates/kws-daemon/src/lib.rs
@@ -7,15 +7,18 @@
 mod control;
 mod daemon;
 mod dispatch;
+mod doubt;
 mod duty;
 mod fleet;
 mod ledger;
 mod logging;
 mod options;
 mod peers;
+mod placement;
 mod platform;
 mod shared;
 mod suspend;
+mod tokens;
 
 pub use daemon::{RunningDaemon, start_daemon};
 pub use logging::start_logging;
--- a/crates/kws-daemon/src/options.rs
+++ b/crates/kws-daemon/src/options.rs
@@ -10,8 +10,14 @@
     time::Duration,
 };
 
-/// The secret of a daemon that listens for peers on loopback only and names no file.
-const LOOPBACK_SECRET: &[u8] = b"peers on loopback only";
+/// Stands for the secret of a daemon that listens for peers on loopback only, or that trusts the
+/// network of its peers.
+const OPEN_SECRET: &[u8] = b"peers on loopback only";
+/// The longest time that a stopping daemon serves on for the balancer's sake.
+const LONGEST_DRAIN_LAG: Duration = Duration::from_secs(5);
+/// The part of the grace that a stopping daemon serves on: two missed checks of readiness take 2 s
+/// of the shortest grace known, and requests in flight need the rest.
+const DRAIN_LAG_PART: f64 = 0.4;
 
 /// What the daemon runs with.
 #[derive(Clone, Debug)]
@@ -80,15 +86,16 @@
     }
     let bytes = match &settings.peer_secret_file {
         Some(secret) => read_text(secret)?.into_bytes(),
-        None => LOOPBACK_SECRET.to_vec(),
+        None => OPEN_SECRET.to_vec(),
     };
     let secret =
         PeerSecret::new(&bytes).map_err(|error| OptionsError::Secret(error.to_string()))?;
+    let drain_lag = settings.grace.mul_f64(DRAIN_LAG_PART);
     Ok(DaemonOptions {
         settings,
         secret,
         workers: default_workers(),
-        drain_lag: Duration::from_secs(5),
+        drain_lag: drain_lag.min(LONGEST_DRAIN_LAG),
     })
 }
 
--- a/crates/kws-daemon/src/peers.rs
+++ b/crates/kws-daemon/src/peers.rs
@@ -6,7 +6,7 @@
     ExchangeSettings, InboundPeer, MessageClass, OutboundPeer, PeerObserver, PeerSecret,
     run_exchange,
 };
-use kws_protocol::{LeaseMessage, PeerMessage};
+use kws_protocol::{LeaseMessage, PeerMessage, TicketMessage};
 use std::{net, sync::Arc};
 use tokio::{
     net::TcpListener,
@@ -110,7 +110,17 @@
                     InboundPeer { from, message },
                 );
             }
-            PeerMessage::Config(_) => {
+            PeerMessage::Ticket(
+                message @ (TicketMessage::AskToken { .. } | TicketMessage::Token { .. }),
+            ) => {
+                let event = LedgerEvent::Token { from, message };
+                offer(&shared, "ledger", &outlets.ledger, event);
+            }
+            PeerMessage::Ticket(message) => {
+                let event = DispatchEvent::Ticket { from, message };
+                offer(&shared, "dispatch", &outlets.dispatch, event);
+            }
+            PeerMessage::Config(_) | PeerMessage::Mesh(_) => {
                 offer(
                     &shared,
                     "fleet",
--- /dev/null
+++ b/crates/kws-daemon/src/placement.rs
@@ -0,0 +1,588 @@
+//! The duty that gets a slot for each request: from the host that places for its service, from its
+//! own placer when it is that host, and alone when that host does not answer.
+
+mod asked;
+mod foreign;
+
+use crate::{
+    dispatch::{DispatchEvent, GrantReply},
+    doubt::DoubtList,
+    duty::start_duty,
+    shared::{DaemonShared, PeerSender},
+};
+use asked::{AskedTickets, OwnAsk};
+use eyre::Result;
+use foreign::ForeignTickets;
+use kws_dispatch::{
+    DispatchRequest, PlaceAction, PlaceEnd, PlaceRequest, Placer, ServerGrant, Suspicion, TicketId,
+};
+use kws_forward::{Refusal, TryClass, TryOutcome};
+use kws_protocol::{
+    FleetSnapshot, HostName, PeerMessage, ServerName, ServerStatus, ServiceName, SlotEnd,
+    SlotRequest, TicketMessage, rendezvous_order,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::mpsc::Receiver,
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+/// How often queues and unanswered questions are looked at while there are any.
+const QUEUE_TICK: Duration = Duration::from_millis(10);
+/// How often running requests are looked at.
+const JUDGE_PERIOD: Duration = Duration::from_millis(200);
+/// How often the hosts of the region are told of loads.
+const LOADS_PERIOD: Duration = Duration::from_secs(1);
+/// How often the admin address is told of the servers' standing.
+const REPORT_PERIOD: Duration = Duration::from_secs(5);
+
+/// Starts the duty.
+pub(crate) fn start_placement(
+    shared: Arc<DaemonShared>,
+    events: Receiver<DispatchEvent>,
+    peers: PeerSender,
+) -> Result<()> {
+    start_duty("placement", move || run_placement(shared, events, peers))
+}
+
+/// A request that has a slot.
+struct GrantedTicket {
+    /// The host that placed it; absent when this one did.
+    keeper: Option<HostName>,
+    service: ServiceName,
+    server: ServerName,
+}
+
+struct PlacementDuty {
+    shared: Arc<DaemonShared>,
+    peers: PeerSender,
+    placer: Placer,
+    snapshot: Option<Arc<FleetSnapshot>>,
+    asked: AskedTickets,
+    /// Requests of this host that wait in its own placer.
+    waiting: HashMap<u64, GrantReply>,
+    granted: HashMap<TicketId, GrantedTicket>,
+    foreign: ForeignTickets,
+    doubts: DoubtList,
+}
+
+async fn run_placement(
+    shared: Arc<DaemonShared>,
+    mut events: Receiver<DispatchEvent>,
+    peers: PeerSender,
+) {
+    let region = shared.identity.region.clone();
+    let mut duty = PlacementDuty {
+        shared,
+        peers,
+        placer: Placer::new(region),
+        snapshot: None,
+        asked: AskedTickets::default(),
+        waiting: HashMap::new(),
+        granted: HashMap::new(),
+        foreign: ForeignTickets::default(),
+        doubts: DoubtList::default(),
+    };
+    let timer = |period| {
+        let mut timer = interval(period);
+        timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        timer
+    };
+    let mut queues = timer(QUEUE_TICK);
+    let mut judgements = timer(JUDGE_PERIOD);
+    let mut loads = timer(LOADS_PERIOD);
+    let mut reports = timer(REPORT_PERIOD);
+    loop {
+        let busy = duty.placer.waiting() > 0 || !duty.asked.is_empty();
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => duty.take_event(event, Instant::now()),
+                None => return,
+            },
+            _ = queues.tick(), if busy => duty.pass_time(Instant::now()),
+            _ = judgements.tick(), if duty.has_work() => duty.pass_time(Instant::now()),
+            _ = loads.tick() => duty.tell_loads(Instant::now()),
+            _ = reports.tick() => duty.report(Instant::now()),
+        }
+    }
+}
+
+impl PlacementDuty {
+    fn has_work(&self) -> bool {
+        !self.granted.is_empty() || !self.foreign.is_empty()
+    }
+
+    fn take_event(&mut self, event: DispatchEvent, now: Instant) {
+        match event {
+            DispatchEvent::Adopt(snapshot) => self.adopt(snapshot, now),
+            DispatchEvent::Cancel(ticket) => self.cancel(ticket, now),
+            DispatchEvent::Enqueue { request, reply } => self.enqueue(request, reply, now),
+            DispatchEvent::Finish { ticket, outcome } => self.finish(ticket, outcome, now),
+            DispatchEvent::Peer { .. } => {}
+            DispatchEvent::Ticket { from, message } => self.hear(&from, message, now),
+        }
+    }
+
+    fn adopt(&mut self, snapshot: Arc<FleetSnapshot>, now: Instant) {
+        let actions = self.placer.adopt(&snapshot.settings, now);
+        let known = |host: &HostName| snapshot.hosts.host(host).is_some();
+        let gone = self.foreign.drop_hosts(known);
+        let lost = self.asked.take_lost(known);
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.carry_out(actions, now);
+        for key in gone {
+            let actions = self.placer.cancel(key, now);
+            self.carry_out(actions, now);
+        }
+        for ask in lost {
+            self.place(ask.request, ask.reply, now);
+        }
+    }
+
+    /// The host that places for `service` in this region; this one when it knows no other.
+    fn keeper(&self, service: &ServiceName, now: Instant) -> HostName {
+        let identity = &self.shared.identity;
+        let hosts = self.snapshot.iter().flat_map(|snapshot| {
+            let near = snapshot.hosts.in_region(&identity.region);
+            near.map(|host| &host.name)
+        });
+        let trusted = hosts.filter(|host| !self.doubts.is_doubted(host, now));
+        let names = trusted.chain([&identity.host]).map(HostName::as_str);
+        let order = rendezvous_order(service.as_str(), names);
+        let first = order.first().copied();
+        first.map_or_else(|| identity.host.clone(), HostName::new)
+    }
+
+    fn enqueue(&mut self, request: DispatchRequest, reply: GrantReply, now: Instant) {
+        let request = SlotRequest {
+            ticket: request.ticket.0,
+            service: request.service,
+            center: self.shared.identity.center.clone(),
+            team: request.team,
+            weight: request.weight,
+            priority: request.priority,
+            left: request.deadline.saturating_duration_since(now),
+            repeatable: request.repeatable,
+            bytes: request.bytes,
+            excluded: request.excluded,
+            repeat: request.repeat,
+        };
+        self.place(request, reply, now);
+    }
+
+    fn place(&mut self, request: SlotRequest, reply: GrantReply, now: Instant) {
+        let keeper = self.keeper(&request.service, now);
+        if keeper == self.shared.identity.host || self.shared.is_stopping() {
+            return self.place_alone(request, reply, now);
+        }
+        let message = TicketMessage::Ask(request.clone());
+        self.peers.send(&keeper, PeerMessage::Ticket(message));
+        self.asked.add(OwnAsk::new(request, reply, keeper, now));
+    }
+
+    fn place_alone(&mut self, request: SlotRequest, reply: GrantReply, now: Instant) {
+        let key = request.ticket;
+        self.waiting.insert(key, reply);
+        let actions = self.placer.ask(place_request(request, key, now), now);
+        self.carry_out(actions, now);
+    }
+
+    fn cancel(&mut self, ticket: TicketId, now: Instant) {
+        self.waiting.remove(&ticket.0);
+        if let Some(ask) = self.asked.remove(ticket.0) {
+            let end = end_message(ticket, ask.request.service, None, SlotEnd::Cancelled);
+            self.peers.send(&ask.keeper, end);
+            return;
+        }
+        let outcome = TryOutcome {
+            latency: Duration::ZERO,
+            class: TryClass::Cancelled,
+            draining: false,
+        };
+        match self.granted.remove(&ticket) {
+            Some(granted) => self.end_granted(ticket, granted, outcome, now),
+            None => {
+                let actions = self.placer.cancel(ticket.0, now);
+                self.carry_out(actions, now);
+            }
+        }
+    }
+
+    fn finish(&mut self, ticket: TicketId, outcome: TryOutcome, now: Instant) {
+        if let Some(granted) = self.granted.remove(&ticket) {
+            self.end_granted(ticket, granted, outcome, now);
+        }
+    }
+
+    /// Tells the host that placed the request how it ended. What this host placed alone is evidence
+    /// for the host that places.
+    fn end_granted(
+        &mut self,
+        ticket: TicketId,
+        granted: GrantedTicket,
+        outcome: TryOutcome,
+        now: Instant,
+    ) {
+        let GrantedTicket {
+            keeper,
+            service,
+            server,
+        } = granted;
+        let end = slot_end(outcome.class);
+        if keeper.is_none() {
+            let place_end = PlaceEnd {
+                end,
+                latency: outcome.latency,
+                draining: outcome.draining,
+            };
+            let ended = self
+                .placer
+                .end(ticket.0, &service, Some(&server), place_end, now);
+            self.carry_out(ended, now);
+        }
+        let to = keeper.unwrap_or_else(|| self.keeper(&service, now));
+        if to == self.shared.identity.host {
+            return;
+        }
+        let message = TicketMessage::End {
+            ticket: ticket.0,
+            service,
+            server: Some(server),
+            end,
+            latency: outcome.latency,
+            draining: outcome.draining,
+        };
+        self.peers.send(&to, PeerMessage::Ticket(message));
+    }
+
+    fn hear(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
+        self.doubts.trust(from);
+        match message {
+            TicketMessage::Ask(request) => self.hear_ask(from, request, now),
+            TicketMessage::Queued { ticket } => self.asked.note_queued(ticket, now),
+            TicketMessage::Grant {
+                ticket,
+                server,
+                address,
+            } => self.hear_grant(from, ticket, (server, address), now),
+            TicketMessage::Refuse {
+                ticket,
+                reason,
+                retry_after,
+            } => {
+                if let Some(ask) = self.asked.remove(ticket) {
+                    let refusal = Refusal {
+                        reason,
+                        retry_after,
+                    };
+                    let _ = ask.reply.send(Err(refusal));
+                }
+            }
+            TicketMessage::End {
+                ticket,
+                service,
+                server,
+                end,
+                latency,
+                draining,
+            } => {
+                let key = self.foreign.remove(from, ticket);
+                let place_end = PlaceEnd {
+                    end,
+                    latency,
+                    draining,
+                };
+                let key = key.unwrap_or(foreign::UNKNOWN_KEY);
+                let ended = self
+                    .placer
+                    .end(key, &service, server.as_ref(), place_end, now);
+                self.carry_out(ended, now);
+            }
+            TicketMessage::Loads { service, loads } => {
+                self.placer.learn(&service, &loads, now);
+            }
+            TicketMessage::AskToken { .. } | TicketMessage::Token { .. } => {}
+        }
+    }
+
+    fn hear_ask(&mut self, from: &HostName, request: SlotRequest, now: Instant) {
+        let ticket = request.ticket;
+        let deadline = now + request.left;
+        let (key, known) = self.foreign.key(from, ticket, deadline);
+        if !known {
+            let actions = self.placer.ask(place_request(request, key, now), now);
+            self.carry_out(actions, now);
+        } else if let Some((server, address)) = self.foreign.granted(key) {
+            let message = TicketMessage::Grant {
+                ticket,
+                server,
+                address,
+            };
+            self.peers.send(from, PeerMessage::Ticket(message));
+        }
+        if self.placer.waits(key) {
+            let message = TicketMessage::Queued { ticket };
+            self.peers.send(from, PeerMessage::Ticket(message));
+        }
+    }
+
+    fn hear_grant(
+        &mut self,
+        from: &HostName,
+        ticket: u64,
+        (server, address): (ServerName, std::net::SocketAddr),
+        now: Instant,
+    ) {
+        let id = TicketId(ticket);
+        let Some(ask) = self.asked.remove(ticket) else {
+            // Placed elsewhere or given up meanwhile: the slot goes back.
+            if !self.granted.contains_key(&id) {
+                let service = ServiceName::new("");
+                let end = end_message(id, service, None, SlotEnd::Cancelled);
+                self.peers.send(from, end);
+            }
+            return;
+        };
+        let granted = GrantedTicket {
+            keeper: Some(from.clone()),
+            service: ask.request.service,
+            server: server.clone(),
+        };
+        self.hand_out(id, granted, address, ask.reply, now);
+    }
+
+    fn hand_out(
+        &mut self,
+        ticket: TicketId,
+        granted: GrantedTicket,
+        address: std::net::SocketAddr,
+        reply: GrantReply,
+        now: Instant,
+    ) {
+        let grant = ServerGrant {
+            ticket,
+            server: granted.server.clone(),
+            address,
+            trial: false,
+            spill: false,
+        };
+        self.granted.insert(ticket, granted);
+        if reply.send(Ok(grant)).is_err() {
+            self.cancel(ticket, now);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<PlaceAction>, now: Instant) {
+        for action in actions {
+            match action {
+                PlaceAction::Grant {
+                    key,
+                    server,
+                    address,
+                } => self.carry_grant(key, server, address, now),
+                PlaceAction::Refuse {
+                    key,
+                    reason,
+                    retry_after,
+                } => {
+                    let refusal = Refusal {
+                        reason,
+                        retry_after,
+                    };
+                    self.carry_refusal(key, refusal);
+                }
+                PlaceAction::Judged {
+                    service,
+                    server,
+                    out,
+                    cause,
+                } => log::info!(
+                    service = service.as_str(),
+                    server = server.as_str(),
+                    out = out,
+                    cause = cause;
+                    "server judged"
+                ),
+            }
+        }
+    }
+
+    fn carry_grant(
+        &mut self,
+        key: u64,
+        server: ServerName,
+        address: std::net::SocketAddr,
+        now: Instant,
+    ) {
+        if let Some((host, ticket)) = self.foreign.grant(key, &server, address) {
+            let message = TicketMessage::Grant {
+                ticket,
+                server,
+                address,
+            };
+            self.peers.send(&host, PeerMessage::Ticket(message));
+            return;
+        }
+        let Some((reply, service)) = self
+            .waiting
+            .remove(&key)
+            .zip(self.placer.service_of(key).cloned())
+        else {
+            let actions = self.placer.cancel(key, now);
+            return self.carry_out(actions, now);
+        };
+        let granted = GrantedTicket {
+            keeper: None,
+            service,
+            server,
+        };
+        self.hand_out(TicketId(key), granted, address, reply, now);
+    }
+
+    fn carry_refusal(&mut self, key: u64, refusal: Refusal) {
+        if let Some((host, ticket)) = self.foreign.take(key) {
+            let message = TicketMessage::Refuse {
+                ticket,
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            };
+            self.peers.send(&host, PeerMessage::Ticket(message));
+        } else if let Some(reply) = self.waiting.remove(&key) {
+            let _ = reply.send(Err(refusal));
+        }
+    }
+
+    fn pass_time(&mut self, now: Instant) {
+        for ask in self.asked.take_unanswered(now) {
+            log::warn!(
+                ticket = ask.request.ticket,
+                service = ask.request.service.as_str(),
+                keeper = ask.keeper.as_str(),
+                waited_ms = now.saturating_duration_since(ask.sent).as_millis() as u64;
+                "no answer on a slot, placed alone"
+            );
+            self.shared.metrics.peer_dropped("ticket_unanswered");
+            self.doubts.doubt(&ask.keeper, now);
+            self.place_alone(ask.request, ask.reply, now);
+        }
+        for (keeper, request) in self.asked.take_reminders(now) {
+            let message = TicketMessage::Ask(request);
+            self.peers.send(&keeper, PeerMessage::Ticket(message));
+        }
+        for key in self.foreign.take_expired(now) {
+            let actions = self.placer.cancel(key, now);
+            self.carry_out(actions, now);
+        }
+        let actions = self.placer.tick(now);
+        self.carry_out(actions, now);
+    }
+
+    /// Tells the region, and the same host of each other region, of the services placed here.
+    fn tell_loads(&mut self, now: Instant) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let identity = self.shared.identity.clone();
+        for service in snapshot.settings.services.keys() {
+            if self.keeper(service, now) != identity.host {
+                continue;
+            }
+            let loads = self.placer.loads(service, now);
+            if loads.is_empty() {
+                continue;
+            }
+            let message = PeerMessage::Ticket(TicketMessage::Loads {
+                service: service.clone(),
+                loads,
+            });
+            for region in snapshot.settings.regions.keys() {
+                let names = snapshot.hosts.in_region(region).map(|host| &host.name);
+                let names = names.filter(|name| **name != identity.host);
+                if region == &identity.region {
+                    names.for_each(|name| self.peers.send(name, message.clone()));
+                } else {
+                    let order =
+                        rendezvous_order(service.as_str(), names.map(HostName::as_str));
+                    if let Some(first) = order.first() {
+                        self.peers.send(&HostName::new(first), message.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Shows the standing of every server on the admin address.
+    fn report(&self, now: Instant) {
+        let mut statuses = Vec::new();
+        let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for (service, server, suspicion) in self.placer.standings(now) {
+            let state = match suspicion {
+                Suspicion::Clean => "serving",
+                Suspicion::Suspect => "suspect",
+                Suspicion::Sick => "ejected",
+            };
+            for known in ["serving", "suspect", "ejected"] {
+                let count = counts.entry((service.as_str(), known)).or_default();
+                *count += usize::from(known == state);
+            }
+            statuses.push(ServerStatus {
+                service: service.clone(),
+                server: server.clone(),
+                weight: if suspicion == Suspicion::Sick { 0.0 } else { 1.0 },
+                state: state.to_owned(),
+            });
+        }
+        for ((service, state), count) in counts {
+            self.shared.metrics.set_servers(service, state, count);
+        }
+        self.shared.set_servers(statuses);
+    }
+}
+
+fn place_request(request: SlotRequest, key: u64, now: Instant) -> PlaceRequest {
+    PlaceRequest {
+        key,
+        service: request.service,
+        center: request.center,
+        team: request.team,
+        weight: request.weight,
+        priority: request.priority,
+        deadline: now + request.left,
+        repeatable: request.repeatable,
+        bytes: request.bytes,
+        excluded: request.excluded,
+        repeat: request.repeat,
+    }
+}
+
+fn end_message(
+    ticket: TicketId,
+    service: ServiceName,
+    server: Option<ServerName>,
+    end: SlotEnd,
+) -> PeerMessage {
+    PeerMessage::Ticket(TicketMessage::End {
+        ticket: ticket.0,
+        service,
+        server,
+        end,
+        latency: Duration::ZERO,
+        draining: false,
+    })
+}
+
+fn slot_end(class: TryClass) -> SlotEnd {
+    match class {
+        TryClass::Good => SlotEnd::Good,
+        TryClass::Bad => SlotEnd::Bad,
+        TryClass::Late => SlotEnd::Late,
+        TryClass::ConnectFailed => SlotEnd::Unreached,
+        TryClass::NotRun => SlotEnd::Shed,
+        TryClass::Misdirected => SlotEnd::Misdirected,
+        TryClass::Cancelled => SlotEnd::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/kws-daemon/src/placement/foreign.rs
@@ -0,0 +1,106 @@
+//! Requests of other hosts that this one places.
+
+use kws_protocol::{HostName, ServerName};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// Keys of other hosts' requests start here; this host's own tickets lie below.
+const FIRST_KEY: u64 = 1 << 63;
+
+/// Stands for a request that this host did not place.
+pub(super) const UNKNOWN_KEY: u64 = u64::MAX;
+
+/// A request whose end was never told is forgotten so long after its deadline.
+const EXPIRY: Duration = Duration::from_secs(1);
+
+struct ForeignTicket {
+    host: HostName,
+    ticket: u64,
+    granted: Option<(ServerName, SocketAddr)>,
+    expires: Instant,
+}
+
+/// All of them.
+#[derive(Default)]
+pub(super) struct ForeignTickets {
+    keys: HashMap<(HostName, u64), u64>,
+    tickets: HashMap<u64, ForeignTicket>,
+    next: u64,
+}
+
+impl ForeignTickets {
+    pub(super) fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// The key of a host's ticket, and whether it was known before.
+    pub(super) fn key(&mut self, host: &HostName, ticket: u64, deadline: Instant) -> (u64, bool) {
+        if let Some(key) = self.keys.get(&(host.clone(), ticket)) {
+            return (*key, true);
+        }
+        let key = FIRST_KEY + self.next;
+        self.next += 1;
+        self.keys.insert((host.clone(), ticket), key);
+        let foreign = ForeignTicket {
+            host: host.clone(),
+            ticket,
+            granted: None,
+            expires: deadline + EXPIRY,
+        };
+        self.tickets.insert(key, foreign);
+        (key, false)
+    }
+
+    /// Notes a grant; whom to tell, when the key is another host's.
+    pub(super) fn grant(
+        &mut self,
+        key: u64,
+        server: &ServerName,
+        address: SocketAddr,
+    ) -> Option<(HostName, u64)> {
+        let foreign = self.tickets.get_mut(&key)?;
+        foreign.granted = Some((server.clone(), address));
+        Some((foreign.host.clone(), foreign.ticket))
+    }
+
+    /// What was granted for a key.
+    pub(super) fn granted(&self, key: u64) -> Option<(ServerName, SocketAddr)> {
+        self.tickets.get(&key)?.granted.clone()
+    }
+
+    /// Forgets a key; whom it belonged to.
+    pub(super) fn take(&mut self, key: u64) -> Option<(HostName, u64)> {
+        let foreign = self.tickets.remove(&key)?;
+        self.keys.remove(&(foreign.host.clone(), foreign.ticket));
+        Some((foreign.host, foreign.ticket))
+    }
+
+    /// Forgets a host's ticket; its key.
+    pub(super) fn remove(&mut self, host: &HostName, ticket: u64) -> Option<u64> {
+        let key = self.keys.remove(&(host.clone(), ticket))?;
+        self.tickets.remove(&key);
+        Some(key)
+    }
+
+    /// Forgets the tickets of hosts that `known` does not name any more; their keys.
+    pub(super) fn drop_hosts(&mut self, known: impl Fn(&HostName) -> bool) -> Vec<u64> {
+        self.drop_if(|one| !known(&one.host))
+    }
+
+    /// Forgets the tickets whose end is overdue; their keys.
+    pub(super) fn take_expired(&mut self, now: Instant) -> Vec<u64> {
+        self.drop_if(|one| now >= one.expires)
+    }
+
+    fn drop_if(&mut self, gone: impl Fn(&ForeignTicket) -> bool) -> Vec<u64> {
+        let tickets = self.tickets.iter();
+        let keys: Vec<u64> = tickets
+            .filter(|(_, one)| gone(one))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in &keys {
+            self.take(*key);
+        }
+        keys
+    }
+}
--- a/crates/kws-daemon/src/platform.rs
+++ b/crates/kws-daemon/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::{duty::start_thread, shared::DaemonShared};
 use eyre::Result;
+use kws_adapter::StoreReader;
 use kws_platform::{ConsulReader, DirectoryReader, PlatformEvent, PlatformReader, run_watch};
 use kws_tree::PlatformSource;
 use ntex::rt::{DefaultRuntime, System};
@@ -25,6 +26,7 @@
 
 fn open_reader(source: &PlatformSource) -> Box<dyn PlatformReader> {
     match source {
+        PlatformSource::Store { address, .. } => Box::new(StoreReader::new(*address)),
         PlatformSource::Directory(path) => Box::new(DirectoryReader::new(path)),
         PlatformSource::Service { address, prefix } => {
             Box::new(ConsulReader::new(&format!("http://{address}"), prefix))
--- a/crates/kws-daemon/src/shared.rs
+++ b/crates/kws-daemon/src/shared.rs
@@ -37,6 +37,7 @@
     pub(crate) stopping: AtomicBool,
     view: ArcSwapOption<RoutingView>,
     addresses: ArcSwapOption<HashMap<HostName, SocketAddr>>,
+    contacts: ArcSwapOption<HashMap<HostName, SocketAddr>>,
     lease: SharedInstant,
     readiness: Mutex<Readiness>,
     servers: Mutex<Vec<ServerStatus>>,
@@ -53,6 +54,7 @@
             stopping: AtomicBool::new(false),
             view: ArcSwapOption::empty(),
             addresses: ArcSwapOption::empty(),
+            contacts: ArcSwapOption::empty(),
             lease: SharedInstant::new(born),
             readiness: Mutex::new(Readiness::Unready(UnreadyReason::NoTree)),
             servers: Mutex::default(),
@@ -78,11 +80,17 @@
     }
 
     /// Takes the hosts that messages may be sent to.
-    pub(crate) fn set_addresses(&self, hosts: &[ListedHost]) {
+    fn set_addresses(&self, hosts: &[ListedHost]) {
         let addresses = hosts.iter().map(|host| (host.name.clone(), host.peer));
         self.addresses.store(Some(Arc::new(addresses.collect())));
     }
 
+    /// Takes hosts that messages may be sent to besides those of the snapshot.
+    pub(crate) fn set_contacts(&self, hosts: &[ListedHost]) {
+        let addresses = hosts.iter().map(|host| (host.name.clone(), host.peer));
+        self.contacts.store(Some(Arc::new(addresses.collect())));
+    }
+
     /// Whether the lease holds at this moment.
     pub(crate) fn is_current(&self) -> bool {
         self.lease.get().is_some_and(|until| Instant::now() < until)
@@ -121,8 +129,10 @@
     }
 
     fn address(&self, host: &HostName) -> Option<SocketAddr> {
-        let addresses = self.addresses.load();
-        addresses.as_ref()?.get(host).copied()
+        let find = |known: &ArcSwapOption<HashMap<HostName, SocketAddr>>| {
+            known.load().as_ref()?.get(host).copied()
+        };
+        find(&self.addresses).or_else(|| find(&self.contacts))
     }
 }
 
@@ -142,15 +152,12 @@
         Self { shared, outbound }
     }
 
-    /// Queues a message; one for an unlisted host, or one that finds the ring full, is dropped.
+    /// Queues a message; one that finds the ring full is dropped, and so is one for a host whose
+    /// address is unknown and that has no link open.
     pub(crate) fn send(&self, to: &HostName, message: PeerMessage) {
-        let Some(address) = self.shared.address(to) else {
-            self.shared.metrics.peer_dropped("unlisted");
-            return;
-        };
         let outbound = OutboundPeer {
             to: to.clone(),
-            address,
+            address: self.shared.address(to),
             message,
         };
         if self.outbound.try_send(outbound).is_err() {
--- /dev/null
+++ b/crates/kws-daemon/src/tokens.rs
@@ -0,0 +1,245 @@
+//! The duty that gets a token for each request of a team: from the host that keeps the team's
+//! tokens in this region, or from a small share of its own when that host does not answer.
+
+use crate::{
+    doubt::DoubtList,
+    duty::start_duty,
+    ledger::{AdmitReply, LedgerEvent},
+    shared::{DaemonShared, PeerSender},
+};
+use eyre::Result;
+use kws_forward::Refusal;
+use kws_limits::{TokenAnswer, TokenKeeper};
+use kws_protocol::{
+    FleetSnapshot, HostName, PeerMessage, RefusalReason, TeamName, TicketMessage, rendezvous_order,
+};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+use tokio::{
+    sync::mpsc::Receiver,
+    time::{Instant, MissedTickBehavior, interval, sleep},
+};
+
+/// How often unanswered questions are looked at while there are any.
+const TICK: Duration = Duration::from_millis(20);
+/// A keeper may let a request wait for its token; one that is silent for longer than that and the
+/// way there and back is taken to be away.
+const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+
+/// Starts the duty.
+pub(crate) fn start_tokens(
+    shared: Arc<DaemonShared>,
+    events: Receiver<LedgerEvent>,
+    peers: PeerSender,
+) -> Result<()> {
+    start_duty("tokens", move || run_tokens(shared, events, peers))
+}
+
+struct AskedToken {
+    team: TeamName,
+    reply: AdmitReply,
+    keeper: HostName,
+    sent: Instant,
+}
+
+struct TokenDuty {
+    shared: Arc<DaemonShared>,
+    peers: PeerSender,
+    snapshot: Option<Arc<FleetSnapshot>>,
+    hosts: Vec<HostName>,
+    keeper: TokenKeeper,
+    /// What this host uses while a keeper does not answer.
+    alone: TokenKeeper,
+    asked: HashMap<u64, AskedToken>,
+    next: u64,
+    doubts: DoubtList,
+}
+
+async fn run_tokens(
+    shared: Arc<DaemonShared>,
+    mut events: Receiver<LedgerEvent>,
+    peers: PeerSender,
+) {
+    let now = Instant::now();
+    let region = shared.identity.region.clone();
+    let mut duty = TokenDuty {
+        hosts: Vec::new(),
+        shared,
+        peers,
+        snapshot: None,
+        keeper: TokenKeeper::new(region.clone(), now),
+        alone: TokenKeeper::new(region, now),
+        asked: HashMap::new(),
+        next: 0,
+        doubts: DoubtList::default(),
+    };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => duty.take_event(event, Instant::now()),
+                None => return,
+            },
+            _ = ticks.tick(), if !duty.asked.is_empty() => duty.pass_time(Instant::now()),
+        }
+    }
+}
+
+impl TokenDuty {
+    fn take_event(&mut self, event: LedgerEvent, now: Instant) {
+        match event {
+            LedgerEvent::Admit { team, reply } => self.admit(team, reply, now),
+            LedgerEvent::Adopt(snapshot) => self.adopt(snapshot, now),
+            LedgerEvent::Token { from, message } => self.hear(&from, message, now),
+            LedgerEvent::Lease(_)
+            | LedgerEvent::Loan { .. }
+            | LedgerEvent::PeerRevision { .. }
+            | LedgerEvent::RefuseRevision(_)
+            | LedgerEvent::Stop => {}
+        }
+    }
+
+    fn adopt(&mut self, snapshot: Arc<FleetSnapshot>, now: Instant) {
+        let near = snapshot.hosts.in_region(&self.shared.identity.region);
+        let hosts: Vec<HostName> = near.map(|host| host.name.clone()).collect();
+        if hosts != self.hosts {
+            self.hosts = hosts;
+            self.keeper.hosts_changed(now);
+        }
+        self.snapshot = Some(snapshot);
+    }
+
+    fn admit(&mut self, team: TeamName, reply: AdmitReply, now: Instant) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            let _ = reply.send(Err(RefusalReason::NotCurrent.into()));
+            return;
+        };
+        if TokenKeeper::is_unlimited(&snapshot.settings, &team) {
+            let _ = reply.send(Ok(()));
+            return;
+        }
+        let keeper = self.keeper_of(&team, now);
+        if keeper == self.shared.identity.host {
+            let answer = self.keeper.take(&snapshot.settings, &team, 1.0, now);
+            return settle_later(answer, reply);
+        }
+        self.next += 1;
+        let message = TicketMessage::AskToken {
+            id: self.next,
+            team: team.clone(),
+        };
+        self.peers.send(&keeper, PeerMessage::Ticket(message));
+        let asked = AskedToken {
+            team,
+            reply,
+            keeper,
+            sent: now,
+        };
+        self.asked.insert(self.next, asked);
+    }
+
+    /// The host that keeps the team's tokens in this region; this one when it knows no other.
+    fn keeper_of(&self, team: &TeamName, now: Instant) -> HostName {
+        let own = &self.shared.identity.host;
+        let hosts = self.hosts.iter();
+        let trusted = hosts.filter(|host| !self.doubts.is_doubted(host, now));
+        let names = trusted.chain([own]).map(HostName::as_str);
+        let order = rendezvous_order(team.as_str(), names);
+        let first = order.first().copied();
+        first.map_or_else(|| own.clone(), HostName::new)
+    }
+
+    fn hear(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
+        self.doubts.trust(from);
+        match message {
+            TicketMessage::AskToken { id, team } => self.hear_ask(from, id, &team, now),
+            TicketMessage::Token { id, retry_after } => {
+                let Some(asked) = self.asked.remove(&id) else {
+                    return;
+                };
+                let answer = match retry_after {
+                    None => TokenAnswer::Now,
+                    Some(retry_after) => TokenAnswer::Refused { retry_after },
+                };
+                settle_later(answer, asked.reply);
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_ask(&mut self, from: &HostName, id: u64, team: &TeamName, now: Instant) {
+        let answer = match &self.snapshot {
+            Some(snapshot) => self.keeper.take(&snapshot.settings, team, 1.0, now),
+            None => return,
+        };
+        let (wait, retry_after) = match answer {
+            TokenAnswer::Now => (Duration::ZERO, None),
+            TokenAnswer::After(wait) => (wait, None),
+            TokenAnswer::Refused { retry_after } => (Duration::ZERO, Some(retry_after)),
+            // A team that is new here is not yet new everywhere: the asker decides alone.
+            TokenAnswer::Unknown => return,
+        };
+        let message = PeerMessage::Ticket(TicketMessage::Token { id, retry_after });
+        if wait.is_zero() {
+            self.peers.send(from, message);
+            return;
+        }
+        let (peers, to) = (self.peers.clone(), from.clone());
+        tokio::spawn(async move {
+            sleep(wait).await;
+            peers.send(&to, message);
+        });
+    }
+
+    fn pass_time(&mut self, now: Instant) {
+        let late: Vec<u64> = self
+            .asked
+            .iter()
+            .filter(|(_, one)| now.saturating_duration_since(one.sent) >= ANSWER_LIMIT)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            if let Some(asked) = self.asked.remove(&id) {
+                self.decide_alone(asked, now);
+            }
+        }
+    }
+
+    /// Each host may use an equal part of the region's share while the keeper is silent.
+    fn decide_alone(&mut self, asked: AskedToken, now: Instant) {
+        log::warn!(
+            team = asked.team.as_str(),
+            keeper = asked.keeper.as_str();
+            "no answer on a token, decided alone"
+        );
+        self.doubts.doubt(&asked.keeper, now);
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        let part = 1.0 / self.hosts.len().max(1) as f64;
+        let answer = self
+            .alone
+            .take(&snapshot.settings, &asked.team, part, now);
+        settle_later(answer, asked.reply);
+    }
+}
+
+/// Settles a request at once, or when its token is there.
+fn settle_later(answer: TokenAnswer, reply: AdmitReply) {
+    let result = match answer {
+        TokenAnswer::Now => Ok(()),
+        TokenAnswer::After(wait) => {
+            tokio::spawn(async move {
+                sleep(wait).await;
+                let _ = reply.send(Ok(()));
+            });
+            return;
+        }
+        TokenAnswer::Refused { retry_after } => Err(Refusal {
+            reason: RefusalReason::RateExceeded,
+            retry_after: Some(retry_after),
+        }),
+        TokenAnswer::Unknown => Err(RefusalReason::KeyUnknown.into()),
+    };
+    let _ = reply.send(result);
+}
--- a/crates/kws-dispatch/src/action.rs
+++ b/crates/kws-dispatch/src/action.rs
@@ -21,8 +21,12 @@
     pub weight: f64,
     /// When its answer must be whole.
     pub deadline: Instant,
+    /// Its rank, 0 the highest.
+    pub priority: u32,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether it is a try after the first.
+    pub repeat: bool,
     /// The bytes that it is expected to move, counted against the spill budget.
     pub bytes: u64,
     /// Servers to avoid while others can serve: a hedge names the server of its first try.
--- a/crates/kws-dispatch/src/lib.rs
+++ b/crates/kws-dispatch/src/lib.rs
@@ -1,12 +1,14 @@
 //! Fair queues, choice of backend server and retry policy.
 //!
-//! One [`Dispatcher`] a host, owned by the thread that owns the health judge. It opens no socket and
+//! [`Placer`] places for a whole region where hosts find each other; [`Dispatcher`] for one host of a
+//! published list, owned by the thread that owns the health judge. It opens no socket and
 //! reads no clock: each call takes an event and the time, and returns what to do.
 
 mod action;
 mod choice;
 mod concurrency;
 mod dispatcher;
+mod placer;
 mod queue;
 mod retry;
 mod service;
@@ -15,4 +17,5 @@
 
 pub use action::{DispatchAction, DispatchRequest, ServerGrant, TicketEnd, TicketId};
 pub use dispatcher::Dispatcher;
+pub use placer::{PlaceAction, PlaceEnd, PlaceRequest, Placer, Suspicion};
 pub use retry::{FailedTry, RetryBudget, RetryDecision, RetryPolicy, RetrySource, TryFailure};
--- /dev/null
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -0,0 +1,500 @@
+//! The servers and the queue of one service.
+
+use super::{
+    PlaceAction, PlaceEnd, PlaceRequest, server::PlacedServer, suspicion::Suspicion,
+    waiting::WaitingLine,
+};
+use crate::{RetryBudget, RetrySource};
+use kws_protocol::{
+    RefusalReason, RegionName, ServerLoad, ServerName, ServiceName, ServiceSettings, SlotEnd,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// The time in service assumed before any was measured.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(200);
+
+/// The weight of the newest time in service in the average, between 0 and 1.
+const TIME_GAIN: f64 = 0.05;
+
+/// The part of the usual time in service that must be left after the wait: quick answers still
+/// make it.
+const LEAST_SERVICE: f64 = 0.5;
+
+/// A request that is out for so many times the usual time counts against its server.
+const OVERDUE_FACTOR: f64 = 4.0;
+
+/// No request counts as out for too long before this.
+const LEAST_OVERDUE: Duration = Duration::from_millis(800);
+
+/// Requests of another region are sent there only when the wait would be longer than this.
+const SPILL_WAIT: Duration = Duration::from_millis(400);
+
+/// A request that moves more than this waits for its own region, in bytes: the link between
+/// regions is paid by volume.
+const SPILL_BYTES: u64 = 24 * 1024;
+
+/// Another data centre of the region costs as much as this part of a server's load.
+const CENTER_COST: f64 = 0.1;
+
+/// The shortest advice on when to try again.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+
+/// The longest advice on when to try again.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// A service that had a repeatable request within this time keeps its trials for those.
+const REPEATABLE_AGE: Duration = Duration::from_secs(1);
+
+/// One service.
+#[derive(Clone, Debug)]
+pub(crate) struct ServicePool {
+    name: ServiceName,
+    region: RegionName,
+    settings: Option<ServiceSettings>,
+    servers: BTreeMap<ServerName, PlacedServer>,
+    line: WaitingLine,
+    placed: HashMap<u64, ServerName>,
+    service_time: Duration,
+    budget: RetryBudget,
+    repeatable_seen: Option<Instant>,
+    draws: u64,
+}
+
+impl ServicePool {
+    /// A service without servers.
+    pub(crate) fn new(name: &ServiceName, region: RegionName, _now: Instant) -> Self {
+        Self {
+            name: name.clone(),
+            region,
+            settings: None,
+            servers: BTreeMap::new(),
+            line: WaitingLine::default(),
+            placed: HashMap::new(),
+            service_time: FIRST_SERVICE_TIME,
+            budget: RetryBudget::new(0.0),
+            repeatable_seen: None,
+            draws: 0,
+        }
+    }
+
+    /// Takes newer settings; servers of the first ones are taken to be warm. `_regions` regions
+    /// place for the service, each with a budget of its own.
+    pub(crate) fn adopt(&mut self, settings: &ServiceSettings, _regions: f64, now: Instant) {
+        let first = self.settings.is_none();
+        if first {
+            self.budget = RetryBudget::new(settings.retry_budget);
+        }
+        self.budget.set_share(settings.retry_budget);
+        self.servers
+            .retain(|name, _| settings.servers.contains_key(name));
+        for (name, server) in &settings.servers {
+            self.servers
+                .entry(name.clone())
+                .or_insert_with(|| PlacedServer::new(server, !first, now))
+                .adopt(server, now);
+        }
+        self.settings = Some(settings.clone());
+    }
+
+    /// Requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// Whether a request waits here.
+    pub(crate) fn waits(&self, key: u64) -> bool {
+        self.line.iter().any(|request| request.key == key)
+    }
+
+    /// The servers.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &ServerName> {
+        self.servers.keys()
+    }
+
+    /// How each server may be used.
+    pub(crate) fn standings(&self, now: Instant) -> impl Iterator<Item = (&ServerName, Suspicion)> {
+        let servers = self.servers.iter();
+        servers.map(move |(name, server)| (name, server.suspicion(now)))
+    }
+
+    /// Refuses whatever waits, since the service is gone.
+    pub(crate) fn refuse_all(&mut self) -> Vec<PlaceAction> {
+        let gone = self.line.take_if(|_| true);
+        gone.into_iter()
+            .map(|request| refuse(request.key, RefusalReason::NoServer, None))
+            .collect()
+    }
+
+    /// Lets a request wait, or refuses it at once when it would wait in vain.
+    pub(crate) fn enqueue(&mut self, request: PlaceRequest, now: Instant) -> Vec<PlaceAction> {
+        if request.repeatable {
+            self.repeatable_seen = Some(now);
+        }
+        if request.repeat {
+            if !self.budget.spend() {
+                return vec![refuse(request.key, RefusalReason::RetryBudget, None)];
+            }
+        } else {
+            self.budget.earn();
+        }
+        let (key, deadline) = (request.key, request.deadline);
+        let queue = self.settings.as_ref().map_or(0, |one| one.queue as usize);
+        if self.line.len() >= queue.max(1) {
+            return vec![refuse(key, RefusalReason::QueueFull, Some(self.advice(now)))];
+        }
+        let before = self.line.push(request, now);
+        let wait = self.wait_of(before, now);
+        if now + wait + self.service_time.mul_f64(LEAST_SERVICE) > deadline {
+            self.line.remove(key);
+            let advice = self.advice(now);
+            return vec![refuse(key, RefusalReason::DeadlineEarly, Some(advice))];
+        }
+        Vec::new()
+    }
+
+    /// Slots that are in use by the region's requests, or could be.
+    fn slots(&self, now: Instant) -> u32 {
+        let near = self.servers.values().filter(|one| self.is_near(one));
+        near.filter(|one| one.is_present(now) && one.suspicion(now) < Suspicion::Sick)
+            .map(|one| one.usable(self.slow_start(), now))
+            .sum()
+    }
+
+    fn free_slots(&self, now: Instant) -> u32 {
+        let near = self.servers.values().filter(|one| self.is_near(one));
+        near.filter(|one| one.is_present(now) && one.suspicion(now) < Suspicion::Sick)
+            .map(|one| {
+                one.usable(self.slow_start(), now)
+                    .saturating_sub(one.load(now))
+            })
+            .sum()
+    }
+
+    /// How long a request with `before` others before it waits at the present pace.
+    fn wait_of(&self, before: usize, now: Instant) -> Duration {
+        let free = self.free_slots(now) as usize;
+        if before < free {
+            return Duration::ZERO;
+        }
+        let turns = (before - free + 1) as f64 / f64::from(self.slots(now).max(1));
+        self.service_time.mul_f64(turns.min(1_000.0))
+    }
+
+    /// When another attempt may succeed: once what waits now is served, and spread, so that those
+    /// who were refused together don't come back together.
+    fn advice(&mut self, now: Instant) -> Duration {
+        self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let spread = 0.5 + (self.draws >> 33) as f64 / f64::from(u32::MAX);
+        let wait = self.wait_of(self.line.len(), now);
+        wait.mul_f64(spread).clamp(MIN_RETRY, MAX_RETRY)
+    }
+
+    fn slow_start(&self) -> Duration {
+        self.settings
+            .as_ref()
+            .map_or(Duration::ZERO, |settings| settings.slow_start)
+    }
+
+    fn is_near(&self, server: &PlacedServer) -> bool {
+        server.settings.region == self.region
+    }
+
+    /// Grants what has a place to go, and refuses what its deadline lost.
+    pub(crate) fn serve(&mut self, now: Instant) -> Vec<PlaceAction> {
+        let least = self.service_time.mul_f64(LEAST_SERVICE);
+        let lost = self.line.take_if(|request| request.deadline < now + least);
+        let mut actions = Vec::new();
+        for request in lost {
+            let advice = self.advice(now);
+            actions.push(refuse(request.key, RefusalReason::DeadlineEarly, Some(advice)));
+        }
+        let mut index = 0;
+        loop {
+            let picked = match self.line.iter().nth(index) {
+                Some(request) => self.pick(request, now),
+                None => break,
+            };
+            match picked {
+                Some(server) => {
+                    let request = self.line.take(index);
+                    actions.extend(self.place(&request, &server, now));
+                }
+                None => index += 1,
+            }
+        }
+        actions
+    }
+
+    fn place(
+        &mut self,
+        request: &PlaceRequest,
+        server: &ServerName,
+        now: Instant,
+    ) -> Option<PlaceAction> {
+        let entry = self.servers.get_mut(server)?;
+        entry.start(request.key, now);
+        let address = entry.settings.address;
+        self.placed.insert(request.key, server.clone());
+        Some(PlaceAction::Grant {
+            key: request.key,
+            server: server.clone(),
+            address,
+        })
+    }
+
+    /// The best server for a request: a trial that is due, a clean one, a suspect, and last one of
+    /// another region.
+    fn pick(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        if let Some(server) = self.trial(request, now) {
+            return Some(server);
+        }
+        let near = self.best(request, Suspicion::Clean, true, now);
+        near.or_else(|| self.best(request, Suspicion::Suspect, true, now))
+            .or_else(|| self.spill(request, now))
+    }
+
+    /// A server whose ejection has passed. It costs one request, so one that may be repeated goes
+    /// first.
+    fn trial(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        let repeatables = self
+            .repeatable_seen
+            .is_some_and(|at| now.saturating_duration_since(at) < REPEATABLE_AGE);
+        if !request.excluded.is_empty() || !request.repeatable && repeatables {
+            return None;
+        }
+        let mut servers = self.servers.iter();
+        servers
+            .find(|(_, one)| {
+                self.is_near(one) && one.is_present(now) && !one.rests(now) && one.wants_trial(now)
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    fn best(
+        &self,
+        request: &PlaceRequest,
+        most: Suspicion,
+        near: bool,
+        now: Instant,
+    ) -> Option<ServerName> {
+        let slow_start = self.slow_start();
+        let fits = |(name, one): &(&ServerName, &PlacedServer)| {
+            let usable = match one.suspicion(now) {
+                Suspicion::Suspect => 1,
+                _ => one.usable(slow_start, now),
+            };
+            self.is_near(one) == near
+                && one.is_present(now)
+                && !one.rests(now)
+                && one.suspicion(now) == most
+                && one.load(now) < usable
+                && !request.excluded.contains(name)
+        };
+        let cost = |one: &PlacedServer| {
+            let load = f64::from(one.load(now)) / f64::from(one.usable(slow_start, now).max(1));
+            let far = one.settings.center != request.center;
+            load + if far { CENTER_COST } else { 0.0 }
+        };
+        let options = self.servers.iter().filter(fits);
+        options
+            .min_by(|(_, left), (_, right)| {
+                cost(left)
+                    .total_cmp(&cost(right))
+                    .then_with(|| left.last_used.cmp(&right.last_used))
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    /// A server of another region, when the own one is truly short.
+    fn spill(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        let short = self.slots(now) == 0 || self.wait_of(0, now) > SPILL_WAIT;
+        if !short || request.bytes > SPILL_BYTES {
+            return None;
+        }
+        self.best(request, Suspicion::Clean, false, now)
+    }
+
+    /// Ends a request.
+    pub(crate) fn finish(
+        &mut self,
+        key: u64,
+        sent: Option<&ServerName>,
+        end: PlaceEnd,
+        now: Instant,
+    ) -> Vec<PlaceAction> {
+        if self.line.remove(key) {
+            return Vec::new();
+        }
+        let placed = self.placed.remove(&key);
+        let Some(name) = sent.or(placed.as_ref()).cloned() else {
+            return Vec::new();
+        };
+        if let Some(placed) = &placed
+            && let Some(entry) = self.servers.get_mut(placed)
+        {
+            entry.finish(key);
+        }
+        if sent.is_none() {
+            return Vec::new();
+        }
+        self.judge(&name, end, now).into_iter().collect()
+    }
+
+    fn judge(&mut self, name: &ServerName, end: PlaceEnd, now: Instant) -> Option<PlaceAction> {
+        let room = self.may_eject(name, now);
+        let settings = self.settings.as_ref()?;
+        let server = self.servers.get_mut(name)?;
+        let was_out = server.suspicion(now) == Suspicion::Sick;
+        let (ejected, cause) = match end.end {
+            SlotEnd::Good => {
+                server.good(now);
+                (false, "good answer")
+            }
+            SlotEnd::Bad => (server.bad(&settings.ejection, room, now), "bad answer"),
+            SlotEnd::Late => (server.bad(&settings.ejection, room, now), "late answer"),
+            SlotEnd::Unreached => {
+                server.unreached(now);
+                (server.bad(&settings.ejection, room, now), "not reached")
+            }
+            SlotEnd::Shed => {
+                server.shed(now);
+                (false, "turned away")
+            }
+            SlotEnd::Misdirected => {
+                server.leave(now);
+                (true, "another server has the address")
+            }
+            SlotEnd::Cancelled => (false, "cancelled"),
+        };
+        if end.draining {
+            server.leave(now);
+        }
+        let is_out = server.suspicion(now) == Suspicion::Sick;
+        if end.end == SlotEnd::Good {
+            self.learn_time(end.latency);
+        }
+        let changed = ejected || was_out != is_out;
+        changed.then(|| PlaceAction::Judged {
+            service: self.name.clone(),
+            server: name.clone(),
+            out: ejected || is_out,
+            cause,
+        })
+    }
+
+    fn learn_time(&mut self, time: Duration) {
+        self.service_time = self.service_time.mul_f64(1.0 - TIME_GAIN) + time.mul_f64(TIME_GAIN);
+    }
+
+    /// Whether the region's capacity stays above the floor without `name`.
+    fn may_eject(&self, name: &ServerName, now: Instant) -> bool {
+        let floor = self.settings.as_ref().map_or(1.0, |one| one.floor);
+        let near = || self.servers.iter().filter(|(_, one)| self.is_near(one));
+        let all: u32 = near().map(|(_, one)| one.settings.slots).sum();
+        let left: u32 = near()
+            .filter(|(other, one)| {
+                *other != name && one.is_present(now) && one.suspicion(now) < Suspicion::Sick
+            })
+            .map(|(_, one)| one.settings.slots)
+            .sum();
+        f64::from(left) >= floor * f64::from(all)
+    }
+
+    /// Judges requests that are out for too long, and keeps the floor.
+    pub(crate) fn tick(&mut self, now: Instant) -> Vec<PlaceAction> {
+        let limit = self.service_time.mul_f64(OVERDUE_FACTOR).max(LEAST_OVERDUE);
+        let names: Vec<ServerName> = self.servers.keys().cloned().collect();
+        let mut actions = Vec::new();
+        for name in names {
+            let room = self.may_eject(&name, now);
+            let Some(settings) = &self.settings else {
+                break;
+            };
+            let Some(server) = self.servers.get_mut(&name) else {
+                continue;
+            };
+            if server.note_overdue(limit, &settings.ejection, room, now) {
+                actions.push(PlaceAction::Judged {
+                    service: self.name.clone(),
+                    server: name,
+                    out: true,
+                    cause: "no answer for long",
+                });
+            }
+        }
+        actions.extend(self.keep_floor(now));
+        actions
+    }
+
+    /// Brings servers back while what is left is below the floor: the least suspicious first.
+    fn keep_floor(&mut self, now: Instant) -> Vec<PlaceAction> {
+        let floor = self.settings.as_ref().map_or(0.0, |one| one.floor);
+        let near = || self.servers.iter().filter(|(_, one)| self.is_near(one));
+        let all: u32 = near().map(|(_, one)| one.settings.slots).sum();
+        let in_use = self.slots_of_healthy(now);
+        let mut missing = floor * f64::from(all) - f64::from(in_use);
+        let mut out: Vec<(f64, ServerName, u32)> = near()
+            .filter(|(_, one)| one.is_present(now) && one.is_out(now))
+            .map(|(name, one)| (one.evidence(now), name.clone(), one.settings.slots))
+            .collect();
+        out.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let mut actions = Vec::new();
+        for (_, name, slots) in out {
+            if missing <= 0.0 {
+                break;
+            }
+            missing -= f64::from(slots);
+            if let Some(server) = self.servers.get_mut(&name) {
+                server.restore();
+            }
+            actions.push(PlaceAction::Judged {
+                service: self.name.clone(),
+                server: name,
+                out: false,
+                cause: "floor",
+            });
+        }
+        actions
+    }
+
+    fn slots_of_healthy(&self, now: Instant) -> u32 {
+        let near = self.servers.values().filter(|one| self.is_near(one));
+        near.filter(|one| one.is_present(now) && !one.is_out(now))
+            .map(|one| one.settings.slots)
+            .sum()
+    }
+
+    /// Takes what another host tells.
+    pub(crate) fn learn(&mut self, loads: &[ServerLoad], now: Instant) {
+        for load in loads {
+            if let Some(server) = self.servers.get_mut(&load.server) {
+                server.learn(load.placed, load.evidence, now);
+            }
+        }
+    }
+
+    /// What this host tells others: servers in use or under suspicion.
+    pub(crate) fn loads(&self, now: Instant) -> Vec<ServerLoad> {
+        let servers = self.servers.iter();
+        servers
+            .map(|(name, one)| ServerLoad {
+                server: name.clone(),
+                placed: one.placed(),
+                evidence: one.evidence(now),
+            })
+            .filter(|load| load.placed > 0 || load.evidence > 0.0)
+            .collect()
+    }
+}
+
+fn refuse(key: u64, reason: RefusalReason, retry_after: Option<Duration>) -> PlaceAction {
+    PlaceAction::Refuse {
+        key,
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -0,0 +1,210 @@
+//! One backend server as the host that places for its service knows it.
+
+use super::suspicion::{Ejection, Evidence, Suspicion};
+use kws_protocol::{EjectionSettings, ServerSettings};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// After a server turned a request away it counts as full for this long.
+const SHED_REST: Duration = Duration::from_millis(150);
+
+/// A server that could not be reached is left alone for this long.
+const UNREACHED_REST: Duration = Duration::from_millis(500);
+
+/// What another region's host said of the load is believed for this long.
+const TOLD_AGE: Duration = Duration::from_secs(3);
+
+/// A server that left is not used for this long, unless its settings change.
+const GONE_REST: Duration = Duration::from_secs(30);
+
+/// One request that runs on the server.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    since: Instant,
+    overdue: bool,
+}
+
+/// One server.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacedServer {
+    pub(crate) settings: ServerSettings,
+    running: BTreeMap<u64, Running>,
+    evidence: Evidence,
+    ejection: Option<Ejection>,
+    rests_until: Option<Instant>,
+    gone_until: Option<Instant>,
+    cold_since: Option<Instant>,
+    /// The load that others told of, and when.
+    told: Option<(u32, Instant)>,
+    pub(crate) last_used: Option<Instant>,
+}
+
+impl PlacedServer {
+    /// A server just learned of.
+    pub(crate) fn new(settings: &ServerSettings, cold: bool, now: Instant) -> Self {
+        Self {
+            settings: settings.clone(),
+            running: BTreeMap::new(),
+            evidence: Evidence::new(now),
+            ejection: None,
+            rests_until: None,
+            gone_until: None,
+            cold_since: cold.then_some(now),
+            told: None,
+            last_used: None,
+        }
+    }
+
+    /// Requests that run on it, as far as known.
+    pub(crate) fn load(&self, now: Instant) -> u32 {
+        let told = self
+            .told
+            .filter(|(_, at)| now.saturating_duration_since(*at) < TOLD_AGE);
+        self.running.len() as u32 + told.map_or(0, |(load, _)| load)
+    }
+
+    /// Requests that this host placed on it.
+    pub(crate) fn placed(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// The evidence against it.
+    pub(crate) fn evidence(&self, now: Instant) -> f64 {
+        self.evidence.sum(now)
+    }
+
+    /// The slots that may be used: one while it is cold.
+    pub(crate) fn usable(&self, slow_start: Duration, now: Instant) -> u32 {
+        let cold = self
+            .cold_since
+            .is_some_and(|since| now.saturating_duration_since(since) < slow_start);
+        if cold { 1 } else { self.settings.slots }
+    }
+
+    /// Whether it is there and takes work at all.
+    pub(crate) fn is_present(&self, now: Instant) -> bool {
+        self.gone_until.is_none_or(|until| now >= until)
+    }
+
+    /// Whether it turned work away or could not be reached just now.
+    pub(crate) fn rests(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
+    }
+
+    /// How it may be used.
+    pub(crate) fn suspicion(&self, now: Instant) -> Suspicion {
+        if self.ejection.is_some() {
+            return Suspicion::Sick;
+        }
+        // A sum that crossed the line ejects at once, so that here it only fades.
+        self.evidence.verdict(now).min(Suspicion::Suspect)
+    }
+
+    /// Whether its ejection has passed, so that one request may try it.
+    pub(crate) fn wants_trial(&self, now: Instant) -> bool {
+        self.running.is_empty() && self.ejection.is_some_and(|out| now >= out.until)
+    }
+
+    /// Whether it is out and not yet to be tried.
+    pub(crate) fn is_out(&self, now: Instant) -> bool {
+        self.ejection.is_some_and(|out| now < out.until)
+    }
+
+    /// Takes newer settings; another address means another server.
+    pub(crate) fn adopt(&mut self, settings: &ServerSettings, now: Instant) {
+        if self.settings.address != settings.address {
+            *self = Self::new(settings, true, now);
+        }
+        self.settings = settings.clone();
+    }
+
+    /// A request was placed.
+    pub(crate) fn start(&mut self, key: u64, now: Instant) {
+        let running = Running {
+            since: now,
+            overdue: false,
+        };
+        self.running.insert(key, running);
+        self.last_used = Some(now);
+    }
+
+    /// A request ended; whether it was placed here.
+    pub(crate) fn finish(&mut self, key: u64) -> bool {
+        self.running.remove(&key).is_some()
+    }
+
+    /// Takes a good answer; a trial's good answer brings the server back, cold.
+    pub(crate) fn good(&mut self, now: Instant) {
+        self.evidence.good(now);
+        if self.ejection.is_some_and(|out| now >= out.until) {
+            self.ejection = None;
+            self.evidence.clear(now);
+        }
+    }
+
+    /// Takes a bad answer; true when it ejects the server.
+    pub(crate) fn bad(&mut self, settings: &EjectionSettings, room: bool, now: Instant) -> bool {
+        self.evidence.bad(now);
+        self.judge(settings, room, now)
+    }
+
+    fn judge(&mut self, settings: &EjectionSettings, room: bool, now: Instant) -> bool {
+        let failed_trial = self.ejection.filter(|out| now >= out.until);
+        let sick = self.evidence.verdict(now) == Suspicion::Sick;
+        if self.is_out(now) || !(room && sick || failed_trial.is_some()) {
+            return false;
+        }
+        let length = failed_trial.map_or(settings.base, |out| (out.length * 2).min(settings.max));
+        self.ejection = Some(Ejection {
+            until: now + length,
+            length,
+        });
+        true
+    }
+
+    /// Brings it back without a trial, for the floor.
+    pub(crate) fn restore(&mut self) {
+        self.ejection = None;
+    }
+
+    /// It turned a request away.
+    pub(crate) fn shed(&mut self, now: Instant) {
+        self.rests_until = Some(now + SHED_REST);
+    }
+
+    /// It could not be reached.
+    pub(crate) fn unreached(&mut self, now: Instant) {
+        self.rests_until = Some(now + UNREACHED_REST);
+    }
+
+    /// It leaves, or another server has its address.
+    pub(crate) fn leave(&mut self, now: Instant) {
+        self.gone_until = Some(now + GONE_REST);
+    }
+
+    /// Takes what another host told of its load and its sickness.
+    pub(crate) fn learn(&mut self, load: u32, evidence: f64, now: Instant) {
+        self.told = Some((load, now));
+        self.evidence.learn(evidence, now);
+    }
+
+    /// Counts requests that are out for longer than `limit` against it, each once; true when that
+    /// ejects it.
+    pub(crate) fn note_overdue(
+        &mut self,
+        limit: Duration,
+        settings: &EjectionSettings,
+        room: bool,
+        now: Instant,
+    ) -> bool {
+        let mut found = false;
+        for running in self.running.values_mut() {
+            if !running.overdue && now.saturating_duration_since(running.since) > limit {
+                running.overdue = true;
+                found = true;
+                self.evidence.overdue(now);
+            }
+        }
+        found && self.judge(settings, room, now)
+    }
+}
--- a/crates/kws-dispatch/tests/retry_policy.rs
+++ b/crates/kws-dispatch/tests/retry_policy.rs
@@ -16,6 +16,8 @@
         path: "/slots".to_owned(),
         methods: BTreeSet::new(),
         service: ServiceName::new("till"),
+        split: Vec::new(),
+        priority: 2,
         access: RouteAccess::AnyTeam,
         repeatable,
         deadline: Duration::from_secs(5),
--- a/crates/kws-dispatch/tests/support.rs
+++ b/crates/kws-dispatch/tests/support.rs
@@ -55,7 +55,9 @@
             team: TeamName::new(team),
             weight: 1.0,
             deadline: Instant::now() + Duration::from_secs(10),
+            priority: 0,
             repeatable: true,
+            repeat: false,
             bytes: 1_000,
             excluded: Vec::new(),
         }
--- a/crates/kws-forward/src/answer.rs
+++ b/crates/kws-forward/src/answer.rs
@@ -8,7 +8,7 @@
     try_guard::TryGuard,
 };
 use kws_dispatch::TryFailure;
-use kws_protocol::{AnswerChecks, RefusalReason};
+use kws_protocol::{AnswerChecks, HeaderDialect, MarkHeader, RefusalReason};
 use ntex::{
     client::ClientResponse,
     http::{
@@ -19,11 +19,6 @@
 };
 use std::rc::Rc;
 
-/// The header by which a server tells whether it ran a request.
-const RUN_HEADER: &str = "knapweedseam-run";
-/// The header by which a server tells that it drains.
-const DRAIN_HEADER: &str = "knapweedseam-drain";
-
 /// Turns a server's answer into the caller's, or into a failed try.
 pub(crate) fn read_answer(
     context: TryContext<'_>,
@@ -31,10 +26,11 @@
     times: AnswerTimes,
     mut guard: TryGuard,
 ) -> Result<Response, TryEnd> {
-    guard.head_came(is_draining(answer.headers()));
+    let dialect = &context.worker.dialect;
+    guard.head_came(is_draining(dialect, answer.headers()));
     let own = is_own(context, answer.headers());
-    if own && says_not_run(answer) {
-        guard.finish(TryClass::NotRun);
+    if own && let Some(class) = not_run_class(dialect, answer) {
+        guard.finish(class);
         return Err(TryEnd::failed(TryFailure::ServerNotRun));
     }
     let passed = passed_answer(context, answer);
@@ -61,7 +57,7 @@
     }
     let framing = answer_framing(&context.parts.method, answer)?;
     let mut headers = headers.clone();
-    strip_answer(&mut headers)?;
+    strip_answer(&mut headers, &context.worker.dialect)?;
     Ok((headers, framing))
 }
 
@@ -119,18 +115,26 @@
     }
 }
 
-fn says_not_run(answer: &ClientResponse) -> bool {
-    answer.status() == StatusCode::SERVICE_UNAVAILABLE
-        && answer
-            .headers()
-            .get(RUN_HEADER)
-            .is_some_and(|value| value.as_bytes() == b"not run")
+/// How a server says that it did not run the request, when it does.
+fn not_run_class(dialect: &HeaderDialect, answer: &ClientResponse) -> Option<TryClass> {
+    let status = answer.status();
+    if dialect.expected_server.is_some() && status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(TryClass::Misdirected);
+    }
+    let refused = status.is_client_error() || status.is_server_error();
+    (refused && has_mark(answer.headers(), dialect.not_run)).then_some(TryClass::NotRun)
+}
+
+fn is_draining(dialect: &HeaderDialect, headers: &HeaderMap) -> bool {
+    dialect
+        .draining
+        .is_some_and(|mark| has_mark(headers, mark))
 }
 
-fn is_draining(headers: &HeaderMap) -> bool {
+fn has_mark(headers: &HeaderMap, mark: MarkHeader) -> bool {
     headers
-        .get(DRAIN_HEADER)
-        .is_some_and(|value| value.as_bytes() == b"1")
+        .get(mark.name)
+        .is_some_and(|value| mark.is_marked(value.as_bytes()))
 }
 
 /// Whether the answer is for this request, as far as can be told: a server that names requests in
@@ -138,7 +142,8 @@
 fn is_own(context: TryContext<'_>, headers: &HeaderMap) -> bool {
     let pool = &context.worker.pool;
     let address = context.grant.address;
-    let mut echoes = headers.get_all("x-request-id").peekable();
+    let name = context.worker.dialect.request_id;
+    let mut echoes = headers.get_all(name).peekable();
     if echoes.peek().is_none() {
         return !pool.names_requests(address);
     }
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -33,8 +33,12 @@
     pub team: Option<TeamName>,
     /// When the request must have ended.
     pub deadline: Instant,
+    /// The rank of the request, 0 the highest.
+    pub priority: u32,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Whether this is a try after the first.
+    pub repeat: bool,
     /// Servers that earlier tries of this request used.
     pub excluded: BTreeSet<ServerName>,
 }
@@ -67,6 +71,8 @@
     ConnectFailed,
     /// The server said that it did not run the request.
     NotRun,
+    /// Another server answered at the address, and said that it did not run the request.
+    Misdirected,
     /// The caller went away, or the daemon gave up the try for a reason of its own.
     Cancelled,
 }
@@ -135,7 +141,7 @@
     fn acquire(
         &self,
         request: ServerRequest,
-    ) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>>;
+    ) -> BoxFuture<'static, Result<ServerGrant, Refusal>>;
 
     /// Takes one retry from the budget of `service`.
     ///
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -3,13 +3,13 @@
 use crate::{
     control::AccessRecord,
     head::{asks_close, read_head},
-    judge::RequestJudge,
+    judge::{RequestJudge, RoutePlace},
     reply::{Refused, refusal_response, set_header},
     request_body::{BodyLimits, RequestBody},
     tries::{TryHistory, TrySeries},
     worker::WorkerState,
 };
-use kws_protocol::{RefusalReason, RouteName, TeamName};
+use kws_protocol::{HeaderDialect, RefusalReason, RouteName, TeamName};
 use ntex::{
     http::{ConnectionType, Payload, Request, Response},
     io::IoRef,
@@ -42,7 +42,7 @@
 
 /// The refusal of a request whose caller waits before it sends the body, as far as the head tells.
 pub(crate) fn refused_early(worker: &WorkerState, request: &Request) -> Option<Refused> {
-    let parts = match read_head(request) {
+    let parts = match read_head(request, &worker.dialect) {
         Ok(parts) => parts,
         Err(reason) => return Some(Refused::not_run(reason)),
     };
@@ -55,10 +55,11 @@
 
 async fn serve_connected(worker: &WorkerState, mut request: Request, caller: IoRef) -> Response {
     let started = Instant::now();
-    let request_id = worker.ids.next_id();
+    let trace_id = worker.ids.next_id();
+    let request_id = request_name(&request, &worker.dialect).unwrap_or_else(|| trace_id.clone());
     let payload = request.take_payload();
     let mut log = ExchangeLog::default();
-    let result = match read_head(&request) {
+    let result = match read_head(&request, &worker.dialect) {
         Ok(parts) => {
             log.path.clone_from(&parts.path);
             let mut exchange = Exchange {
@@ -67,6 +68,7 @@
                     parts: &parts,
                 },
                 request_id: &request_id,
+                trace_id: &trace_id,
                 caller: &caller,
                 started,
                 log: &mut log,
@@ -80,10 +82,10 @@
         Ok(response) => response,
         Err(refused) => {
             worker.control.count_refusal(refused.reason);
-            refusal_response(refused, &request_id)
+            refusal_response(refused, &request_id, &worker.dialect)
         }
     };
-    set_header(response.headers_mut(), "x-request-id", &request_id);
+    set_header(response.headers_mut(), worker.dialect.request_id, &request_id);
     if worker.is_draining() || asks_close(request.headers()) {
         response
             .head_mut()
@@ -105,9 +107,17 @@
     response
 }
 
+/// The caller's own name of its request, where callers name them.
+fn request_name(request: &Request, dialect: &HeaderDialect) -> Option<String> {
+    let value = request.headers().get(dialect.request_id)?;
+    let text = value.to_str().ok()?;
+    (dialect.caller_names_requests && !text.is_empty()).then(|| text.to_owned())
+}
+
 struct Exchange<'a> {
     judge: RequestJudge<'a>,
     request_id: &'a str,
+    trace_id: &'a str,
     caller: &'a IoRef,
     started: Instant,
     log: &'a mut ExchangeLog,
@@ -121,24 +131,34 @@
         self.judge.check_size(route)?;
         let team = self.judge.authenticate(&view, route)?;
         self.log.team.clone_from(&team);
-        let deadline = self.started + route.deadline;
+        let patience = self.judge.parts.patience;
+        let deadline = self.started + patience.map_or(route.deadline, |time| time.min(route.deadline));
         if let Some(team) = &team {
             self.admit(team, deadline).await?;
-            self.judge.recheck(route, Some(team))?;
+            let place = RoutePlace {
+                route: &route.name,
+                service: None,
+            };
+            self.judge.recheck(place, Some(team))?;
         }
+        let service = route.pick_service(rand::random());
         let limits = BodyLimits {
             max_bytes: route.max_body,
             idle: route.idle,
         };
-        let service = view.snapshot.settings.services.get(&route.service);
+        let settings = &view.snapshot.settings;
+        let speaks_tls = settings.services.get(service).is_some_and(|one| one.tls);
         let series = TrySeries {
             judge: self.judge,
             route,
+            service,
+            settings,
             team: team.as_ref(),
             request_id: self.request_id,
+            trace_id: self.trace_id,
             caller: self.caller,
             deadline,
-            tls: service.is_some_and(|service| service.tls),
+            tls: speaks_tls,
             body: RequestBody::new(payload, self.judge.parts.length, limits),
         };
         series.run(&mut self.log.tried).await
@@ -147,9 +167,6 @@
     async fn admit(&self, team: &TeamName, deadline: Instant) -> Result<(), Refused> {
         let admitted = timeout_at(deadline, self.judge.worker.control.admit(team)).await;
         let admitted = admitted.unwrap_or(Err(RefusalReason::DeadlineEarly.into()));
-        admitted.map_err(|refusal| Refused {
-            retry_after: refusal.retry_after,
-            ..Refused::not_run(refusal.reason)
-        })
+        admitted.map_err(Refused::from)
     }
 }
--- a/crates/kws-forward/src/head.rs
+++ b/crates/kws-forward/src/head.rs
@@ -4,9 +4,9 @@
     credential::{KeyPlaces, take_key},
     target::check_path,
 };
-use kws_protocol::{KeyDigest, RefusalReason};
+use kws_protocol::{HeaderDialect, KeyDigest, RefusalReason};
 use ntex::http::{HeaderMap, Method, Request, Version, header};
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 /// Header lines of a request at the most; the HTTP server's own limit counts otherwise.
 const MAX_HEADERS: usize = 128;
@@ -83,6 +83,8 @@
     pub(crate) key: Option<KeyDigest>,
     /// The framing of the body.
     pub(crate) length: BodyLength,
+    /// How long the caller waits, when it says so.
+    pub(crate) patience: Option<Duration>,
     /// Bytes of the head, without its line ends.
     pub(crate) size: u64,
     /// The caller's address.
@@ -103,7 +105,10 @@
 ///
 /// # Errors
 /// [`RefusalReason::BadRequest`], [`RefusalReason::HeadTooLarge`] or [`RefusalReason::KeyTwice`].
-pub(crate) fn read_head(request: &Request) -> Result<RequestParts, RefusalReason> {
+pub(crate) fn read_head(
+    request: &Request,
+    dialect: &HeaderDialect,
+) -> Result<RequestParts, RefusalReason> {
     if request.headers().iter().count() > MAX_HEADERS {
         return Err(RefusalReason::HeadTooLarge);
     }
@@ -120,8 +125,11 @@
         query: &mut query,
     })?;
     let trace = single_text(&headers, "traceparent");
+    let patience = single_text(&headers, dialect.deadline_ms)
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis);
     strip_hop(&mut headers)?;
-    strip_identity(&mut headers);
+    strip_identity(&mut headers, dialect);
     Ok(RequestParts {
         method: request.method().clone(),
         host: host_name(&authority),
@@ -132,6 +140,7 @@
         trace,
         key,
         length,
+        patience,
         size,
         caller: request.peer_addr(),
     })
@@ -151,10 +160,13 @@
 /// # Errors
 /// [`RefusalReason::BadAnswer`] for a `connection` header that is not text or names a header of
 /// the message.
-pub(crate) fn strip_answer(headers: &mut HeaderMap) -> Result<(), RefusalReason> {
+pub(crate) fn strip_answer(
+    headers: &mut HeaderMap,
+    dialect: &HeaderDialect,
+) -> Result<(), RefusalReason> {
     strip_hop(headers).map_err(|_| RefusalReason::BadAnswer)?;
     remove_where(headers, |name| {
-        name.starts_with(OWN_PREFIX) || name.starts_with(RUN_PREFIX) || name == "x-request-id"
+        name.starts_with(OWN_PREFIX) || name.starts_with(RUN_PREFIX) || name == dialect.request_id
     });
     Ok(())
 }
@@ -250,9 +262,14 @@
         || name.starts_with(FORWARDED_PREFIX)
 }
 
-fn strip_identity(headers: &mut HeaderMap) {
+fn strip_identity(headers: &mut HeaderMap, dialect: &HeaderDialect) {
+    let own = [dialect.request_id, dialect.deadline_ms, dialect.team];
     remove_where(headers, |name| {
-        is_identity(name) || REPLACED_HEADERS.contains(&name) || name.contains('_')
+        is_identity(name)
+            || REPLACED_HEADERS.contains(&name)
+            || own.contains(&name)
+            || dialect.expected_server == Some(name)
+            || name.contains('_')
     });
 }
 
--- a/crates/kws-forward/src/judge.rs
+++ b/crates/kws-forward/src/judge.rs
@@ -7,9 +7,20 @@
     worker::WorkerState,
 };
 use kws_membership::KeyMatch;
-use kws_protocol::{RefusalReason, RouteAccess, RouteSettings, TeamName};
+use kws_protocol::{
+    RefusalReason, RouteAccess, RouteName, RouteSettings, ServiceName, TeamName,
+};
 use std::sync::Arc;
 
+/// Where a request was to go before a wait.
+#[derive(Clone, Copy)]
+pub(crate) struct RoutePlace<'a> {
+    /// Its route.
+    pub(crate) route: &'a RouteName,
+    /// The service that was chosen, if one was.
+    pub(crate) service: Option<&'a ServiceName>,
+}
+
 /// Judges one request by the settings of the moment.
 #[derive(Clone, Copy)]
 pub(crate) struct RequestJudge<'a> {
@@ -82,16 +93,19 @@
     }
 
     /// Judges the request again after a wait: the key may have been withdrawn, the route changed,
-    /// or the lease run out.
+    /// or the lease run out. A caller whose route leads elsewhere now may come again.
     pub(crate) fn recheck(
         &self,
-        route: &RouteSettings,
+        before: RoutePlace<'_>,
         team: Option<&TeamName>,
     ) -> Result<(), Refused> {
         let view = self.current_view()?;
         let now = self.route(&view)?;
-        if now.name != route.name || now.service != route.service {
-            return Err(Refused::not_run(RefusalReason::RouteUnknown));
+        let allowed = before
+            .service
+            .is_none_or(|service| now.allows_service(service));
+        if &now.name != before.route || !allowed {
+            return Err(Refused::not_run(RefusalReason::RouteChanged));
         }
         if self.authenticate(&view, now)?.as_ref() != team {
             return Err(Refused::not_run(RefusalReason::KeyUnknown));
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -7,6 +7,7 @@
     tls::{BackendTrust, CertificateStore, server_config},
     worker::WorkerParts,
 };
+use kws_protocol::HeaderDialect;
 use ntex::{
     SharedCfg,
     http::HttpServiceConfig,
@@ -54,6 +55,8 @@
     pub certificate: Option<Arc<CertificateStore>>,
     /// Whom to trust where a service's servers speak TLS; without it none of them is reached.
     pub backend_trust: Option<BackendTrust>,
+    /// The names of the headers by which callers and backend servers talk.
+    pub dialect: HeaderDialect,
 }
 
 impl ListenerSettings {
@@ -69,6 +72,7 @@
             stop_timeout: Duration::from_hours(1),
             certificate: None,
             backend_trust: None,
+            dialect: HeaderDialect::OWN,
         }
     }
 }
@@ -124,6 +128,7 @@
         draining: Arc::clone(&draining),
         pending: PendingRequests::default(),
         trust: settings.backend_trust.clone(),
+        dialect: settings.dialect,
     };
     thread::Builder::new()
         .name("kws-callers".to_owned())
--- a/crates/kws-forward/src/protocol_reply.rs
+++ b/crates/kws-forward/src/protocol_reply.rs
@@ -28,13 +28,18 @@
             };
             worker.control.count_refusal(reason);
             // Only heads fail here: a malformed body ends its connection without an answer.
-            let response = refusal_response(Refused::not_run(reason), &worker.ids.next_id());
+            let response = refusal_response(
+                Refused::not_run(reason),
+                &worker.ids.next_id(),
+                &worker.dialect,
+            );
             failure.fail_with(response)
         }
         Control::Expect(expect) => match refused_early(worker, expect.get_ref()) {
             Some(refused) => {
                 worker.control.count_refusal(refused.reason);
-                expect.fail_with(refusal_response(refused, &worker.ids.next_id()))
+                let id = worker.ids.next_id();
+                expect.fail_with(refusal_response(refused, &id, &worker.dialect))
             }
             None => expect.ack(),
         },
--- a/crates/kws-forward/src/reply.rs
+++ b/crates/kws-forward/src/reply.rs
@@ -1,6 +1,7 @@
 //! Answers that the daemon gives by itself.
 
-use kws_protocol::{RefusalReason, RunState};
+use crate::control::Refusal;
+use kws_protocol::{HeaderDialect, RefusalReason, RunState};
 use ntex::http::{
     Response, StatusCode,
     body::Body,
@@ -9,6 +10,9 @@
 use serde::Serialize;
 use std::time::Duration;
 
+/// What is told a caller whose refusal has no better advice.
+const DEFAULT_RETRY: Duration = Duration::from_millis(200);
+
 /// A request that ends without a backend server's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Refused {
@@ -40,6 +44,15 @@
     }
 }
 
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            retry_after: refusal.retry_after,
+            ..Self::not_run(refusal.reason)
+        }
+    }
+}
+
 /// The JSON body of a refusal.
 #[derive(Debug, Serialize)]
 struct WireRefusal<'a> {
@@ -49,18 +62,22 @@
 }
 
 /// The answer for a refusal.
-pub(crate) fn refusal_response(refused: Refused, request_id: &str) -> Response {
-    let status =
-        StatusCode::from_u16(refused.reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+pub(crate) fn refusal_response(
+    refused: Refused,
+    request_id: &str,
+    dialect: &HeaderDialect,
+) -> Response {
+    let status = StatusCode::from_u16(refusal_status(refused))
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = Response::build(status);
     builder
         .set_header("content-type", "application/json")
         .set_header("cache-control", "no-store")
         .set_header("knapweedseam-reason", refused.reason.as_str())
         .set_header("knapweedseam-run", refused.run.as_str())
-        .set_header("x-request-id", request_id);
-    if let Some(seconds) = retry_seconds(refused) {
-        builder.set_header("retry-after", seconds.to_string().as_str());
+        .set_header(dialect.request_id, request_id);
+    if let Some(text) = retry_text(refused, dialect) {
+        builder.set_header("retry-after", text.as_str());
     }
     builder.body(Body::from(refusal_body(refused, request_id)))
 }
@@ -74,13 +91,23 @@
     serde_json::to_string(&refusal).unwrap_or_default()
 }
 
-/// Whole seconds, rounded up: a caller that waits this long does not come too early.
-fn retry_seconds(refused: Refused) -> Option<u64> {
-    match (refused.retry_after, refused.reason) {
-        (Some(wait), _) => Some((wait.as_millis().div_ceil(1000) as u64).max(1)),
-        (None, reason) if is_transient(reason) && refused.run == RunState::NotRun => Some(1),
-        (None, _) => None,
+/// The statuses 429 and 503 promise that the request did not run.
+fn refusal_status(refused: Refused) -> u16 {
+    match (refused.reason.status(), refused.run) {
+        (429 | 503, RunState::Unknown) => 502,
+        (status, _) => status,
+    }
+}
+
+/// Seconds, rounded up: a caller that waits this long does not come too early.
+fn retry_text(refused: Refused, dialect: &HeaderDialect) -> Option<String> {
+    let transient = is_transient(refused.reason) && refused.run == RunState::NotRun;
+    let wait = refused.retry_after.or(transient.then_some(DEFAULT_RETRY))?;
+    if dialect.fractional_retry {
+        let millis = wait.as_micros().div_ceil(1_000).max(1);
+        return Some(format!("{}.{:03}", millis / 1_000, millis % 1_000));
     }
+    Some(wait.as_millis().div_ceil(1_000).max(1).to_string())
 }
 
 fn is_transient(reason: RefusalReason) -> bool {
@@ -91,6 +118,8 @@
             | RefusalReason::NotCurrent
             | RefusalReason::QueueFull
             | RefusalReason::RateExceeded
+            | RefusalReason::RetryBudget
+            | RefusalReason::RouteChanged
             | RefusalReason::Stopping
     )
 }
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -37,6 +37,8 @@
     pub(crate) grant: &'a ServerGrant,
     /// Its identifier.
     pub(crate) request_id: &'a str,
+    /// The daemon's own identifier of it, which names its trace.
+    pub(crate) trace_id: &'a str,
     /// Whether the server speaks TLS.
     pub(crate) tls: bool,
     /// When it must have ended.
@@ -178,20 +180,20 @@
         headers.append(name.clone(), value.clone());
     }
     set_header(headers, "host", &parts.authority);
-    set_header(headers, "x-request-id", context.request_id);
-    let trace = trace_parent(parts.trace.as_deref(), context.request_id);
+    let dialect = context.worker.dialect;
+    set_header(headers, dialect.request_id, context.request_id);
+    let trace = trace_parent(parts.trace.as_deref(), context.trace_id);
     set_header(headers, "traceparent", &trace);
     if let Some(team) = context.team {
-        set_header(headers, "x-knapweedseam-team", team.as_str());
+        set_header(headers, dialect.team, team.as_str());
+    }
+    if let Some(name) = dialect.expected_server {
+        set_header(headers, name, context.grant.server.as_str());
     }
     if let Some(caller) = parts.caller {
         set_header(headers, "x-forwarded-for", &caller.ip().to_string());
     }
     let left = context.deadline.saturating_duration_since(Instant::now());
-    set_header(
-        headers,
-        "x-knapweedseam-deadline-ms",
-        &left.as_millis().to_string(),
-    );
+    set_header(headers, dialect.deadline_ms, &left.as_millis().to_string());
     request
 }
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     control::{ForwardControl, RetryVerdict, ServerGrant, ServerRequest},
-    judge::RequestJudge,
+    judge::{RequestJudge, RoutePlace},
     reply::Refused,
     request_body::RequestBody,
     single_try::{TryContext, TryEnd, run_try},
@@ -11,7 +11,8 @@
 use futures_util::future::{Either, select};
 use kws_dispatch::{FailedTry, RetryDecision, RetryPolicy, RetrySource};
 use kws_protocol::{
-    RefusalReason, RetryReason, RouteSettings, RunState, ServerName, ServiceName, TeamName,
+    FleetSettings, RefusalReason, RetryReason, RouteSettings, RunState, ServerName, ServiceName,
+    TeamName,
 };
 use ntex::{http::Response, io::IoRef};
 use std::{collections::BTreeSet, future::Future, pin::pin, sync::Arc, time::Duration};
@@ -55,10 +56,16 @@
     pub(crate) judge: RequestJudge<'a>,
     /// Its route.
     pub(crate) route: &'a RouteSettings,
+    /// The service that runs it.
+    pub(crate) service: &'a ServiceName,
+    /// The settings in force when it came.
+    pub(crate) settings: &'a FleetSettings,
     /// Its team.
     pub(crate) team: Option<&'a TeamName>,
     /// Its identifier.
     pub(crate) request_id: &'a str,
+    /// The daemon's own identifier of it, which names its trace.
+    pub(crate) trace_id: &'a str,
     /// The caller's connection.
     pub(crate) caller: &'a IoRef,
     /// When it must have ended.
@@ -119,18 +126,26 @@
     /// Waits for a slot, and judges the request again after the wait.
     async fn acquire(&self, history: &TryHistory) -> Result<ServerGrant, Refused> {
         let control = &self.judge.worker.control;
+        let team = self.team.and_then(|team| self.settings.teams.get(team));
+        let priority = team.and_then(|team| team.priority);
         let request = ServerRequest {
-            service: self.route.service.clone(),
+            service: self.service.clone(),
             team: self.team.cloned(),
             deadline: self.deadline,
+            priority: priority.unwrap_or(self.route.priority),
             repeatable: self.is_repeatable(),
+            repeat: history.tries > 0,
             excluded: history.servers.clone(),
         };
         let granted = timeout_at(self.deadline, control.acquire(request)).await;
         let grant = granted
-            .unwrap_or(Err(RefusalReason::DeadlineEarly))
-            .map_err(Refused::not_run)?;
-        if let Err(refused) = self.judge.recheck(self.route, self.team) {
+            .unwrap_or(Err(RefusalReason::DeadlineEarly.into()))
+            .map_err(Refused::from)?;
+        let place = RoutePlace {
+            route: &self.route.name,
+            service: Some(self.service),
+        };
+        if let Err(refused) = self.judge.recheck(place, self.team) {
             drop(TryGuard::new(Arc::clone(control), grant.ticket));
             return Err(refused);
         }
@@ -152,6 +167,7 @@
             team: self.team,
             grant,
             request_id: self.request_id,
+            trace_id: self.trace_id,
             tls: self.tls,
             deadline: self.deadline,
             caller: self.caller,
@@ -203,7 +219,7 @@
     fn budget(&self) -> ServiceBudget<'_> {
         ServiceBudget {
             control: &*self.judge.worker.control,
-            service: &self.route.service,
+            service: self.service,
         }
     }
 }
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -4,6 +4,7 @@
     control::ForwardControl, pending::PendingRequests, request_id::IdSource, tls::BackendTrust,
     upstream::UpstreamPool,
 };
+use kws_protocol::HeaderDialect;
 use std::{
     rc::Rc,
     sync::{
@@ -23,6 +24,8 @@
     pub(crate) pending: PendingRequests,
     /// Whom to trust among backend servers.
     pub(crate) trust: Option<BackendTrust>,
+    /// The names of the headers.
+    pub(crate) dialect: HeaderDialect,
 }
 
 /// The state of one worker thread.
@@ -33,6 +36,8 @@
     pub(crate) pool: Rc<UpstreamPool>,
     /// Identifiers of requests.
     pub(crate) ids: IdSource,
+    /// The names of the headers.
+    pub(crate) dialect: HeaderDialect,
     draining: Arc<AtomicBool>,
 }
 
@@ -43,6 +48,7 @@
             control: parts.control,
             pool: Rc::new(UpstreamPool::new(parts.trust)),
             ids: IdSource::new(),
+            dialect: parts.dialect,
             draining: parts.draining,
         }
     }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -72,7 +72,7 @@
     fn acquire(
         &self,
         request: ServerRequest,
-    ) -> BoxFuture<'static, Result<ServerGrant, RefusalReason>> {
+    ) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
         let ticket = GrantTicket(self.next.fetch_add(1, Ordering::SeqCst));
         let free = |(name, _): &&(ServerName, SocketAddr)| !request.excluded.contains(name);
         let grant = self
@@ -89,7 +89,7 @@
         async move {
             let _gauge = gauge;
             let _ = open.wait_for(|open| *open).await;
-            grant.ok_or(RefusalReason::NoServer)
+            grant.ok_or(RefusalReason::NoServer.into())
         }
         .boxed()
     }
@@ -139,6 +139,8 @@
         path: path.to_owned(),
         methods: BTreeSet::new(),
         service: ServiceName::new("listing"),
+        split: Vec::new(),
+        priority: 2,
         access: RouteAccess::AnyTeam,
         repeatable: None,
         deadline: PATIENCE,
@@ -160,6 +162,7 @@
         rate: 100.0,
         burst: 100.0,
         weight: 1.0,
+        priority: None,
         keys: BTreeSet::from([KeyDigest(Sha256::digest(KEY).into())]),
     };
     let mut settings = SampleFleet::new(1, 1).snapshot().settings;
--- a/crates/kws-limits/src/lib.rs
+++ b/crates/kws-limits/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod account;
 mod decision;
+mod keeper;
 mod lease;
 mod ledger;
 mod loan;
@@ -15,6 +16,7 @@
 mod window;
 
 pub use decision::{AdmitDecision, AdmitTicket, LedgerAction, RefusalCause};
+pub use keeper::{TokenAnswer, TokenKeeper};
 pub use ledger::LimitsLedger;
 pub use placement::{holder_count, region_holders, region_weight};
 pub use policy::{LOAN_TERM, LimitsPolicy};
--- a/crates/kws-limits/tests/common/fleet.rs
+++ b/crates/kws-limits/tests/common/fleet.rs
@@ -70,6 +70,7 @@
         rate,
         burst,
         weight: 1.0,
+        priority: None,
         keys: BTreeSet::new(),
     };
     (name.into(), settings)
--- a/crates/kws-membership/src/lib.rs
+++ b/crates/kws-membership/src/lib.rs
@@ -1,6 +1,6 @@
 //! Freshness lease, membership and adoption of configuration revisions.
 //!
-//! [`FleetView`] is the one entry: it takes answers of the platform, messages of peers and ticks,
+//! [`FleetView`], or [`MeshView`] where the platform lists no hosts, is the one entry: it takes answers of the platform, messages of peers and ticks,
 //! and returns what to send, publish and report. `docs/FRESHNESS.md` gives the rules and why they
 //! hold.
 
@@ -9,8 +9,10 @@
 mod keys;
 mod lease;
 mod members;
+mod mesh;
 mod questions;
 mod readiness;
+mod rule;
 mod store;
 mod view;
 
@@ -19,6 +21,8 @@
 pub use keys::{KeyIndex, KeyMatch, SharedKey};
 pub use lease::{FreshnessLease, LeaseTerms};
 pub use members::{FleetMembers, HostIdentity, MemberState};
+pub use mesh::MeshView;
 pub use readiness::{Readiness, UnreadyReason};
+pub use rule::FreshnessRule;
 pub use store::{ConfigStore, DeltaOutcome, StoreOutcome, TreeDelta};
 pub use view::FleetView;
--- /dev/null
+++ b/crates/kws-membership/src/mesh.rs
@@ -0,0 +1,633 @@
+//! Membership, spread of values and freshness for a fleet whose hosts know of each other by seeds
+//! alone. `docs/PLATFORM.md` gives the rules and why they hold.
+
+mod table;
+mod values;
+
+use crate::{
+    FleetAction, FleetCounters, FreshnessRule, Readiness, TreeChecker, UnreadyReason,
+    questions::QuestionRounds,
+};
+use kws_protocol::{
+    FleetSnapshot, HostList, HostName, HostState, ListedHost, MeshMember, MeshMessage, PeerMessage,
+    PublishedValues, TreeRevision, ValuesView, rendezvous_order,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use table::MemberTable;
+use tokio::time::Instant;
+use values::{MeshValues, ValuesOutcome};
+
+/// The lease before any settings are held.
+const FIRST_LEASE: Duration = Duration::from_secs(3);
+
+/// A host that knows peers beats this often; three beats fit into the lease.
+const BEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// The same while it looks for peers.
+const SEEK_PERIOD: Duration = Duration::from_millis(250);
+
+/// How long after its start a host looks for peers with short pauses.
+const SEEK_TIME: Duration = Duration::from_secs(4);
+
+/// Beats between two to a seed, which join parts of the fleet that lost each other.
+const SEED_ROUNDS: u64 = 10;
+
+/// Hosts of each region that read the platform for the others: one may fail unnoticed for a while.
+const READERS: usize = 2;
+
+/// A missing change is asked for again after this.
+const FETCH_PAUSE: Duration = Duration::from_millis(300);
+
+/// When nobody read the platform for this long it was away, and what it holds may have lapsed.
+const AWAY_AFTER: Duration = Duration::from_millis(2_500);
+
+/// What lapsed while the platform was away is back within 2 s of its return, or gone.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// How often [`MeshView::tick`] is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Entries change many times a second, and each answer is a call: changes collect for this long.
+const READ_PAUSE: Duration = Duration::from_millis(400);
+
+/// How late an answer of the platform may be before the call counts as failed.
+const READ_GRACE: Duration = Duration::from_millis(500);
+
+/// What a host holds when it asks a question on a seed's address, whatever life answers there.
+fn seed_name(address: SocketAddr) -> HostName {
+    HostName::new(&address.to_string())
+}
+
+/// The state machine of one host. Each event takes `now` and returns what to do, in order.
+pub struct MeshView {
+    table: MemberTable,
+    seeds: Vec<SocketAddr>,
+    values: MeshValues,
+    /// What the platform itself last said, kept to compare with what peers say.
+    platform_values: Option<PublishedValues>,
+    /// When a question was sent to which the platform confirmed the values in force.
+    confirmed: Option<Instant>,
+    platform_sent: Option<Instant>,
+    /// Until when values that vanished during an outage of the platform are kept.
+    lapse_end: Option<Instant>,
+    /// Since when a peer is known to hold newer values.
+    behind: Option<Instant>,
+    fetched: Option<Instant>,
+    questions: QuestionRounds,
+    rng: SmallRng,
+    born: Instant,
+    next_beat: Instant,
+    round: u64,
+    joined: bool,
+    readiness: Readiness,
+    counters: FleetCounters,
+    roster: Vec<HostName>,
+}
+
+impl MeshView {
+    /// A host that knows nobody and holds nothing. `seed` must differ between hosts and lives.
+    pub fn new(
+        own: MeshMember,
+        seeds: &[SocketAddr],
+        checker: Box<dyn TreeChecker>,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        let seeds = seeds.iter().filter(|seed| **seed != own.address);
+        Self {
+            seeds: seeds.copied().collect(),
+            table: MemberTable::new(own),
+            values: MeshValues::new(checker),
+            platform_values: None,
+            confirmed: None,
+            platform_sent: None,
+            lapse_end: None,
+            behind: None,
+            fetched: None,
+            questions: QuestionRounds::new(seed),
+            rng: SmallRng::seed_from_u64(seed),
+            born: now,
+            next_beat: now,
+            round: 0,
+            joined: false,
+            readiness: Readiness::Unready(UnreadyReason::NoTree),
+            counters: FleetCounters::default(),
+            roster: Vec::new(),
+        }
+    }
+
+    /// The other members that were heard lately.
+    pub fn members(&self, now: Instant) -> Vec<MeshMember> {
+        self.table.fresh(now).cloned().collect()
+    }
+
+    /// The highest revision at which the values in force are known to hold; 0 for none.
+    pub fn revision(&self) -> TreeRevision {
+        self.values.revision()
+    }
+
+    fn lease(&self) -> Duration {
+        let settings = self.values.settings();
+        settings.map_or(FIRST_LEASE, |settings| settings.freshness.lease)
+    }
+
+    fn stale_region(&self) -> Duration {
+        let settings = self.values.settings();
+        settings.map_or(Duration::ZERO, |settings| settings.freshness.stale_region)
+    }
+
+    fn view(&self, now: Instant) -> ValuesView {
+        ValuesView {
+            revision: self.values.revision(),
+            digest: self.values.digest(),
+            confirmed_age: self
+                .confirmed
+                .map(|at| now.saturating_duration_since(at)),
+        }
+    }
+
+    /// Since when a majority of the region's known hosts, this one included, was heard; none while
+    /// fewer are known to be there.
+    fn quorum(&self) -> Option<Instant> {
+        let region = &self.table.own().region;
+        let mut heard: Vec<Instant> = self.table.heard_in(region).collect();
+        let needed = heard.len().div_ceil(2);
+        if needed == 0 {
+            return None;
+        }
+        heard.sort_unstable_by(|left, right| right.cmp(left));
+        heard.get(needed - 1).copied()
+    }
+
+    fn is_connected(&self, now: Instant) -> bool {
+        let lease = self.lease();
+        let by_platform = self.confirmed.is_some_and(|at| now < at + lease);
+        by_platform || self.quorum().is_some_and(|at| now < at + table::FRESH_AGE)
+    }
+
+    /// The end of the lease as things stand.
+    fn lease_end(&self) -> Option<Instant> {
+        let confirmed = self.confirmed?;
+        let lease = self.lease();
+        let by_platform = confirmed + lease;
+        let by_quorum = match self.quorum() {
+            Some(heard) => (heard + lease).min(confirmed + self.stale_region()),
+            // Nobody else was ever met, so nobody else can know more.
+            None if self.table.is_alone() => confirmed + self.stale_region(),
+            None => by_platform,
+        };
+        let end = by_platform.max(by_quorum);
+        Some(self.behind.map_or(end, |since| end.min(since + lease)))
+    }
+
+    fn is_reader(&self, now: Instant) -> bool {
+        let own = self.table.own();
+        self.readers(now).contains(&own.name)
+    }
+
+    /// The hosts of the region that read for the others.
+    fn readers(&self, now: Instant) -> Vec<HostName> {
+        let own = self.table.own();
+        let near = self.table.fresh(now).filter(|one| one.region == own.region);
+        let names = near.map(|one| one.name.as_str());
+        let order = rendezvous_order("reader", names.chain([own.name.as_str()]));
+        order.into_iter().take(READERS).map(HostName::new).collect()
+    }
+
+    fn send(to: &HostName, message: MeshMessage) -> FleetAction {
+        FleetAction::Send {
+            to: to.clone(),
+            message: PeerMessage::Mesh(message),
+        }
+    }
+
+    /// Whom to beat in this round: a reader, who knows most, and anyone; readers also speak to
+    /// other regions.
+    fn beat_targets(&mut self, now: Instant) -> Vec<HostName> {
+        let own = self.table.own().clone();
+        let fresh: Vec<MeshMember> = self.table.fresh(now).cloned().collect();
+        let (near, far): (Vec<&MeshMember>, Vec<&MeshMember>) =
+            fresh.iter().partition(|one| one.region == own.region);
+        let readers = self.readers(now);
+        let others = readers.iter().filter(|name| **name != own.name);
+        let mut targets: Vec<HostName> = others.take(1).cloned().collect();
+        targets.extend(self.draw(&near));
+        if readers.contains(&own.name) {
+            targets.extend(self.draw(&far));
+        }
+        let seeking = fresh.len() < READERS || self.round.is_multiple_of(SEED_ROUNDS);
+        if seeking && !self.seeds.is_empty() {
+            let turn = self.rng.random_range(0..self.seeds.len());
+            let known = |address| fresh.iter().find(|one| one.address == address);
+            let seed = self.seeds[turn];
+            targets.push(known(seed).map_or(seed_name(seed), |one| one.name.clone()));
+        }
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+
+    fn draw(&mut self, members: &[&MeshMember]) -> Option<HostName> {
+        if members.is_empty() {
+            return None;
+        }
+        let turn = self.rng.random_range(0..members.len());
+        Some(members[turn].name.clone())
+    }
+
+    fn beat(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        if now < self.next_beat {
+            return;
+        }
+        let seeking = self.table.is_alone() || now < self.born + SEEK_TIME;
+        let period = if seeking { SEEK_PERIOD } else { BEAT_PERIOD };
+        self.next_beat = now + period;
+        self.round += 1;
+        let targets = self.beat_targets(now);
+        if targets.is_empty() {
+            return;
+        }
+        let nonce = self.questions.open(now, self.lease());
+        for to in targets {
+            let message = MeshMessage::Beat {
+                nonce,
+                view: self.view(now),
+                members: self.table.digest(),
+            };
+            actions.push(Self::send(&to, message));
+        }
+    }
+
+    fn take_ages(
+        &mut self,
+        from: &HostName,
+        (members, ages): (u64, &[Duration]),
+        told: Instant,
+        now: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        self.table.hear(from, now);
+        if members == self.table.digest() {
+            self.table.merge_ages(ages, told);
+        } else {
+            actions.push(Self::send(from, MeshMessage::Members(self.table.words(now))));
+        }
+    }
+
+    /// A peer said what it holds; `asked` is when the question was sent that it answers.
+    fn take_view(
+        &mut self,
+        from: &HostName,
+        view: ValuesView,
+        asked: Option<Instant>,
+        now: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if view.digest == self.values.digest() && view.digest != 0 {
+            self.values.raise(view.revision);
+            let heard = asked
+                .zip(view.confirmed_age)
+                .and_then(|(asked, age)| asked.checked_sub(age));
+            self.confirmed = self.confirmed.max(heard);
+            return;
+        }
+        if self.values.lacks(view.revision, view.digest) {
+            self.behind.get_or_insert(now);
+            self.fetch(from, now, actions);
+        }
+    }
+
+    fn fetch(&mut self, from: &HostName, now: Instant, actions: &mut Vec<FleetAction>) {
+        let waiting = self.fetched.is_some_and(|at| now < at + FETCH_PAUSE);
+        if waiting {
+            return;
+        }
+        self.fetched = Some(now);
+        self.counters.fetches += 1;
+        let held = self.values.digest();
+        actions.push(Self::send(from, MeshMessage::Fetch { held }));
+    }
+
+    fn settle(&mut self, outcome: ValuesOutcome, now: Instant, actions: &mut Vec<FleetAction>) {
+        match outcome {
+            ValuesOutcome::Adopted => {
+                self.counters.adopted += 1;
+                self.behind = None;
+                self.fetched = None;
+                self.publish(now, actions);
+            }
+            ValuesOutcome::Refused(rejection) => {
+                self.counters.refused_trees += 1;
+                actions.push(FleetAction::Refuse {
+                    revision: self.values.revision(),
+                    findings: rejection.findings,
+                });
+            }
+            ValuesOutcome::MissingBase => {
+                self.counters.bad_deltas += 1;
+                self.fetched = None;
+            }
+            ValuesOutcome::Equal => self.behind = None,
+            ValuesOutcome::Older => {}
+        }
+    }
+
+    /// Puts the settings in force together with the members of the moment.
+    fn publish(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let Some(settings) = self.values.settings().cloned() else {
+            return;
+        };
+        let hosts = self.host_list(now);
+        let snapshot = FleetSnapshot {
+            revision: self.values.revision(),
+            settings,
+            hosts,
+        };
+        actions.push(FleetAction::Publish(Arc::new(snapshot)));
+    }
+
+    fn host_list(&self, now: Instant) -> HostList {
+        let own = self.table.own();
+        let members = self.table.fresh(now).chain([own]);
+        HostList {
+            hosts: members.map(listed).collect(),
+            servers: Vec::new(),
+        }
+    }
+
+    /// Tells the daemon when other members are fresh than before.
+    fn share_roster(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let fresh = self.table.fresh(now);
+        let roster: Vec<HostName> = fresh.map(|one| one.name.clone()).collect();
+        if roster == self.roster {
+            return;
+        }
+        self.roster = roster;
+        let seeds = self.seeds.iter().map(|seed| ListedHost {
+            name: seed_name(*seed),
+            region: self.table.own().region.clone(),
+            center: self.table.own().center.clone(),
+            peer: *seed,
+            state: HostState::Live,
+        });
+        let known = self.table.words(now);
+        let known = known.iter().map(|word| listed(&word.member));
+        actions.push(FleetAction::Contact(known.chain(seeds).collect()));
+        self.publish(now, actions);
+    }
+
+    /// Sends what was just adopted from the platform to the region's hosts.
+    fn push(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let Some(change) = self.values.change_since(self.values.previous()) else {
+            return;
+        };
+        let own = self.table.own();
+        for member in self.table.fresh(now) {
+            if member.region == own.region {
+                self.counters.pushes += 1;
+                actions.push(Self::send(&member.name, change.clone()));
+            }
+        }
+    }
+
+    fn drive(&mut self, now: Instant, mut actions: Vec<FleetAction>) -> Vec<FleetAction> {
+        self.beat(now, &mut actions);
+        self.share_roster(now, &mut actions);
+        let current = self.lease_end().is_some_and(|end| now < end);
+        self.joined |= current && self.behind.is_none();
+        let readiness = match (self.values.settings(), self.joined) {
+            (None, _) => Readiness::Unready(UnreadyReason::NoTree),
+            (_, false) => Readiness::Unready(UnreadyReason::Joining),
+            _ if !current => Readiness::Unready(UnreadyReason::NotCurrent),
+            _ => Readiness::Ready,
+        };
+        if readiness != self.readiness {
+            self.readiness = readiness;
+            actions.push(FleetAction::Readiness(readiness));
+        }
+        actions
+    }
+
+    fn receive_mesh(
+        &mut self,
+        from: &HostName,
+        message: MeshMessage,
+        now: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        match message {
+            MeshMessage::Beat {
+                nonce,
+                view,
+                members,
+            } => {
+                self.take_ages(from, (members, &[]), now, now, actions);
+                self.take_view(from, view, None, now, actions);
+                let reply = MeshMessage::Reply {
+                    nonce,
+                    view: self.view(now),
+                    members: self.table.digest(),
+                    ages: self.table.ages(now),
+                };
+                actions.push(Self::send(from, reply));
+            }
+            MeshMessage::Reply {
+                nonce,
+                view,
+                members,
+                ages,
+            } => {
+                let Some(asked) = self.questions.sent(nonce) else {
+                    self.counters.late_answers += 1;
+                    return;
+                };
+                self.take_ages(from, (members, &ages), asked, now, actions);
+                self.take_view(from, view, Some(asked), now, actions);
+            }
+            MeshMessage::Members(words) => {
+                for word in words {
+                    if let Some(heard) = now.checked_sub(word.age) {
+                        self.table.learn(&word.member, heard, now);
+                    }
+                }
+                self.table.hear(from, now);
+            }
+            MeshMessage::Leave => {
+                self.table.leave(from, now);
+            }
+            MeshMessage::Fetch { held } => {
+                if let Some(change) = self.values.change_since(held) {
+                    actions.push(Self::send(from, change));
+                }
+            }
+            change @ MeshMessage::Change { .. } => {
+                let outcome = self.values.apply(change);
+                let missing = outcome == ValuesOutcome::MissingBase;
+                self.settle(outcome, now, actions);
+                if missing {
+                    self.behind.get_or_insert(now);
+                    self.fetch(from, now, actions);
+                }
+            }
+        }
+    }
+
+    /// After an outage, what vanished is kept for a while from the first answer on.
+    fn note_outage(&mut self, now: Instant) {
+        let confirmed = self.confirmed;
+        let away = confirmed.is_some_and(|at| now.saturating_duration_since(at) > AWAY_AFTER);
+        if away && self.lapse_end.is_none() {
+            log::info!(age_ms = self.confirmed_age_ms(now); "the platform is back");
+            self.lapse_end = Some(now + LAPSE_GRACE);
+        }
+        if !away && self.lapse_end.is_some_and(|end| now >= end) {
+            self.lapse_end = None;
+        }
+    }
+
+    fn confirmed_age_ms(&self, now: Instant) -> u64 {
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        self.confirmed.map_or(0, age)
+    }
+
+    /// Compares what the platform said with what is in force.
+    fn hear_platform(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
+        self.platform_sent = Some(sent);
+        self.note_outage(now);
+        let lapsing = self.lapse_end.is_some_and(|end| now < end);
+        let loses = self
+            .platform_values
+            .as_ref()
+            .is_some_and(|values| self.values.loses_keys(values));
+        if lapsing && loses {
+            return self.drive(now, Vec::new());
+        }
+        self.offer_platform(sent, now)
+    }
+
+    fn offer_platform(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        let Some(values) = self.platform_values.clone() else {
+            return self.drive(now, actions);
+        };
+        let digest = values.digest();
+        let outcome = self.values.offer(values);
+        let adopted = outcome == ValuesOutcome::Adopted;
+        if outcome == ValuesOutcome::Older {
+            self.counters.stale_platform += 1;
+        }
+        self.settle(outcome, now, &mut actions);
+        if adopted {
+            self.push(now, &mut actions);
+        }
+        if digest == self.values.digest() {
+            self.confirmed = self.confirmed.max(Some(sent));
+        }
+        self.drive(now, actions)
+    }
+}
+
+fn listed(member: &MeshMember) -> ListedHost {
+    ListedHost {
+        name: member.name.clone(),
+        region: member.region.clone(),
+        center: member.center.clone(),
+        peer: member.address,
+        state: HostState::Live,
+    }
+}
+
+impl FreshnessRule for MeshView {
+    fn platform_answer(
+        &mut self,
+        values: PublishedValues,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        self.platform_values = Some(values);
+        self.hear_platform(sent, now)
+    }
+
+    fn platform_confirmed(
+        &mut self,
+        revision: TreeRevision,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        if let Some(values) = &mut self.platform_values {
+            values.revision = values.revision.max(revision);
+        }
+        self.hear_platform(sent, now)
+    }
+
+    fn platform_failed(&mut self, now: Instant) -> Vec<FleetAction> {
+        self.counters.failed_platform += 1;
+        self.drive(now, Vec::new())
+    }
+
+    fn receive(&mut self, from: &HostName, message: PeerMessage, now: Instant) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        if let PeerMessage::Mesh(message) = message {
+            self.receive_mesh(from, message, now, &mut actions);
+        }
+        self.drive(now, actions)
+    }
+
+    fn clock_stood_still(&mut self, now: Instant) -> Vec<FleetAction> {
+        self.confirmed = None;
+        self.questions.void();
+        self.next_beat = now;
+        self.drive(now, Vec::new())
+    }
+
+    fn tick(&mut self, now: Instant) -> Vec<FleetAction> {
+        let connected = self.is_connected(now);
+        self.table.prune(now, connected);
+        let lapsed = self.lapse_end.filter(|end| now >= *end);
+        if let Some(sent) = lapsed.and(self.platform_sent) {
+            self.lapse_end = None;
+            return self.offer_platform(sent, now);
+        }
+        self.drive(now, Vec::new())
+    }
+
+    fn leave(&mut self, now: Instant) -> Vec<FleetAction> {
+        let members = self.table.fresh(now);
+        members
+            .map(|member| Self::send(&member.name, MeshMessage::Leave))
+            .collect()
+    }
+
+    fn current_until(&self) -> Option<Instant> {
+        self.lease_end().filter(|_| self.joined)
+    }
+
+    fn reads_platform(&self, now: Instant) -> bool {
+        let fed = self
+            .confirmed
+            .is_some_and(|at| now.saturating_duration_since(at) < self.lease() * 2 / 3);
+        self.is_reader(now) || !fed
+    }
+
+    fn tick_interval(&self) -> Duration {
+        TICK
+    }
+
+    fn watch_wait(&self) -> Duration {
+        self.lease() / 3
+    }
+
+    fn watch_grace(&self) -> Duration {
+        READ_GRACE
+    }
+
+    fn watch_pause(&self) -> Duration {
+        READ_PAUSE
+    }
+
+    fn counters(&self) -> &FleetCounters {
+        &self.counters
+    }
+}
+
--- /dev/null
+++ b/crates/kws-membership/src/mesh/table.rs
@@ -0,0 +1,189 @@
+//! The members that a host knows, and how long ago each was heard by anyone.
+
+use kws_protocol::{HostName, MemberWord, MeshMember, RegionName};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
+
+/// A member that nobody heard for this long gets no work. Three rounds of beats may be lost.
+pub(crate) const FRESH_AGE: Duration = Duration::from_secs(4);
+
+/// A member that nobody heard for this long is forgotten.
+const FORGET_AGE: Duration = Duration::from_secs(15);
+
+/// The name of a member that left is not taken back for this long; older words about it have faded.
+const LEFT_MEMORY: Duration = Duration::from_mins(1);
+
+#[derive(Clone, Debug)]
+struct MemberRecord {
+    member: MeshMember,
+    heard: Instant,
+}
+
+/// The table of one host; it never holds the host itself.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberTable {
+    own: MeshMember,
+    records: BTreeMap<HostName, MemberRecord>,
+    left: BTreeMap<HostName, Instant>,
+}
+
+impl MemberTable {
+    /// A table without members.
+    pub(crate) fn new(own: MeshMember) -> Self {
+        Self {
+            own,
+            records: BTreeMap::new(),
+            left: BTreeMap::new(),
+        }
+    }
+
+    /// This host.
+    pub(crate) fn own(&self) -> &MeshMember {
+        &self.own
+    }
+
+    /// Takes a member heard at `heard`; true when the set of members changed.
+    pub(crate) fn learn(&mut self, member: &MeshMember, heard: Instant, now: Instant) -> bool {
+        let old = now.saturating_duration_since(heard) >= FORGET_AGE;
+        if old || member.name == self.own.name || self.left.contains_key(&member.name) {
+            return false;
+        }
+        if member.address == self.own.address {
+            // An earlier life of this host.
+            return false;
+        }
+        if let Some(record) = self.records.get_mut(&member.name) {
+            record.heard = record.heard.max(heard);
+            return false;
+        }
+        let before = self.at_address(member);
+        if before.as_ref().is_some_and(|(_, known)| *known > heard) {
+            return false;
+        }
+        if let Some((name, _)) = before {
+            self.records.remove(&name);
+        }
+        let record = MemberRecord {
+            member: member.clone(),
+            heard,
+        };
+        self.records.insert(member.name.clone(), record);
+        true
+    }
+
+    /// Another life of the same daemon.
+    fn at_address(&self, member: &MeshMember) -> Option<(HostName, Instant)> {
+        let mut records = self.records.iter();
+        let (name, record) = records.find(|(_, one)| one.member.address == member.address)?;
+        Some((name.clone(), record.heard))
+    }
+
+    /// A message of `name` came.
+    pub(crate) fn hear(&mut self, name: &HostName, now: Instant) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.heard = record.heard.max(now);
+        }
+    }
+
+    /// A member said that it stops; true when it was known.
+    pub(crate) fn leave(&mut self, name: &HostName, now: Instant) -> bool {
+        self.left.insert(name.clone(), now);
+        self.records.remove(name).is_some()
+    }
+
+    /// Takes ages in the order of the names of a table with the same members. The sender itself is
+    /// among them.
+    pub(crate) fn merge_ages(&mut self, ages: &[Duration], told: Instant) {
+        let names = self.names();
+        if names.len() != ages.len() {
+            return;
+        }
+        for (name, age) in names.iter().zip(ages) {
+            if let Some(heard) = told.checked_sub(*age)
+                && let Some(record) = self.records.get_mut(name)
+            {
+                record.heard = record.heard.max(heard);
+            }
+        }
+    }
+
+    /// Forgets members that are long silent; true when the set changed. A host that hears only a
+    /// few of the others may be the one that is cut off, and forgets none.
+    pub(crate) fn prune(&mut self, now: Instant, connected: bool) -> bool {
+        self.left
+            .retain(|_, at| now.saturating_duration_since(*at) < LEFT_MEMORY);
+        if !connected {
+            return false;
+        }
+        let before = self.records.len();
+        self.records
+            .retain(|_, record| now.saturating_duration_since(record.heard) < FORGET_AGE);
+        self.records.len() != before
+    }
+
+    fn names(&self) -> Vec<HostName> {
+        let mut names: Vec<HostName> = self.records.keys().cloned().collect();
+        names.push(self.own.name.clone());
+        names.sort();
+        names
+    }
+
+    /// The digest of the names of all members, this host included.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for name in self.names() {
+            hasher.update(name.as_str().as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.digest()
+    }
+
+    /// The ages of all members in the order of their names.
+    pub(crate) fn ages(&self, now: Instant) -> Vec<Duration> {
+        let age = |name: &HostName| {
+            let record = self.records.get(name);
+            record.map_or(Duration::ZERO, |record| {
+                now.saturating_duration_since(record.heard)
+            })
+        };
+        self.names().iter().map(age).collect()
+    }
+
+    /// All members with their ages, this host included.
+    pub(crate) fn words(&self, now: Instant) -> Vec<MemberWord> {
+        let others = self.records.values().map(|record| MemberWord {
+            member: record.member.clone(),
+            age: now.saturating_duration_since(record.heard),
+        });
+        let own = MemberWord {
+            member: self.own.clone(),
+            age: Duration::ZERO,
+        };
+        others.chain([own]).collect()
+    }
+
+    /// The other members heard within [`FRESH_AGE`].
+    pub(crate) fn fresh(&self, now: Instant) -> impl Iterator<Item = &MeshMember> {
+        let fresh = move |record: &&MemberRecord| {
+            now.saturating_duration_since(record.heard) < FRESH_AGE
+        };
+        self.records.values().filter(fresh).map(|one| &one.member)
+    }
+
+    /// When each other known member of `region` was last heard.
+    pub(crate) fn heard_in<'a>(
+        &'a self,
+        region: &'a RegionName,
+    ) -> impl Iterator<Item = Instant> + 'a {
+        let records = self.records.values();
+        records
+            .filter(move |record| &record.member.region == region)
+            .map(|record| record.heard)
+    }
+
+    /// Whether no other member is known.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/kws-membership/src/mesh/values.rs
@@ -0,0 +1,178 @@
+//! The published values that a host of the mesh holds: ordered by revision, told apart by digest.
+
+use crate::{TreeChecker, TreeRejection, store::ChangeHistory};
+use kws_protocol::{FleetSettings, MeshMessage, PublishedValues, TreeRevision};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// What became of offered values.
+#[derive(Debug, PartialEq)]
+pub(crate) enum ValuesOutcome {
+    /// In force from now on.
+    Adopted,
+    /// The values in force, at this revision or a lower one.
+    Equal,
+    /// Older than what is in force.
+    Older,
+    /// The change fits to other values than those in force.
+    MissingBase,
+    /// The check failed; what was in force stays.
+    Refused(TreeRejection),
+}
+
+struct HeldValues {
+    values: PublishedValues,
+    digest: u64,
+    settings: FleetSettings,
+}
+
+/// The values in force.
+pub(crate) struct MeshValues {
+    checker: Box<dyn TreeChecker>,
+    held: Option<HeldValues>,
+    refused: Option<(TreeRevision, u64)>,
+    history: ChangeHistory<u64>,
+}
+
+impl MeshValues {
+    /// Holds nothing yet.
+    pub(crate) fn new(checker: Box<dyn TreeChecker>) -> Self {
+        Self {
+            checker,
+            held: None,
+            refused: None,
+            history: ChangeHistory::default(),
+        }
+    }
+
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Option<&FleetSettings> {
+        self.held.as_ref().map(|held| &held.settings)
+    }
+
+    /// The highest revision at which the values in force are known to hold; 0 for none.
+    pub(crate) fn revision(&self) -> TreeRevision {
+        let held = self.held.as_ref();
+        held.map_or(TreeRevision::default(), |held| held.values.revision)
+    }
+
+    /// The digest of the values in force; 0 for none.
+    pub(crate) fn digest(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.digest)
+    }
+
+    /// Whether values of this digest at `revision` are newer than those in force, and not refused.
+    pub(crate) fn lacks(&self, revision: TreeRevision, digest: u64) -> bool {
+        let refused = self.refused.is_some_and(|(_, refused)| refused == digest);
+        revision > self.revision() && digest != self.digest() && !refused
+    }
+
+    /// Whether a key that is in force is missing in `values`.
+    pub(crate) fn loses_keys(&self, values: &PublishedValues) -> bool {
+        let held = self.held.as_ref();
+        let mut keys = held.into_iter().flat_map(|held| held.values.values.keys());
+        keys.any(|key| !values.values.contains_key(key))
+    }
+
+    /// The values in force were seen at `revision`: they are no older than that.
+    pub(crate) fn raise(&mut self, revision: TreeRevision) {
+        if let Some(held) = &mut self.held {
+            held.values.revision = held.values.revision.max(revision);
+        }
+    }
+
+    /// Judges whole values.
+    pub(crate) fn offer(&mut self, values: PublishedValues) -> ValuesOutcome {
+        let digest = values.digest();
+        if self.held.is_some() && digest == self.digest() {
+            self.raise(values.revision);
+            return ValuesOutcome::Equal;
+        }
+        if !self.lacks(values.revision, digest) {
+            return ValuesOutcome::Older;
+        }
+        match self.checker.check(&values) {
+            Ok(tree) => {
+                self.adopt(values, digest, tree.settings);
+                ValuesOutcome::Adopted
+            }
+            Err(rejection) => {
+                self.refused = Some((values.revision, digest));
+                ValuesOutcome::Refused(rejection)
+            }
+        }
+    }
+
+    fn adopt(&mut self, values: PublishedValues, digest: u64, settings: FleetSettings) {
+        if let Some(held) = &self.held {
+            self.history.record(held.digest, &held.values, &values);
+        }
+        self.held = Some(HeldValues {
+            values,
+            digest,
+            settings,
+        });
+    }
+
+    /// Applies a [`MeshMessage::Change`] and judges the result; other messages change nothing.
+    pub(crate) fn apply(&mut self, change: MeshMessage) -> ValuesOutcome {
+        let MeshMessage::Change {
+            base,
+            revision,
+            digest,
+            set,
+            removed,
+        } = change
+        else {
+            return ValuesOutcome::Older;
+        };
+        if digest == self.digest() {
+            self.raise(revision);
+            return ValuesOutcome::Equal;
+        }
+        if !self.lacks(revision, digest) {
+            return ValuesOutcome::Older;
+        }
+        let mut values = match &self.held {
+            _ if base == 0 => BTreeMap::new(),
+            Some(held) if held.digest == base => held.values.values.clone(),
+            _ => return ValuesOutcome::MissingBase,
+        };
+        for key in &removed {
+            values.remove(key);
+        }
+        values.extend(set);
+        let values = PublishedValues { revision, values };
+        if values.digest() != digest {
+            return ValuesOutcome::MissingBase;
+        }
+        self.offer(values)
+    }
+
+    /// What changed since the values with digest `since`, or a whole copy when that is not
+    /// remembered; none when nothing else is held.
+    pub(crate) fn change_since(&self, since: u64) -> Option<MeshMessage> {
+        let held = self.held.as_ref().filter(|held| held.digest != since)?;
+        let changed = self.history.changed_since(&since);
+        let base = if changed.is_some() { since } else { 0 };
+        let keys = changed.unwrap_or_else(|| held.values.values.keys().cloned().collect());
+        let (mut set, mut removed) = (Vec::new(), Vec::new());
+        for key in keys {
+            match held.values.values.get(&key) {
+                Some(value) => set.push((key, Arc::clone(value))),
+                None => removed.push(key),
+            }
+        }
+        Some(MeshMessage::Change {
+            base,
+            revision: held.values.revision,
+            digest: held.digest,
+            set,
+            removed,
+        })
+    }
+
+    /// The digest of the values that were in force before; 0 for none.
+    pub(crate) fn previous(&self) -> u64 {
+        self.history.last_base().copied().unwrap_or_default()
+    }
+}
--- a/crates/kws-membership/src/store.rs
+++ b/crates/kws-membership/src/store.rs
@@ -3,7 +3,7 @@
 mod history;
 
 use crate::{CheckedTree, TreeChecker, TreeRejection};
-use history::ChangeHistory;
+pub(crate) use history::ChangeHistory;
 use kws_protocol::{ConfigMessage, FleetSnapshot, MAX_FRAME_BYTES, PublishedValues, TreeRevision};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -69,7 +69,7 @@
     checker: Box<dyn TreeChecker>,
     held: Option<HeldTree>,
     refused: BTreeMap<TreeRevision, u64>,
-    history: ChangeHistory,
+    history: ChangeHistory<TreeRevision>,
 }
 
 impl ConfigStore {
@@ -97,7 +97,7 @@
 
     /// The revision that was in force before; 0 when there was none.
     pub fn previous(&self) -> TreeRevision {
-        self.history.last_base().unwrap_or_default()
+        self.history.last_base().copied().unwrap_or_default()
     }
 
     /// The digest of the values in force; 0 when there are none.
@@ -170,7 +170,7 @@
         if since >= held.values.revision {
             return None;
         }
-        let changed = self.history.changed_since(since);
+        let changed = self.history.changed_since(&since);
         let base = if changed.is_some() {
             since
         } else {
@@ -202,7 +202,8 @@
         tree: CheckedTree,
     ) -> Arc<FleetSnapshot> {
         if let Some(held) = &self.held {
-            self.history.record(&held.values, &values);
+            self.history
+                .record(held.values.revision, &held.values, &values);
         }
         let snapshot = Arc::new(FleetSnapshot {
             revision: values.revision,
--- a/crates/kws-membership/src/store/history.rs
+++ b/crates/kws-membership/src/store/history.rs
@@ -1,6 +1,6 @@
 //! Which keys changed from one adopted revision to the next.
 
-use kws_protocol::{PublishedValues, TreeRevision};
+use kws_protocol::PublishedValues;
 use std::collections::{BTreeSet, VecDeque};
 
 /// Changes that are remembered; a host further behind gets a whole copy.
@@ -10,22 +10,31 @@
 const MAX_KEYS: usize = 4_096;
 
 #[derive(Clone, Debug)]
-struct ChangeRecord {
-    base: TreeRevision,
+struct ChangeRecord<B> {
+    base: B,
     keys: BTreeSet<String>,
 }
 
 /// The latest changes, oldest first. Only keys are kept: a delta takes the values in force now.
-#[derive(Clone, Debug, Default)]
-pub(super) struct ChangeHistory {
-    records: VecDeque<ChangeRecord>,
+/// `B` tells states apart: their revision, or their digest.
+#[derive(Clone, Debug)]
+pub(crate) struct ChangeHistory<B> {
+    records: VecDeque<ChangeRecord<B>>,
+}
+
+impl<B> Default for ChangeHistory<B> {
+    fn default() -> Self {
+        Self {
+            records: VecDeque::new(),
+        }
+    }
 }
 
-impl ChangeHistory {
-    /// Remembers the step from `before` to `after`.
-    pub(super) fn record(&mut self, before: &PublishedValues, after: &PublishedValues) {
+impl<B: PartialEq> ChangeHistory<B> {
+    /// Remembers the step from `before`, known as `base`, to `after`.
+    pub(crate) fn record(&mut self, base: B, before: &PublishedValues, after: &PublishedValues) {
         self.records.push_back(ChangeRecord {
-            base: before.revision,
+            base,
             keys: changed_keys(before, after),
         });
         while self.records.len() > MAX_CHANGES || self.key_count() > MAX_KEYS {
@@ -33,17 +42,17 @@
         }
     }
 
-    /// The revision before the latest change.
-    pub(super) fn last_base(&self) -> Option<TreeRevision> {
-        self.records.back().map(|record| record.base)
+    /// The state before the latest change.
+    pub(crate) fn last_base(&self) -> Option<&B> {
+        self.records.back().map(|record| &record.base)
     }
 
     /// The keys that changed after `since`, when every step since then is remembered.
-    pub(super) fn changed_since(&self, since: TreeRevision) -> Option<BTreeSet<String>> {
+    pub(crate) fn changed_since(&self, since: &B) -> Option<BTreeSet<String>> {
         let first = self
             .records
             .iter()
-            .position(|record| record.base == since)?;
+            .position(|record| &record.base == since)?;
         let records = self.records.iter().skip(first);
         Some(records.flat_map(|record| record.keys.clone()).collect())
     }
--- a/crates/kws-membership/src/view.rs
+++ b/crates/kws-membership/src/view.rs
@@ -220,7 +220,10 @@
                 counts,
             }) => self.take_answer(from, nonce, view, counts, now),
             PeerMessage::Config(message) => self.take_config(from, message, now, &mut actions),
-            PeerMessage::Health(_) | PeerMessage::Loan(_) => return actions,
+            PeerMessage::Health(_)
+            | PeerMessage::Loan(_)
+            | PeerMessage::Mesh(_)
+            | PeerMessage::Ticket(_) => return actions,
         }
         self.drive(now, actions)
     }
--- a/crates/kws-membership/tests/key_index.rs
+++ b/crates/kws-membership/tests/key_index.rs
@@ -19,6 +19,7 @@
             rate: 1.0,
             burst: 1.0,
             weight: 1.0,
+            priority: None,
             keys: keys.iter().map(|key| digest(*key)).collect(),
         };
         (team.name.clone(), team)
--- a/crates/kws-peer/src/exchange.rs
+++ b/crates/kws-peer/src/exchange.rs
@@ -42,8 +42,8 @@
 pub struct OutboundPeer {
     /// The host it is for.
     pub to: HostName,
-    /// Where that host listens for peers.
-    pub address: SocketAddr,
+    /// Where that host listens for peers; absent to use an open link only.
+    pub address: Option<SocketAddr>,
     /// The message.
     pub message: PeerMessage,
 }
@@ -115,12 +115,13 @@
         Some(LinkEntry::Failed { until }) if Instant::now() < *until => return None,
         _ => {}
     }
+    let address = outbound.address?;
     let (queue, receiver) = PeerQueue::new();
     links.insert(outbound.to.clone(), LinkEntry::Open(queue.clone()));
     let work = dial_peer(
         Arc::clone(state),
         outbound.to.clone(),
-        outbound.address,
+        address,
         receiver,
     );
     tokio::spawn(work);
--- a/crates/kws-peer/src/handshake.rs
+++ b/crates/kws-peer/src/handshake.rs
@@ -122,7 +122,7 @@
         prove(secret, b"accept", hello, self)
             .verify_slice(&self.proof)
             .map_err(|_| HandshakeError::WrongProof(self.host.clone()))?;
-        if &self.host != wanted {
+        if !wanted.names(&self.host) {
             return Err(HandshakeError::OtherHost {
                 wanted: wanted.clone(),
                 found: self.host.clone(),
--- a/crates/kws-peer/src/queue.rs
+++ b/crates/kws-peer/src/queue.rs
@@ -11,6 +11,10 @@
 pub enum MessageClass {
     /// Confirmations of the lease; without them a host stops serving.
     Lease,
+    /// Membership and spread of values; the same holds.
+    Mesh,
+    /// Slots and tokens; requests wait for them.
+    Ticket,
     /// Loans; a request may wait for one.
     Loan,
     /// Configuration; fetched again when lost.
@@ -21,7 +25,14 @@
 
 impl MessageClass {
     /// Every class, the most urgent first.
-    pub const ALL: [Self; 4] = [Self::Lease, Self::Loan, Self::Config, Self::Health];
+    pub const ALL: [Self; 6] = [
+        Self::Lease,
+        Self::Mesh,
+        Self::Ticket,
+        Self::Loan,
+        Self::Config,
+        Self::Health,
+    ];
 
     /// The class of a message.
     pub fn of(message: &PeerMessage) -> Self {
@@ -30,6 +41,8 @@
             PeerMessage::Health(_) => Self::Health,
             PeerMessage::Lease(_) => Self::Lease,
             PeerMessage::Loan(_) => Self::Loan,
+            PeerMessage::Mesh(_) => Self::Mesh,
+            PeerMessage::Ticket(_) => Self::Ticket,
         }
     }
 
@@ -40,13 +53,16 @@
             Self::Health => "health",
             Self::Lease => "lease",
             Self::Loan => "loan",
+            Self::Mesh => "mesh",
+            Self::Ticket => "ticket",
         }
     }
 
     /// Free places that the queue must keep for more urgent classes.
     fn reserve(self) -> usize {
         match self {
-            Self::Lease => 0,
+            Self::Lease | Self::Mesh => 0,
+            Self::Ticket => QUEUE_MESSAGES / 16,
             Self::Loan => QUEUE_MESSAGES / 8,
             Self::Config => QUEUE_MESSAGES / 4,
             Self::Health => QUEUE_MESSAGES / 2,
--- a/crates/kws-peer/tests/peer_exchange.rs
+++ b/crates/kws-peer/tests/peer_exchange.rs
@@ -43,7 +43,7 @@
     async fn send(&self, to: &TestPeer, message: &PeerMessage) {
         let outbound = OutboundPeer {
             to: to.name.clone(),
-            address: to.address,
+            address: Some(to.address),
             message: message.clone(),
         };
         self.outbound.send(outbound).await.expect("exchange runs");
--- a/crates/kws-platform/src/watch.rs
+++ b/crates/kws-platform/src/watch.rs
@@ -19,8 +19,15 @@
     pub wait: Duration,
     /// How late an answer may be before it counts as failed, and the pause after the first failure.
     pub grace: Duration,
+    /// The pause after an answer, in which changes collect.
+    pub pause: Duration,
+    /// Whether another host reads for this one.
+    pub idle: bool,
 }
 
+/// How often a host that need not read looks whether it must.
+const IDLE_CHECK: Duration = Duration::from_millis(100);
+
 /// Gives the timing of the moment, which a new tree may change.
 pub type TimingSource<'a> = &'a (dyn Fn() -> WatchTiming + Send + Sync);
 
@@ -61,8 +68,12 @@
     let mut known = TreeRevision::default();
     let mut failures = 0;
     while !events.is_closed() {
-        let sent = Instant::now();
         let mut now_timing = timing();
+        if now_timing.idle {
+            sleep(IDLE_CHECK).await;
+            continue;
+        }
+        let sent = Instant::now();
         if failures > 0 {
             // Whether the platform is back must not wait for a change.
             now_timing.wait = Duration::ZERO;
@@ -81,9 +92,11 @@
         if events.send(event).await.is_err() {
             return;
         }
-        if failures > 0 {
-            sleep(backoff(timing(), failures)).await;
-        }
+        let pause = match failures {
+            0 => timing().pause,
+            _ => backoff(timing(), failures),
+        };
+        sleep(pause).await;
     }
 }
 
--- a/crates/kws-platform/tests/consul_reader.rs
+++ b/crates/kws-platform/tests/consul_reader.rs
@@ -16,6 +16,8 @@
             let timing = || WatchTiming {
                 wait: Duration::from_millis(200),
                 grace: Duration::from_millis(50),
+                pause: Duration::ZERO,
+                idle: false,
             };
             run_watch(&mut reader, &timing, &events).await;
         });
--- a/crates/kws-protocol/src/lib.rs
+++ b/crates/kws-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod codec;
 mod hash;
+mod header_dialect;
 mod list;
 mod message;
 mod name;
@@ -14,16 +15,18 @@
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, decode_message, encode_message};
 pub use hash::{rendezvous_order, rendezvous_score};
+pub use header_dialect::{HeaderDialect, MarkHeader};
 pub use list::{HostList, HostState, ListedHost, ListedServer};
 pub use message::{
-    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RevisionView,
-    ServerDigest,
+    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, MemberWord, MeshMember,
+    MeshMessage, PeerMessage, RevisionView, ServerDigest, ServerLoad, SlotEnd, SlotRequest,
+    TicketMessage, ValuesView,
 };
 pub use name::{CenterName, HostName, RegionName, RouteName, ServerName, ServiceName, TeamName};
 pub use refusal::{RefusalReason, RetryReason, RunState};
 pub use settings::{
     AnswerChecks, EjectionSettings, FleetSettings, FreshnessSettings, KeyDigest, RegionSettings,
-    RouteAccess, RouteSettings, ServerSettings, ServiceSettings, TeamSettings,
+    RouteAccess, RouteSettings, ServerSettings, ServiceSettings, ServiceShare, TeamSettings,
 };
 pub use snapshot::{FleetSnapshot, PublishedValues, TreeRevision};
 pub use status::{ServerStatus, StatusReport};
--- a/crates/kws-protocol/src/message.rs
+++ b/crates/kws-protocol/src/message.rs
@@ -4,11 +4,15 @@
 mod health;
 mod lease;
 mod loan;
+mod mesh;
+mod ticket;
 
 pub use config::ConfigMessage;
 pub use health::{HealthMessage, ServerDigest};
 pub use lease::{LeaseMessage, RevisionView};
 pub use loan::{LoanId, LoanMessage};
+pub use mesh::{MemberWord, MeshMember, MeshMessage, ValuesView};
+pub use ticket::{ServerLoad, SlotEnd, SlotRequest, TicketMessage};
 
 /// One message from a peer.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,4 +25,8 @@
     Lease(LeaseMessage),
     /// Loans of tokens.
     Loan(LoanMessage),
+    /// Membership and values among hosts that find each other by seeds.
+    Mesh(MeshMessage),
+    /// Slots and tokens asked from the host that keeps them.
+    Ticket(TicketMessage),
 }
--- /dev/null
+++ b/crates/kws-protocol/src/message/mesh.rs
@@ -0,0 +1,85 @@
+//! Membership and spread of values among hosts that find each other by seeds.
+
+use crate::{CenterName, HostName, RegionName, TreeRevision};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// One host of the fleet, as it tells of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MeshMember {
+    /// Its name, new for each life of the daemon.
+    pub name: HostName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its data centre.
+    pub center: CenterName,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+}
+
+/// What a host holds of the published values.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ValuesView {
+    /// The revision at which the values were last known to hold; 0 for none.
+    pub revision: TreeRevision,
+    /// The digest of the values.
+    pub digest: u64,
+    /// How long ago the platform last confirmed them, to this host or to one it heard; absent for
+    /// never.
+    pub confirmed_age: Option<Duration>,
+}
+
+/// A member and how long ago it was last heard by anyone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberWord {
+    /// The member.
+    pub member: MeshMember,
+    /// The age of the last word from it.
+    pub age: Duration,
+}
+
+/// Messages of the mesh.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MeshMessage {
+    /// "I am here, and this is what I hold."
+    Beat {
+        /// Repeated in the reply, so that ages count from the sending of the question.
+        nonce: u64,
+        /// What the sender holds.
+        view: ValuesView,
+        /// The digest of the names of all members that the sender knows.
+        members: u64,
+    },
+    /// The reply to a beat.
+    Reply {
+        /// The nonce of the beat.
+        nonce: u64,
+        /// What the sender holds.
+        view: ValuesView,
+        /// The digest of the names of all members that the sender knows.
+        members: u64,
+        /// The ages of these members, in the order of their names.
+        ages: Vec<Duration>,
+    },
+    /// All members that the sender knows, itself included.
+    Members(Vec<MemberWord>),
+    /// "I stop: count on me no more."
+    Leave,
+    /// "Send me what changed since the values with this digest."
+    Fetch {
+        /// The digest of the values that the asker holds; 0 for none.
+        held: u64,
+    },
+    /// The values that changed.
+    Change {
+        /// The digest of the values to apply the change to; 0 for a whole copy.
+        base: u64,
+        /// The revision of the values after the change.
+        revision: TreeRevision,
+        /// The digest after the change.
+        digest: u64,
+        /// Values set, by key.
+        set: Vec<(String, Arc<str>)>,
+        /// Keys removed.
+        removed: Vec<String>,
+    },
+}
--- a/crates/kws-protocol/src/name.rs
+++ b/crates/kws-protocol/src/name.rs
@@ -51,6 +51,20 @@
     /// An entry host, unique to one life of its daemon: a restarted daemon has a new name.
     HostName
 );
+impl HostName {
+    /// The name of one life of the daemon that listens for peers at `address`.
+    pub fn of_life(address: &str, life: &str) -> Self {
+        Self::new(&format!("{address}/{life}"))
+    }
+
+    /// Whether this name stands for `host`: they are equal, or this one is an address alone, which
+    /// stands for whichever life answers there.
+    pub fn names(&self, host: &Self) -> bool {
+        let rest = host.as_str().strip_prefix(self.as_str());
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+}
+
 name_type!(
     /// A region.
     RegionName
--- a/crates/kws-protocol/src/refusal.rs
+++ b/crates/kws-protocol/src/refusal.rs
@@ -54,6 +54,10 @@
     QueueFull,
     /// The team is over its rate or burst.
     RateExceeded,
+    /// The service's retry budget is spent; the try before this one is what there is to tell.
+    RetryBudget,
+    /// The route or its service changed while the request waited.
+    RouteChanged,
     /// No route serves the request.
     RouteUnknown,
     /// The host is stopping.
@@ -64,7 +68,7 @@
 
 impl RefusalReason {
     /// Every reason, in the order of the enum.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 19] = [
         Self::BadAnswer,
         Self::BadRequest,
         Self::BodyTooLarge,
@@ -79,6 +83,8 @@
         Self::NotCurrent,
         Self::QueueFull,
         Self::RateExceeded,
+        Self::RetryBudget,
+        Self::RouteChanged,
         Self::RouteUnknown,
         Self::Stopping,
         Self::TeamForbidden,
@@ -101,6 +107,8 @@
             Self::NotCurrent => "not_current",
             Self::QueueFull => "queue_full",
             Self::RateExceeded => "rate_exceeded",
+            Self::RetryBudget => "retry_budget",
+            Self::RouteChanged => "route_changed",
             Self::RouteUnknown => "route_unknown",
             Self::Stopping => "stopping",
             Self::TeamForbidden => "team_forbidden",
@@ -122,6 +130,8 @@
             | Self::NoServer
             | Self::NotCurrent
             | Self::QueueFull
+            | Self::RetryBudget
+            | Self::RouteChanged
             | Self::Stopping => 503,
             Self::DeadlinePassed => 504,
         }
--- a/crates/kws-protocol/src/settings.rs
+++ b/crates/kws-protocol/src/settings.rs
@@ -118,6 +118,15 @@
     pub content_type: Option<String>,
 }
 
+/// One service's part of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceShare {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight among the parts of the route.
+    pub weight: u32,
+}
+
 /// One route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouteSettings {
@@ -129,8 +138,12 @@
     pub path: String,
     /// The methods that it serves, in upper case; every one when empty.
     pub methods: BTreeSet<String>,
-    /// The service that runs its requests.
+    /// The service that runs its requests, unless `split` names several.
     pub service: ServiceName,
+    /// The services that share its requests by weight; empty when `service` runs them all.
+    pub split: Vec<ServiceShare>,
+    /// The rank of its requests, 0 the highest.
+    pub priority: u32,
     /// Who may use it.
     pub access: RouteAccess,
     /// Whether a request may be run more than once; by method when absent.
@@ -152,6 +165,29 @@
 }
 
 impl RouteSettings {
+    /// The service of one request; `draw` is a random number of the request's own.
+    pub fn pick_service(&self, draw: u64) -> &ServiceName {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        let mut mark = draw.checked_rem(total).unwrap_or_default();
+        for part in &self.split {
+            let weight = u64::from(part.weight);
+            if mark < weight {
+                return &part.service;
+            }
+            mark -= weight;
+        }
+        &self.service
+    }
+
+    /// Whether requests of the route may go to `service`.
+    pub fn allows_service(&self, service: &ServiceName) -> bool {
+        if self.split.is_empty() {
+            return &self.service == service;
+        }
+        let mut parts = self.split.iter().filter(|part| part.weight > 0);
+        parts.any(|part| &part.service == service)
+    }
+
     /// Whether a request of `method` may run more than once: the route decides, else the method.
     /// A caller can't loosen it.
     pub fn is_repeatable(&self, method: &str) -> bool {
@@ -171,6 +207,8 @@
     pub burst: f64,
     /// Its weight at a contended service.
     pub weight: f64,
+    /// The rank of its requests, which goes before the route's; absent to keep that.
+    pub priority: Option<u32>,
     /// The digests of its keys.
     pub keys: BTreeSet<KeyDigest>,
 }
--- a/crates/kws-protocol/src/wire.rs
+++ b/crates/kws-protocol/src/wire.rs
@@ -5,5 +5,7 @@
 mod health;
 mod lease;
 mod loan;
+mod mesh;
+mod ticket;
 
 pub(crate) use envelope::{WireEnvelope, WireError};
--- a/crates/kws-protocol/src/wire/envelope.rs
+++ b/crates/kws-protocol/src/wire/envelope.rs
@@ -1,6 +1,9 @@
 //! The versioned envelope around every message.
 
-use super::{config::WireConfig, health::WireHealth, lease::WireLease, loan::WireLoan};
+use super::{
+    config::WireConfig, health::WireHealth, lease::WireLease, loan::WireLoan, mesh::WireMesh,
+    ticket::WireTicket,
+};
 use crate::PeerMessage;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -35,6 +38,8 @@
     Health(WireHealth),
     Lease(WireLease),
     Loan(WireLoan),
+    Mesh(WireMesh),
+    Ticket(WireTicket),
 }
 
 impl From<&PeerMessage> for WireEnvelope {
@@ -44,6 +49,8 @@
             PeerMessage::Health(health) => WireMessage::Health(health.into()),
             PeerMessage::Lease(lease) => WireMessage::Lease(lease.into()),
             PeerMessage::Loan(loan) => WireMessage::Loan(loan.into()),
+            PeerMessage::Mesh(mesh) => WireMessage::Mesh(mesh.into()),
+            PeerMessage::Ticket(ticket) => WireMessage::Ticket(ticket.into()),
         };
         Self { v: WIRE_VERSION, m }
     }
@@ -61,6 +68,8 @@
             WireMessage::Health(health) => Self::Health(health.into()),
             WireMessage::Lease(lease) => Self::Lease(lease.into()),
             WireMessage::Loan(loan) => Self::Loan(loan.try_into()?),
+            WireMessage::Mesh(mesh) => Self::Mesh(mesh.try_into()?),
+            WireMessage::Ticket(ticket) => Self::Ticket(ticket.try_into()?),
         })
     }
 }
--- /dev/null
+++ b/crates/kws-protocol/src/wire/mesh.rs
@@ -0,0 +1,209 @@
+//! Wire types of the mesh: beats are most of an idle fleet's traffic, so their keys are short.
+
+use super::WireError;
+use crate::{HostName, MemberWord, MeshMember, MeshMessage, TreeRevision, ValuesView};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// Ages of members travel in this unit.
+const AGE_UNIT: Duration = Duration::from_millis(100);
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct WireMember {
+    #[serde(rename = "n")]
+    name: HostName,
+    #[serde(rename = "r")]
+    region: String,
+    #[serde(rename = "c")]
+    center: String,
+    #[serde(rename = "p")]
+    address: String,
+    #[serde(rename = "a")]
+    age: u32,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(crate) struct WireValues {
+    #[serde(rename = "r")]
+    revision: u64,
+    #[serde(rename = "d")]
+    digest: u64,
+    #[serde(default, rename = "a", skip_serializing_if = "Option::is_none")]
+    age_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct WireBeat {
+    #[serde(rename = "n")]
+    nonce: u64,
+    #[serde(rename = "v")]
+    view: WireValues,
+    #[serde(rename = "m")]
+    members: u64,
+    #[serde(default, rename = "a", skip_serializing_if = "Vec::is_empty")]
+    ages: Vec<u32>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum WireMesh {
+    #[serde(rename = "b")]
+    Beat(WireBeat),
+    #[serde(rename = "r")]
+    Reply(WireBeat),
+    #[serde(rename = "m")]
+    Members(Vec<WireMember>),
+    #[serde(rename = "l")]
+    Leave,
+    #[serde(rename = "f")]
+    Fetch { held: u64 },
+    #[serde(rename = "c")]
+    Change {
+        base: u64,
+        revision: u64,
+        digest: u64,
+        set: Vec<(String, Arc<str>)>,
+        removed: Vec<String>,
+    },
+}
+
+/// Rounded up: an age may be overstated, never understated.
+fn age_units(age: Duration) -> u32 {
+    let units = age.as_micros().div_ceil(AGE_UNIT.as_micros());
+    u32::try_from(units).unwrap_or(u32::MAX)
+}
+
+fn beat(nonce: u64, view: &ValuesView, members: u64, ages: &[Duration]) -> WireBeat {
+    WireBeat {
+        nonce,
+        view: WireValues {
+            revision: view.revision.0,
+            digest: view.digest,
+            age_ms: view
+                .confirmed_age
+                .map(|age| age.as_micros().div_ceil(1_000) as u64),
+        },
+        members,
+        ages: ages.iter().copied().map(age_units).collect(),
+    }
+}
+
+impl From<WireValues> for ValuesView {
+    fn from(wire: WireValues) -> Self {
+        Self {
+            revision: TreeRevision(wire.revision),
+            digest: wire.digest,
+            confirmed_age: wire.age_ms.map(Duration::from_millis),
+        }
+    }
+}
+
+impl From<&MemberWord> for WireMember {
+    fn from(word: &MemberWord) -> Self {
+        Self {
+            name: word.member.name.clone(),
+            region: word.member.region.as_str().to_owned(),
+            center: word.member.center.as_str().to_owned(),
+            address: word.member.address.to_string(),
+            age: age_units(word.age),
+        }
+    }
+}
+
+impl TryFrom<WireMember> for MemberWord {
+    type Error = WireError;
+
+    fn try_from(wire: WireMember) -> Result<Self, WireError> {
+        let address: SocketAddr = wire
+            .address
+            .parse()
+            .map_err(|_| WireError::OutOfRange { field: "address" })?;
+        Ok(Self {
+            member: MeshMember {
+                name: wire.name,
+                region: wire.region.as_str().into(),
+                center: wire.center.as_str().into(),
+                address,
+            },
+            age: AGE_UNIT * wire.age.min(u32::MAX / 2),
+        })
+    }
+}
+
+impl From<&MeshMessage> for WireMesh {
+    fn from(message: &MeshMessage) -> Self {
+        match message {
+            MeshMessage::Beat {
+                nonce,
+                view,
+                members,
+            } => Self::Beat(beat(*nonce, view, *members, &[])),
+            MeshMessage::Reply {
+                nonce,
+                view,
+                members,
+                ages,
+            } => Self::Reply(beat(*nonce, view, *members, ages)),
+            MeshMessage::Members(words) => {
+                Self::Members(words.iter().map(WireMember::from).collect())
+            }
+            MeshMessage::Leave => Self::Leave,
+            MeshMessage::Fetch { held } => Self::Fetch { held: *held },
+            MeshMessage::Change {
+                base,
+                revision,
+                digest,
+                set,
+                removed,
+            } => Self::Change {
+                base: *base,
+                revision: revision.0,
+                digest: *digest,
+                set: set.clone(),
+                removed: removed.clone(),
+            },
+        }
+    }
+}
+
+impl TryFrom<WireMesh> for MeshMessage {
+    type Error = WireError;
+
+    fn try_from(wire: WireMesh) -> Result<Self, WireError> {
+        let ages = |ages: Vec<u32>| {
+            let units = ages.into_iter().map(|age| AGE_UNIT * age.min(u32::MAX / 2));
+            units.collect::<Vec<_>>()
+        };
+        Ok(match wire {
+            WireMesh::Beat(beat) => Self::Beat {
+                nonce: beat.nonce,
+                view: beat.view.into(),
+                members: beat.members,
+            },
+            WireMesh::Reply(beat) => Self::Reply {
+                nonce: beat.nonce,
+                view: beat.view.into(),
+                members: beat.members,
+                ages: ages(beat.ages),
+            },
+            WireMesh::Members(members) => {
+                let words = members.into_iter().map(MemberWord::try_from);
+                Self::Members(words.collect::<Result<_, _>>()?)
+            }
+            WireMesh::Leave => Self::Leave,
+            WireMesh::Fetch { held } => Self::Fetch { held },
+            WireMesh::Change {
+                base,
+                revision,
+                digest,
+                set,
+                removed,
+            } => Self::Change {
+                base,
+                revision: TreeRevision(revision),
+                digest,
+                set,
+                removed,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/kws-protocol/src/wire/ticket.rs
@@ -0,0 +1,262 @@
+//! Wire types of tickets. Each request makes three of them, so their keys are short.
+
+use super::WireError;
+use crate::{
+    CenterName, RefusalReason, ServerLoad, ServerName, ServiceName, SlotEnd, SlotRequest, TeamName,
+    TicketMessage,
+};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct WireAsk {
+    #[serde(rename = "i")]
+    ticket: u64,
+    #[serde(rename = "s")]
+    service: ServiceName,
+    #[serde(rename = "c")]
+    center: CenterName,
+    #[serde(rename = "t")]
+    team: TeamName,
+    #[serde(rename = "w")]
+    weight: f64,
+    #[serde(rename = "p")]
+    priority: u32,
+    #[serde(rename = "l")]
+    left_ms: u64,
+    #[serde(rename = "r")]
+    repeatable: bool,
+    #[serde(rename = "b")]
+    bytes: u64,
+    #[serde(default, rename = "x", skip_serializing_if = "Vec::is_empty")]
+    excluded: Vec<ServerName>,
+    #[serde(rename = "a")]
+    repeat: bool,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(crate) enum WireEnd {
+    #[serde(rename = "g")]
+    Good,
+    #[serde(rename = "b")]
+    Bad,
+    #[serde(rename = "l")]
+    Late,
+    #[serde(rename = "u")]
+    Unreached,
+    #[serde(rename = "s")]
+    Shed,
+    #[serde(rename = "m")]
+    Misdirected,
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) enum WireTicket {
+    #[serde(rename = "a")]
+    Ask(WireAsk),
+    #[serde(rename = "q")]
+    Queued { i: u64 },
+    #[serde(rename = "g")]
+    Grant { i: u64, n: ServerName, p: String },
+    #[serde(rename = "r")]
+    Refuse {
+        i: u64,
+        y: RefusalReason,
+        w: Option<u64>,
+    },
+    #[serde(rename = "e")]
+    End {
+        i: u64,
+        s: ServiceName,
+        n: Option<ServerName>,
+        e: WireEnd,
+        l: u64,
+        d: bool,
+    },
+    #[serde(rename = "l")]
+    Loads {
+        s: ServiceName,
+        d: Vec<(ServerName, u32, f32)>,
+    },
+    #[serde(rename = "k")]
+    AskToken { i: u64, t: TeamName },
+    #[serde(rename = "o")]
+    Token { i: u64, w: Option<u64> },
+}
+
+macro_rules! map_ends {
+    ($($name:ident),*) => {
+        impl From<SlotEnd> for WireEnd {
+            fn from(end: SlotEnd) -> Self {
+                match end { $(SlotEnd::$name => Self::$name),* }
+            }
+        }
+
+        impl From<WireEnd> for SlotEnd {
+            fn from(end: WireEnd) -> Self {
+                match end { $(WireEnd::$name => Self::$name),* }
+            }
+        }
+    };
+}
+
+map_ends!(Good, Bad, Late, Unreached, Shed, Misdirected, Cancelled);
+
+fn millis(time: Duration) -> u64 {
+    time.as_micros().div_ceil(1_000) as u64
+}
+
+impl From<&SlotRequest> for WireAsk {
+    fn from(request: &SlotRequest) -> Self {
+        Self {
+            ticket: request.ticket,
+            service: request.service.clone(),
+            center: request.center.clone(),
+            team: request.team.clone(),
+            weight: request.weight,
+            priority: request.priority,
+            // Rounded down: the time left must not grow on its way.
+            left_ms: request.left.as_millis() as u64,
+            repeatable: request.repeatable,
+            bytes: request.bytes,
+            excluded: request.excluded.clone(),
+            repeat: request.repeat,
+        }
+    }
+}
+
+impl TryFrom<WireAsk> for SlotRequest {
+    type Error = WireError;
+
+    fn try_from(wire: WireAsk) -> Result<Self, WireError> {
+        if !wire.weight.is_finite() || wire.weight <= 0.0 {
+            return Err(WireError::OutOfRange { field: "weight" });
+        }
+        Ok(Self {
+            ticket: wire.ticket,
+            service: wire.service,
+            center: wire.center,
+            team: wire.team,
+            weight: wire.weight,
+            priority: wire.priority,
+            left: Duration::from_millis(wire.left_ms),
+            repeatable: wire.repeatable,
+            bytes: wire.bytes,
+            excluded: wire.excluded,
+            repeat: wire.repeat,
+        })
+    }
+}
+
+impl From<&TicketMessage> for WireTicket {
+    fn from(message: &TicketMessage) -> Self {
+        match message {
+            TicketMessage::Ask(request) => Self::Ask(request.into()),
+            TicketMessage::Queued { ticket } => Self::Queued { i: *ticket },
+            TicketMessage::Grant {
+                ticket,
+                server,
+                address,
+            } => Self::Grant {
+                i: *ticket,
+                n: server.clone(),
+                p: address.to_string(),
+            },
+            TicketMessage::Refuse {
+                ticket,
+                reason,
+                retry_after,
+            } => Self::Refuse {
+                i: *ticket,
+                y: *reason,
+                w: retry_after.map(millis),
+            },
+            TicketMessage::End {
+                ticket,
+                service,
+                server,
+                end,
+                latency,
+                draining,
+            } => Self::End {
+                i: *ticket,
+                s: service.clone(),
+                n: server.clone(),
+                e: (*end).into(),
+                l: latency.as_micros() as u64,
+                d: *draining,
+            },
+            TicketMessage::Loads { service, loads } => Self::Loads {
+                s: service.clone(),
+                d: loads
+                    .iter()
+                    .map(|one| (one.server.clone(), one.placed, one.evidence as f32))
+                    .collect(),
+            },
+            TicketMessage::AskToken { id, team } => Self::AskToken {
+                i: *id,
+                t: team.clone(),
+            },
+            TicketMessage::Token { id, retry_after } => Self::Token {
+                i: *id,
+                w: retry_after.map(millis),
+            },
+        }
+    }
+}
+
+impl TryFrom<WireTicket> for TicketMessage {
+    type Error = WireError;
+
+    fn try_from(wire: WireTicket) -> Result<Self, WireError> {
+        Ok(match wire {
+            WireTicket::Ask(request) => Self::Ask(request.try_into()?),
+            WireTicket::Queued { i } => Self::Queued { ticket: i },
+            WireTicket::Grant { i, n, p } => {
+                let address: SocketAddr = p
+                    .parse()
+                    .map_err(|_| WireError::OutOfRange { field: "address" })?;
+                Self::Grant {
+                    ticket: i,
+                    server: n,
+                    address,
+                }
+            }
+            WireTicket::Refuse { i, y, w } => Self::Refuse {
+                ticket: i,
+                reason: y,
+                retry_after: w.map(Duration::from_millis),
+            },
+            WireTicket::End { i, s, n, e, l, d } => Self::End {
+                ticket: i,
+                service: s,
+                server: n,
+                end: e.into(),
+                latency: Duration::from_micros(l),
+                draining: d,
+            },
+            WireTicket::Loads { s, d } => {
+                let sound = d.iter().all(|(_, _, evidence)| evidence.is_finite());
+                if !sound {
+                    return Err(WireError::OutOfRange { field: "evidence" });
+                }
+                let load = |(server, placed, evidence): (ServerName, u32, f32)| ServerLoad {
+                    server,
+                    placed,
+                    evidence: f64::from(evidence),
+                };
+                Self::Loads {
+                    service: s,
+                    loads: d.into_iter().map(load).collect(),
+                }
+            }
+            WireTicket::AskToken { i, t } => Self::AskToken { id: i, team: t },
+            WireTicket::Token { i, w } => Self::Token {
+                id: i,
+                retry_after: w.map(Duration::from_millis),
+            },
+        })
+    }
+}
--- a/crates/kws-replay/src/backends/fleet.rs
+++ b/crates/kws-replay/src/backends/fleet.rs
@@ -155,7 +155,9 @@
                 team: TeamName::new("orchard"),
                 weight: 1.0,
                 deadline: now + DEADLINE,
+                priority: 0,
                 repeatable: true,
+                repeat: false,
                 bytes: 0,
                 excluded: Vec::new(),
             };
--- a/crates/kws-replay/src/fleet/checker.rs
+++ b/crates/kws-replay/src/fleet/checker.rs
@@ -76,6 +76,7 @@
         rate: 1.0,
         burst: 1.0,
         weight: 1.0,
+        priority: None,
         keys: [key_digest(key)].into(),
     };
     (name, team)
--- a/crates/kws-replay/src/limits/plan.rs
+++ b/crates/kws-replay/src/limits/plan.rs
@@ -324,6 +324,7 @@
             rate: total.rate,
             burst: total.burst,
             weight: 1.0,
+            priority: None,
             keys: BTreeSet::new(),
         };
         (settings.name.clone(), settings)
--- a/crates/kws-tree/src/decode.rs
+++ b/crates/kws-tree/src/decode.rs
@@ -6,13 +6,13 @@
 use crate::{
     merge::{MergedEntries, MergedTree},
     node::TreeNode,
-    schema::{FRESHNESS, FieldShape, REGION, ROUTE, SERVER, SERVICE, SectionSchema, TEAM},
+    schema::{FRESHNESS, FieldShape, REGION, ROUTE, SERVER, SERVICE, SPLIT, SectionSchema, TEAM},
     value::FieldValue,
 };
 use kws_protocol::{
     AnswerChecks, CenterName, EjectionSettings, FleetSettings, FreshnessSettings, KeyDigest,
     RegionName, RegionSettings, RouteAccess, RouteName, RouteSettings, ServerName, ServerSettings,
-    ServiceName, ServiceSettings, TeamName, TeamSettings,
+    ServiceName, ServiceSettings, ServiceShare, TeamName, TeamSettings,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -245,6 +245,8 @@
         path: reader.text("path").unwrap_or_default(),
         methods: reader.texts("methods"),
         service: ServiceName::new(&reader.text("service").unwrap_or_default()),
+        split: decode_split(node),
+        priority: reader.count("priority"),
         access: reader.access("access"),
         repeatable: reader.flag("repeatable"),
         deadline: reader.duration("deadline"),
@@ -260,6 +262,17 @@
     }
 }
 
+fn decode_split(node: &TreeNode) -> Vec<ServiceShare> {
+    let parts = node.member("split").and_then(TreeNode::members);
+    let entries = parts.into_iter().flatten();
+    entries
+        .map(|(name, part)| ServiceShare {
+            service: ServiceName::new(name),
+            weight: SectionReader::new(part, &SPLIT).count("weight"),
+        })
+        .collect()
+}
+
 fn decode_team(name: TeamName, node: &TreeNode) -> TeamSettings {
     let reader = SectionReader::new(node, &TEAM);
     TeamSettings {
@@ -267,6 +280,7 @@
         rate: reader.number("rate"),
         burst: reader.number("burst"),
         weight: reader.number("weight"),
+        priority: node.member("priority").map(|_| reader.count("priority")),
         keys: reader.digests("keys"),
     }
 }
