--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -8,13 +8,13 @@
     parse::parse_yaml,
     references::report_missing,
     resolve::has_errors,
-    schema::{HOST, TLS},
+    schema::{CENTER, HOST, TLS},
 };
 use kws_protocol::{CenterName, RegionName};
-use std::{net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 /// Where the platform publishes.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PlatformSource {
     /// A directory of files, for trials and small fleets.
     Directory(PathBuf),
@@ -25,6 +25,22 @@
         /// What the keys of the fleet's values start with.
         prefix: String,
     },
+    /// The platform's metadata store.
+    Store {
+        /// Where it listens.
+        address: SocketAddr,
+        /// What it says nothing of.
+        terms: StoreTerms,
+    },
+}
+
+/// What holds for every service of a metadata store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreTerms {
+    /// The share of a service's capacity that ejection must leave, between 0 and 1.
+    pub floor: f64,
+    /// Retries allowed for each first try, over all hosts together, between 0 and 1.
+    pub retry_ratio: f64,
 }
 
 /// The certificate shown to callers.
@@ -37,7 +53,7 @@
 }
 
 /// The settings of one entry host.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
     /// Its name in the platform's list, new for each life of the daemon.
     pub name: Option<String>,
@@ -45,8 +61,18 @@
     pub region: RegionName,
     /// Its data centre.
     pub center: CenterName,
+    /// The regions of all data centres; empty where the tree names them.
+    pub centers: BTreeMap<CenterName, RegionName>,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// The time from the request to stop until the daemon would be killed.
+    pub grace: Duration,
+    /// A second address for readiness.
+    pub ready: Option<SocketAddr>,
+    /// Peer addresses of some hosts, by which hosts find each other.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether every process that reaches `peer` counts as a daemon of the fleet.
+    pub trust_peer_network: bool,
     /// Where status, metrics and readiness are read.
     pub admin: SocketAddr,
     /// Where the other daemons connect.
@@ -93,18 +119,21 @@
         name: reader.text("name"),
         region: RegionName::new(&reader.text("region").unwrap_or_default()),
         center: CenterName::new(&reader.text("center").unwrap_or_default()),
+        centers: decode_centers(node),
         listen: reader.address("listen"),
+        grace: reader.duration("grace"),
+        ready: node.member("ready").map(|_| reader.address("ready")),
+        seeds: reader
+            .texts("seeds")
+            .iter()
+            .filter_map(|text| text.parse().ok())
+            .collect(),
+        trust_peer_network: reader.flag("trust_peer_network").unwrap_or_default(),
         admin: reader.address("admin"),
         peer: reader.address("peer"),
         peer_secret_file: reader.text("peer_secret_file").map(PathBuf::from),
         backend_ca_file: reader.text("backend_ca_file").map(PathBuf::from),
-        platform: match platform.text("directory") {
-            Some(directory) => PlatformSource::Directory(PathBuf::from(directory)),
-            None => PlatformSource::Service {
-                address: platform.address("http"),
-                prefix: platform.text("prefix").unwrap_or_default(),
-            },
-        },
+        platform: decode_platform(&platform),
         tls: node.member("tls").map(|_| TlsFiles {
             certificate: tls.path("certificate"),
             key: tls.path("key"),
@@ -113,6 +142,38 @@
     }
 }
 
+fn decode_platform(platform: &SectionReader<'_>) -> PlatformSource {
+    if let Some(directory) = platform.text("directory") {
+        return PlatformSource::Directory(PathBuf::from(directory));
+    }
+    if platform.value("store").is_some() {
+        let terms = platform.section("terms");
+        return PlatformSource::Store {
+            address: platform.address("store"),
+            terms: StoreTerms {
+                floor: terms.number("floor").min(1.0),
+                retry_ratio: terms.number("retry_ratio").min(1.0),
+            },
+        };
+    }
+    PlatformSource::Service {
+        address: platform.address("http"),
+        prefix: platform.text("prefix").unwrap_or_default(),
+    }
+}
+
+fn decode_centers(node: &TreeNode) -> BTreeMap<CenterName, RegionName> {
+    let centers = node.member("centers").and_then(TreeNode::members);
+    let entries = centers.into_iter().flatten();
+    entries
+        .map(|(name, center)| {
+            let region = SectionReader::new(center, &CENTER).text("region");
+            let region = RegionName::new(&region.unwrap_or_default());
+            (CenterName::new(name), region)
+        })
+        .collect()
+}
+
 fn check_addresses(node: &TreeNode, reader: &SectionReader<'_>, findings: &mut Vec<Finding>) {
     const NAMES: [&str; 3] = ["admin", "listen", "peer"];
     for (index, name) in NAMES.iter().enumerate() {
@@ -132,6 +193,7 @@
         && reader.value("peer").is_some()
         && !reader.address("peer").ip().is_loopback()
         && node.member("peer_secret_file").is_none()
+        && reader.flag("trust_peer_network") != Some(true)
     {
         findings.push(value_finding(peer, Problem::PeerSecret));
     }
@@ -147,8 +209,9 @@
         });
         return;
     };
-    let sources = ["directory", "http"].map(|name| platform.member(name).is_some());
-    if sources[0] == sources[1] {
+    let sources = ["directory", "http", "store"].into_iter();
+    let named = sources.filter(|name| platform.member(name).is_some());
+    if named.count() != 1 {
         findings.push(name_finding(platform, Problem::PlatformSource));
     }
 }
--- a/crates/kws-tree/src/lib.rs
+++ b/crates/kws-tree/src/lib.rs
@@ -25,7 +25,7 @@
 pub use directory::read_directory;
 pub use explain::{EffectiveValue, ValueOrigin, explain};
 pub use finding::{Finding, FindingSeverity, Problem};
-pub use host::{HostSettings, PlatformSource, TlsFiles, parse_host};
+pub use host::{HostSettings, PlatformSource, StoreTerms, TlsFiles, parse_host};
 pub use hosts::resolve_hosts;
 pub use place::SourcePlace;
 pub use reference::{host_reference, tree_reference};
--- a/crates/kws-tree/src/references/route.rs
+++ b/crates/kws-tree/src/references/route.rs
@@ -41,6 +41,12 @@
         let problem = Problem::DanglingService(service.to_string());
         findings.push(field_finding(entry, "service", problem));
     }
+    for part in &route.split {
+        if !settings.services.contains_key(&part.service) {
+            let problem = Problem::DanglingService(part.service.to_string());
+            findings.push(field_finding(entry, "split", problem));
+        }
+    }
     if let RouteAccess::Teams(teams) = &route.access {
         for team in teams {
             if !settings.teams.contains_key(team) {
--- a/crates/kws-tree/src/schema.rs
+++ b/crates/kws-tree/src/schema.rs
@@ -12,8 +12,8 @@
 };
 
 pub(crate) use fleet::{BRANCH, FRESHNESS, REGION};
-pub(crate) use host::{HOST, TLS};
-pub(crate) use route::ROUTE;
+pub(crate) use host::{CENTER, HOST, TLS};
+pub(crate) use route::{ROUTE, SPLIT};
 pub(crate) use service::{SERVER, SERVICE};
 pub(crate) use team::TEAM;
 
--- a/crates/kws-tree/src/schema/host.rs
+++ b/crates/kws-tree/src/schema/host.rs
@@ -1,8 +1,8 @@
 //! Fields of the settings of one entry host.
 
 use super::{
-    DefaultValue::{Absent, Required, Text},
-    SectionSchema, section, value,
+    DefaultValue::{Absent, EmptyList, Flag, Number, Required, Text},
+    SectionSchema, named, section, value,
 };
 use crate::value::ValueKind;
 
@@ -25,6 +25,18 @@
              services with `tls`.",
         ),
         value("center", ValueKind::Name, Required, "Its data centre."),
+        named(
+            "centers",
+            &CENTER,
+            "The data centres of the fleet by name. Needed with `platform.store` only; the tree \
+             names them otherwise.",
+        ),
+        value(
+            "grace",
+            ValueKind::Duration,
+            Text("30s"),
+            "The time from the request to stop until the daemon would be killed.",
+        ),
         value(
             "listen",
             ValueKind::Address,
@@ -55,11 +67,31 @@
             ValueKind::FilePath,
             Absent,
             "The file with the secret that the daemons of the fleet share. It may be absent only \
-             while `peer` is a loopback address.",
+             while `peer` is a loopback address or with `trust_peer_network`.",
         ),
         section("platform", &PLATFORM, "Where the platform publishes."),
+        value(
+            "ready",
+            ValueKind::Address,
+            Absent,
+            "A second address at which the balancer reads readiness.",
+        ),
         value("region", ValueKind::Name, Required, "Its region."),
+        value(
+            "seeds",
+            ValueKind::Addresses,
+            EmptyList,
+            "Peer addresses of some hosts, by which hosts find each other where the platform \
+             lists none.",
+        ),
         section("tls", &TLS, "TLS towards callers. Absent means plain HTTP."),
+        value(
+            "trust_peer_network",
+            ValueKind::Flag,
+            Flag(false),
+            "Whether every process that reaches `peer` counts as a daemon of the fleet. Only for \
+             networks that nothing else is on.",
+        ),
     ],
 };
 
@@ -86,9 +118,47 @@
             Text("knapweedseam/"),
             "What the keys of the fleet's values start with at the service.",
         ),
+        value(
+            "store",
+            ValueKind::Address,
+            Absent,
+            "The address of the platform's metadata store, which also lists the backend servers.",
+        ),
+        section(
+            "terms",
+            &TERMS,
+            "What the store says nothing of. Needed with `store` only.",
+        ),
     ],
 };
 
+/// What holds for every service of a metadata store.
+pub(crate) const TERMS: SectionSchema = SectionSchema {
+    kind: "terms",
+    title: "Terms of a metadata store",
+    fields: &[
+        value(
+            "floor",
+            ValueKind::Weight,
+            Number(0.5),
+            "The share of a service's capacity that ejection must leave, as a part of 1.",
+        ),
+        value(
+            "retry_ratio",
+            ValueKind::Weight,
+            Number(0.1),
+            "Retries allowed for each first try, over all hosts together, as a part of 1.",
+        ),
+    ],
+};
+
+/// One data centre.
+pub(crate) const CENTER: SectionSchema = SectionSchema {
+    kind: "center",
+    title: "A data centre",
+    fields: &[value("region", ValueKind::Name, Required, "Its region.")],
+};
+
 /// The certificate shown to callers.
 pub(crate) const TLS: SectionSchema = SectionSchema {
     kind: "tls",
--- a/crates/kws-tree/src/schema/route.rs
+++ b/crates/kws-tree/src/schema/route.rs
@@ -2,7 +2,7 @@
 
 use super::{
     DefaultValue::{Absent, EmptyList, Number, Required, Text},
-    FieldScope, SectionSchema, scoped, section, value,
+    FieldScope, SectionSchema, named, scoped, section, value,
 };
 use crate::value::ValueKind;
 
@@ -69,6 +69,12 @@
                 "The path prefix that it serves, on whole segments.",
             ),
         ),
+        value(
+            "priority",
+            ValueKind::Limit,
+            Number(2.0),
+            "The rank of its requests where they wait, 0 the highest.",
+        ),
         value(
             "repeatable",
             ValueKind::Repeatable,
@@ -80,7 +86,13 @@
             "service",
             ValueKind::Name,
             Required,
-            "The service that runs its requests.",
+            "The service that runs its requests, unless `split` names several.",
+        ),
+        named(
+            "split",
+            &SPLIT,
+            "The services that share its requests, by weight. Absent means that `service` runs \
+             them all.",
         ),
         value(
             "tries",
@@ -91,6 +103,18 @@
     ],
 };
 
+/// One service's part of a route.
+pub(crate) const SPLIT: SectionSchema = SectionSchema {
+    kind: "split",
+    title: "A part of a split route",
+    fields: &[value(
+        "weight",
+        ValueKind::Count,
+        Required,
+        "Its weight among the parts of the route.",
+    )],
+};
+
 /// What answers must satisfy.
 const CHECKS: SectionSchema = SectionSchema {
     kind: "checks",
--- a/crates/kws-tree/src/schema/team.rs
+++ b/crates/kws-tree/src/schema/team.rs
@@ -1,7 +1,7 @@
 //! Fields of teams.
 
 use super::{
-    DefaultValue::{EmptyList, Number, Required},
+    DefaultValue::{Absent, EmptyList, Number, Required},
     FieldScope, SectionSchema, scoped, value,
 };
 use crate::value::ValueKind;
@@ -26,6 +26,13 @@
                 "The digests of its keys, as `knapweedseam key new` prints them.",
             ),
         ),
+        value(
+            "priority",
+            ValueKind::Limit,
+            Absent,
+            "The rank of its requests where they wait, which goes before the route's. Absent \
+             means the route's.",
+        ),
         value(
             "rate",
             ValueKind::Rate,
--- a/crates/kws-tree/src/value.rs
+++ b/crates/kws-tree/src/value.rs
@@ -14,6 +14,8 @@
 pub(crate) enum ValueKind {
     /// An address with a port.
     Address,
+    /// A list of addresses with ports.
+    Addresses,
     /// Who may use a route.
     Access,
     /// Volume a second.
@@ -104,6 +106,7 @@
     pub fn expected(self) -> &'static str {
         match self {
             Self::Address => "an IP address with a port",
+            Self::Addresses => "a list of IP addresses with ports",
             Self::Access => "`open`, `any_team` or a list of teams",
             Self::Bandwidth => "a volume a second",
             Self::Count => "a whole number of at least 1",
@@ -137,6 +140,7 @@
     pub fn example(self) -> &'static str {
         match self {
             Self::Address => "127.0.0.1:8080",
+            Self::Addresses => "[\"10.0.0.7:9101\"]",
             Self::Access => "[orchard, shop]",
             Self::Bandwidth => "5 Mbit/s",
             Self::Count | Self::Limit => "3",
--- a/crates/kws-tree/src/value/read.rs
+++ b/crates/kws-tree/src/value/read.rs
@@ -28,6 +28,7 @@
             Self::Address => {
                 self.read_text(node, |text| text.parse().ok().map(FieldValue::Address))
             }
+            Self::Addresses => self.read_texts(node, text::is_address, str::to_owned),
             Self::Access => self.read_access(node),
             Self::Bandwidth => self.read_unit(node, |text| {
                 unit::parse_bandwidth(text).map(FieldValue::Bandwidth)
--- a/crates/kws-tree/src/value/text.rs
+++ b/crates/kws-tree/src/value/text.rs
@@ -91,3 +91,8 @@
             .bytes()
             .all(|letter| letter.is_ascii_graphic() && !b"?#\\%\"<>".contains(&letter))
 }
+
+/// Whether the text is an IP address with a port.
+pub(crate) fn is_address(text: &str) -> bool {
+    text.parse::<std::net::SocketAddr>().is_ok()
+}
--- a/crates/kws-tree/tests/host_settings.rs
+++ b/crates/kws-tree/tests/host_settings.rs
@@ -2,7 +2,7 @@
 
 use kws_tree::{HostSettings, PlatformSource, TlsFiles, parse_host};
 use rstest::rstest;
-use std::path::PathBuf;
+use std::{collections::BTreeMap, path::PathBuf, time::Duration};
 
 const HOST: &str = r#"
 region: vidzemes
@@ -20,6 +20,11 @@
 fn every_field() {
     let expected = HostSettings {
         name: None,
+        centers: BTreeMap::new(),
+        grace: Duration::from_secs(30),
+        ready: None,
+        seeds: Vec::new(),
+        trust_peer_network: false,
         backend_ca_file: None,
         region: "vidzemes".into(),
         center: "turaida".into(),
--- a/src/bin/knapweedseamd.rs
+++ b/src/bin/knapweedseamd.rs
@@ -13,6 +13,7 @@
     /// The settings of this host.
     #[arg(
         long,
+        env = "KNAPWEEDSEAM_CONFIG",
         default_value = "examples/quickstart/host.yaml",
         value_name = "FILE"
     )]
@@ -26,9 +27,10 @@
     /// Threads that serve callers.
     #[arg(long)]
     workers: Option<usize>,
-    /// Seconds to serve on after a stop was asked for, while the balancer learns of it.
-    #[arg(long, default_value_t = 5)]
-    drain_lag: u64,
+    /// Seconds to serve on after a stop was asked for, while the balancer learns of it. By default
+    /// a part of the host's `grace`.
+    #[arg(long)]
+    drain_lag: Option<u64>,
 }
 
 const EXAMPLES: &str = "Examples:
@@ -52,7 +54,9 @@
     if let Some(workers) = args.workers {
         options.workers = workers.max(1);
     }
-    options.drain_lag = Duration::from_secs(args.drain_lag);
+    if let Some(seconds) = args.drain_lag {
+        options.drain_lag = Duration::from_secs(seconds);
+    }
     start_logging(&options.settings.log)?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be caught")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be caught")?;
