--- a/crates/kws-daemon/src/logging.rs
+++ b/crates/kws-daemon/src/logging.rs
@@ -10,13 +10,14 @@
 
 /// Libraries that tell at `info` what only their developers need, and at `trace` whole request heads
 /// with their keys.
-const QUIET_LIBRARIES: [&str; 6] = [
+const QUIET_LIBRARIES: [&str; 7] = [
     "ntex",
     "ntex_dispatcher",
     "ntex_io",
     "ntex_net",
     "ntex_rt",
     "ntex_server",
+    "ntex_service",
 ];
 
 /// Starts logging at `level`, one of `error`, `warn`, `info`, `debug` and `trace`.
--- a/crates/kws-forward/src/answer.rs
+++ b/crates/kws-forward/src/answer.rs
@@ -187,6 +187,11 @@
             guard.finish(class);
             bodiless(length)
         }
+        // The server never asks for the chunks of an empty body, so its end would go unseen.
+        AnswerFraming::Body(length @ AnswerLength::Sized(0)) => {
+            guard.finish(class);
+            bodiless(Some(length))
+        }
         AnswerFraming::Body(length) => Body::from_message(AnswerBody::new(
             AnswerSource {
                 payload: answer.take_payload(),
--- a/crates/kws-forward/src/answer_body.rs
+++ b/crates/kws-forward/src/answer_body.rs
@@ -138,6 +138,10 @@
                 return self.abort(TryClass::Bad);
             };
             self.remaining = remaining;
+            if remaining == 0 {
+                // The server need not ask for a chunk after the last one.
+                self.guard.finish(self.class);
+            }
         }
         Poll::Ready(Some(chunk))
     }
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -82,7 +82,8 @@
     joined: bool,
     readiness: Readiness,
     counters: FleetCounters,
-    roster: Vec<HostName>,
+    /// The fresh members as last told; none before the first time.
+    roster: Option<Vec<HostName>>,
 }
 
 impl MeshView {
@@ -113,7 +114,7 @@
             joined: false,
             readiness: Readiness::Unready(UnreadyReason::NoTree),
             counters: FleetCounters::default(),
-            roster: Vec::new(),
+            roster: None,
         }
     }
 
@@ -360,10 +361,10 @@
     fn share_roster(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let fresh = self.table.fresh(now);
         let roster: Vec<HostName> = fresh.map(|one| one.name.clone()).collect();
-        if roster == self.roster {
+        if self.roster.as_ref() == Some(&roster) {
             return;
         }
-        self.roster = roster;
+        self.roster = Some(roster);
         let seeds = self.seeds.iter().map(|seed| ListedHost {
             name: seed_name(*seed),
             region: self.table.own().region.clone(),
@@ -392,8 +393,8 @@
     }
 
     fn drive(&mut self, now: Instant, mut actions: Vec<FleetAction>) -> Vec<FleetAction> {
-        self.beat(now, &mut actions);
         self.share_roster(now, &mut actions);
+        self.beat(now, &mut actions);
         let current = self.lease_end().is_some_and(|end| now < end);
         self.joined |= current && self.behind.is_none();
         let readiness = match (self.values.settings(), self.joined) {
