Placing: a test for one bad answer, retries of server errors, tokens between regions; readers that fail say so

Before, one bad answer kept a healthy server aside for 4 s, late answers of long work counted like errors, and a confirmation of the store was called an outage after 2.5 s although two waits take 2.1 s.

--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -185,19 +185,14 @@
         })
     }
 
-    fn acquire(
-        &self,
-        request: ServerRequest,
-    ) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
+    fn acquire(&self, request: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
         if !request.repeat {
             self.with_budget(&request.service, RetryBudget::earn);
         }
         let queued = self.enqueue(request);
         Box::pin(async move {
             let (mut guard, granted) = queued.map_err(Refusal::from)?;
-            let result = granted
-                .await
-                .unwrap_or(Err(RefusalReason::Stopping.into()));
+            let result = granted.await.unwrap_or(Err(RefusalReason::Stopping.into()));
             let ticket = guard.ticket.take();
             match (result, ticket) {
                 (Ok(grant), _) => Ok(ServerGrant {
--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -9,8 +9,8 @@
     suspend::SuspendWatch,
 };
 use eyre::Result;
-use kws_admin::PlatformResult;
 use kws_adapter::{SiteTerms, StoreChecker};
+use kws_admin::PlatformResult;
 use kws_membership::{
     FleetAction, FleetCounters, FleetView, FreshnessRule, HostIdentity, MeshView,
 };
--- a/crates/kws-daemon/src/ledger.rs
+++ b/crates/kws-daemon/src/ledger.rs
@@ -7,7 +7,9 @@
 use eyre::Result;
 use kws_forward::Refusal;
 use kws_limits::{AdmitDecision, AdmitTicket, LedgerAction, LimitsLedger, RefusalCause};
-use kws_protocol::{FleetSnapshot, HostName, LoanMessage, RefusalReason, TeamName, TicketMessage, TreeRevision};
+use kws_protocol::{
+    FleetSnapshot, HostName, LoanMessage, RefusalReason, TeamName, TicketMessage, TreeRevision,
+};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc::Receiver, oneshot},
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -505,8 +505,7 @@
                 if region == &identity.region {
                     names.for_each(|name| self.peers.send(name, message.clone()));
                 } else {
-                    let order =
-                        rendezvous_order(service.as_str(), names.map(HostName::as_str));
+                    let order = rendezvous_order(service.as_str(), names.map(HostName::as_str));
                     if let Some(first) = order.first() {
                         self.peers.send(&HostName::new(first), message.clone());
                     }
@@ -532,7 +531,11 @@
             statuses.push(ServerStatus {
                 service: service.clone(),
                 server: server.clone(),
-                weight: if suspicion == Suspicion::Sick { 0.0 } else { 1.0 },
+                weight: if suspicion == Suspicion::Sick {
+                    0.0
+                } else {
+                    1.0
+                },
                 state: state.to_owned(),
             });
         }
--- a/crates/kws-daemon/src/tokens.rs
+++ b/crates/kws-daemon/src/tokens.rs
@@ -25,6 +25,9 @@
 /// way there and back is taken to be away.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
 
+/// Another region that had no token is not asked again for this long.
+const DRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Starts the duty.
 pub(crate) fn start_tokens(
     shared: Arc<DaemonShared>,
@@ -34,11 +37,21 @@
     start_duty("tokens", move || run_tokens(shared, events, peers))
 }
 
+/// Who waits for an answer about a token.
+enum TokenWaiter {
+    /// A request of this host.
+    Own(AdmitReply),
+    /// A question of another host of the region, by its number there.
+    Peer(HostName, u64),
+}
+
 struct AskedToken {
     team: TeamName,
-    reply: AdmitReply,
+    waiter: TokenWaiter,
     keeper: HostName,
     sent: Instant,
+    /// What to answer when another region has no token either; absent for a question in the region.
+    refusal: Option<TokenAnswer>,
 }
 
 struct TokenDuty {
@@ -52,6 +65,8 @@
     asked: HashMap<u64, AskedToken>,
     next: u64,
     doubts: DoubtList,
+    /// Teams for which other regions had no token just now, and until when they are not asked.
+    dry: HashMap<TeamName, Instant>,
 }
 
 async fn run_tokens(
@@ -71,6 +86,7 @@
         asked: HashMap::new(),
         next: 0,
         doubts: DoubtList::default(),
+        dry: HashMap::new(),
     };
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -121,23 +137,87 @@
         let keeper = self.keeper_of(&team, now);
         if keeper == self.shared.identity.host {
             let answer = self.keeper.take(&snapshot.settings, &team, 1.0, now);
-            return settle_later(answer, reply);
+            return self.answer(answer, &team, TokenWaiter::Own(reply), now);
         }
+        self.ask(team, TokenWaiter::Own(reply), keeper, None, now);
+    }
+
+    fn ask(
+        &mut self,
+        team: TeamName,
+        waiter: TokenWaiter,
+        keeper: HostName,
+        refusal: Option<TokenAnswer>,
+        now: Instant,
+    ) {
         self.next += 1;
         let message = TicketMessage::AskToken {
             id: self.next,
             team: team.clone(),
+            short: refusal.is_some(),
         };
         self.peers.send(&keeper, PeerMessage::Ticket(message));
         let asked = AskedToken {
             team,
-            reply,
+            waiter,
             keeper,
             sent: now,
+            refusal,
         };
         self.asked.insert(self.next, asked);
     }
 
+    /// Answers as the keeper of this region. Before a refusal the other regions are asked: the
+    /// team's rate is one over all of them.
+    fn answer(&mut self, answer: TokenAnswer, team: &TeamName, waiter: TokenWaiter, now: Instant) {
+        let refused = matches!(answer, TokenAnswer::Refused { .. });
+        let dry = self.dry.get(team).is_some_and(|until| now < *until);
+        match self.far_keeper(team, now).filter(|_| refused && !dry) {
+            Some(far) => self.ask(team.clone(), waiter, far, Some(answer), now),
+            None => self.settle(answer, waiter),
+        }
+    }
+
+    /// The host that keeps the team's tokens in another region, a random one of several.
+    fn far_keeper(&self, team: &TeamName, now: Instant) -> Option<HostName> {
+        let snapshot = self.snapshot.as_ref()?;
+        let own = &self.shared.identity.region;
+        let others = snapshot.settings.regions.keys().filter(|name| *name != own);
+        let regions: Vec<_> = others.collect();
+        let region = regions.get(rand::random_range(0..regions.len().max(1)))?;
+        let hosts = snapshot.hosts.in_region(region);
+        let trusted = hosts.filter(|host| !self.doubts.is_doubted(&host.name, now));
+        let order = rendezvous_order(team.as_str(), trusted.map(|host| host.name.as_str()));
+        order.first().map(|name| HostName::new(name))
+    }
+
+    fn settle(&self, answer: TokenAnswer, waiter: TokenWaiter) {
+        match waiter {
+            TokenWaiter::Own(reply) => settle_later(answer, reply),
+            TokenWaiter::Peer(host, id) => self.tell(&host, id, answer),
+        }
+    }
+
+    fn tell(&self, host: &HostName, id: u64, answer: TokenAnswer) {
+        let (wait, retry_after) = match answer {
+            TokenAnswer::Now => (Duration::ZERO, None),
+            TokenAnswer::After(wait) => (wait, None),
+            TokenAnswer::Refused { retry_after } => (Duration::ZERO, Some(retry_after)),
+            // A team that is new here is not yet new everywhere: the asker decides alone.
+            TokenAnswer::Unknown => return,
+        };
+        let message = PeerMessage::Ticket(TicketMessage::Token { id, retry_after });
+        if wait.is_zero() {
+            self.peers.send(host, message);
+            return;
+        }
+        let (peers, to) = (self.peers.clone(), host.clone());
+        tokio::spawn(async move {
+            sleep(wait).await;
+            peers.send(&to, message);
+        });
+    }
+
     /// The host that keeps the team's tokens in this region; this one when it knows no other.
     fn keeper_of(&self, team: &TeamName, now: Instant) -> HostName {
         let own = &self.shared.identity.host;
@@ -152,43 +232,37 @@
     fn hear(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
         self.doubts.trust(from);
         match message {
-            TicketMessage::AskToken { id, team } => self.hear_ask(from, id, &team, now),
+            TicketMessage::AskToken { id, team, short } => {
+                self.hear_ask(from, id, &team, short, now);
+            }
             TicketMessage::Token { id, retry_after } => {
                 let Some(asked) = self.asked.remove(&id) else {
                     return;
                 };
-                let answer = match retry_after {
-                    None => TokenAnswer::Now,
-                    Some(retry_after) => TokenAnswer::Refused { retry_after },
+                let answer = match (retry_after, asked.refusal) {
+                    (None, _) => TokenAnswer::Now,
+                    (Some(retry_after), None) => TokenAnswer::Refused { retry_after },
+                    (Some(_), Some(refusal)) => {
+                        self.dry.insert(asked.team, now + DRY_PAUSE);
+                        refusal
+                    }
                 };
-                settle_later(answer, asked.reply);
+                self.settle(answer, asked.waiter);
             }
             _ => {}
         }
     }
 
-    fn hear_ask(&mut self, from: &HostName, id: u64, team: &TeamName, now: Instant) {
-        let answer = match &self.snapshot {
-            Some(snapshot) => self.keeper.take(&snapshot.settings, team, 1.0, now),
-            None => return,
-        };
-        let (wait, retry_after) = match answer {
-            TokenAnswer::Now => (Duration::ZERO, None),
-            TokenAnswer::After(wait) => (wait, None),
-            TokenAnswer::Refused { retry_after } => (Duration::ZERO, Some(retry_after)),
-            // A team that is new here is not yet new everywhere: the asker decides alone.
-            TokenAnswer::Unknown => return,
-        };
-        let message = PeerMessage::Ticket(TicketMessage::Token { id, retry_after });
-        if wait.is_zero() {
-            self.peers.send(from, message);
+    fn hear_ask(&mut self, from: &HostName, id: u64, team: &TeamName, short: bool, now: Instant) {
+        let Some(snapshot) = self.snapshot.clone() else {
             return;
+        };
+        if short {
+            let answer = self.keeper.lend(&snapshot.settings, team, now);
+            return self.tell(from, id, answer);
         }
-        let (peers, to) = (self.peers.clone(), from.clone());
-        tokio::spawn(async move {
-            sleep(wait).await;
-            peers.send(&to, message);
-        });
+        let answer = self.keeper.take(&snapshot.settings, team, 1.0, now);
+        self.answer(answer, team, TokenWaiter::Peer(from.clone(), id), now);
     }
 
     fn pass_time(&mut self, now: Instant) {
@@ -213,14 +287,15 @@
             "no answer on a token, decided alone"
         );
         self.doubts.doubt(&asked.keeper, now);
+        if let Some(refusal) = asked.refusal {
+            return self.settle(refusal, asked.waiter);
+        }
         let Some(snapshot) = &self.snapshot else {
             return;
         };
         let part = 1.0 / self.hosts.len().max(1) as f64;
-        let answer = self
-            .alone
-            .take(&snapshot.settings, &asked.team, part, now);
-        settle_later(answer, asked.reply);
+        let answer = self.alone.take(&snapshot.settings, &asked.team, part, now);
+        self.settle(answer, asked.waiter);
     }
 }
 
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -30,8 +30,9 @@
 /// No request counts as out for too long before this.
 const LEAST_OVERDUE: Duration = Duration::from_millis(800);
 
-/// Requests of another region are sent there only when the wait would be longer than this.
-const SPILL_WAIT: Duration = Duration::from_millis(400);
+/// A request waits for a server that nothing speaks against rather than go to a suspect, unless
+/// the wait would be longer than this.
+const SUSPECT_WAIT: Duration = Duration::from_millis(400);
 
 /// A request that moves more than this waits for its own region, in bytes: the link between
 /// regions is paid by volume.
@@ -46,6 +47,10 @@
 /// The longest advice on when to try again.
 const MAX_RETRY: Duration = Duration::from_secs(5);
 
+/// Retries that a service may make at once in one region, in requests: a server that begins to fail
+/// takes a few requests of each kind with it.
+const RETRY_BURST: f64 = 20.0;
+
 /// A service that had a repeatable request within this time keeps its trials for those.
 const REPEATABLE_AGE: Duration = Duration::from_secs(1);
 
@@ -75,7 +80,7 @@
             line: WaitingLine::default(),
             placed: HashMap::new(),
             service_time: FIRST_SERVICE_TIME,
-            budget: RetryBudget::new(0.0),
+            budget: RetryBudget::with_burst(0.0, RETRY_BURST),
             repeatable_seen: None,
             draws: 0,
         }
@@ -86,7 +91,7 @@
     pub(crate) fn adopt(&mut self, settings: &ServiceSettings, _regions: f64, now: Instant) {
         let first = self.settings.is_none();
         if first {
-            self.budget = RetryBudget::new(settings.retry_budget);
+            self.budget = RetryBudget::with_burst(settings.retry_budget, RETRY_BURST);
         }
         self.budget.set_share(settings.retry_budget);
         self.servers
@@ -144,10 +149,14 @@
         let (key, deadline) = (request.key, request.deadline);
         let queue = self.settings.as_ref().map_or(0, |one| one.queue as usize);
         if self.line.len() >= queue.max(1) {
-            return vec![refuse(key, RefusalReason::QueueFull, Some(self.advice(now)))];
+            return vec![refuse(
+                key,
+                RefusalReason::QueueFull,
+                Some(self.advice(now)),
+            )];
         }
         let before = self.line.push(request, now);
-        let wait = self.wait_of(before, now);
+        let wait = self.wait_among(Suspicion::Suspect, before, now);
         if now + wait + self.service_time.mul_f64(LEAST_SERVICE) > deadline {
             self.line.remove(key);
             let advice = self.advice(now);
@@ -156,38 +165,57 @@
         Vec::new()
     }
 
-    /// Slots that are in use by the region's requests, or could be.
-    fn slots(&self, now: Instant) -> u32 {
+    /// The region's servers against which at most `most` speaks.
+    fn near_servers(&self, now: Instant, most: Suspicion) -> impl Iterator<Item = &PlacedServer> {
         let near = self.servers.values().filter(|one| self.is_near(one));
-        near.filter(|one| one.is_present(now) && one.suspicion(now) < Suspicion::Sick)
+        near.filter(move |one| one.is_present(now) && one.suspicion(now) <= most)
+    }
+
+    /// Slots of the region's servers against which at most `most` speaks.
+    fn slots(&self, now: Instant, most: Suspicion) -> u32 {
+        self.near_servers(now, most)
             .map(|one| one.usable(self.slow_start(), now))
             .sum()
     }
 
-    fn free_slots(&self, now: Instant) -> u32 {
-        let near = self.servers.values().filter(|one| self.is_near(one));
-        near.filter(|one| one.is_present(now) && one.suspicion(now) < Suspicion::Sick)
-            .map(|one| {
-                one.usable(self.slow_start(), now)
-                    .saturating_sub(one.load(now))
-            })
-            .sum()
+    fn free_slots(&self, now: Instant, most: Suspicion) -> u32 {
+        let free = |one: &PlacedServer| {
+            let usable = one.usable(self.slow_start(), now);
+            usable.saturating_sub(one.load(now))
+        };
+        self.near_servers(now, most).map(free).sum()
+    }
+
+    /// What the region counts on: servers that nothing speaks against, else the suspects.
+    fn counted(&self, now: Instant) -> Suspicion {
+        match self.slots(now, Suspicion::Clean) {
+            0 => Suspicion::Suspect,
+            _ => Suspicion::Clean,
+        }
     }
 
     /// How long a request with `before` others before it waits at the present pace.
     fn wait_of(&self, before: usize, now: Instant) -> Duration {
-        let free = self.free_slots(now) as usize;
+        self.wait_among(self.counted(now), before, now)
+    }
+
+    /// The same, counting on the servers against which at most `counted` speaks.
+    fn wait_among(&self, counted: Suspicion, before: usize, now: Instant) -> Duration {
+        let free = self.free_slots(now, counted) as usize;
         if before < free {
             return Duration::ZERO;
         }
-        let turns = (before - free + 1) as f64 / f64::from(self.slots(now).max(1));
+        let turns = (before - free + 1) as f64 / f64::from(self.slots(now, counted).max(1));
         self.service_time.mul_f64(turns.min(1_000.0))
     }
 
     /// When another attempt may succeed: once what waits now is served, and spread, so that those
     /// who were refused together don't come back together.
     fn advice(&mut self, now: Instant) -> Duration {
-        self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.draws = self
+            .draws
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         let spread = 0.5 + (self.draws >> 33) as f64 / f64::from(u32::MAX);
         let wait = self.wait_of(self.line.len(), now);
         wait.mul_f64(spread).clamp(MIN_RETRY, MAX_RETRY)
@@ -210,7 +238,11 @@
         let mut actions = Vec::new();
         for request in lost {
             let advice = self.advice(now);
-            actions.push(refuse(request.key, RefusalReason::DeadlineEarly, Some(advice)));
+            actions.push(refuse(
+                request.key,
+                RefusalReason::DeadlineEarly,
+                Some(advice),
+            ));
         }
         let mut index = 0;
         loop {
@@ -253,8 +285,16 @@
             return Some(server);
         }
         let near = self.best(request, Suspicion::Clean, true, now);
-        near.or_else(|| self.best(request, Suspicion::Suspect, true, now))
-            .or_else(|| self.spill(request, now))
+        near.or_else(|| self.spill(request, now))
+            .or_else(|| self.suspect(request, now))
+    }
+
+    /// A server that something speaks against, when there are no others or their queue is long.
+    fn suspect(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        let short = self.slots(now, Suspicion::Clean) == 0 || self.wait_of(0, now) > SUSPECT_WAIT;
+        short
+            .then(|| self.best(request, Suspicion::Suspect, true, now))
+            .flatten()
     }
 
     /// A server whose ejection has passed. It costs one request, so one that may be repeated goes
@@ -266,12 +306,13 @@
         if !request.excluded.is_empty() || !request.repeatable && repeatables {
             return None;
         }
-        let mut servers = self.servers.iter();
-        servers
-            .find(|(_, one)| {
-                self.is_near(one) && one.is_present(now) && !one.rests(now) && one.wants_trial(now)
-            })
-            .map(|(name, _)| name.clone())
+        let wanted = |one: &PlacedServer| {
+            // A request that may be repeated tells at little cost whether a suspect is sick.
+            one.wants_trial(now) || request.repeatable && one.wants_test(now)
+        };
+        let mut near = self.servers.iter().filter(|(_, one)| self.is_near(one));
+        let found = near.find(|(_, one)| wanted(one));
+        found.map(|(name, _)| name.clone())
     }
 
     fn best(
@@ -309,13 +350,12 @@
             .map(|(name, _)| name.clone())
     }
 
-    /// A server of another region, when the own one is truly short.
+    /// A server of another region, when the own one has none free that nothing speaks against.
     fn spill(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
-        let short = self.slots(now) == 0 || self.wait_of(0, now) > SPILL_WAIT;
-        if !short || request.bytes > SPILL_BYTES {
-            return None;
-        }
-        self.best(request, Suspicion::Clean, false, now)
+        let cheap = request.bytes <= SPILL_BYTES;
+        cheap
+            .then(|| self.best(request, Suspicion::Clean, false, now))
+            .flatten()
     }
 
     /// Ends a request.
@@ -355,7 +395,7 @@
                 (false, "good answer")
             }
             SlotEnd::Bad => (server.bad(&settings.ejection, room, now), "bad answer"),
-            SlotEnd::Late => (server.bad(&settings.ejection, room, now), "late answer"),
+            SlotEnd::Late => (server.late(&settings.ejection, room, now), "late answer"),
             SlotEnd::Unreached => {
                 server.unreached(now);
                 (server.bad(&settings.ejection, room, now), "not reached")
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -8,6 +8,13 @@
 /// After a server turned a request away it counts as full for this long.
 const SHED_REST: Duration = Duration::from_millis(150);
 
+/// After a bad answer a server gets no work for this long: one that fails at once would else be
+/// free whenever the others are full, and take all that is left.
+const BAD_REST: Duration = Duration::from_millis(300);
+
+/// Each further bad answer in a row doubles that rest, so many times at the most.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// A server that could not be reached is left alone for this long.
 const UNREACHED_REST: Duration = Duration::from_millis(500);
 
@@ -32,6 +39,8 @@
     evidence: Evidence,
     ejection: Option<Ejection>,
     rests_until: Option<Instant>,
+    /// Bad answers in a row.
+    strikes: u32,
     gone_until: Option<Instant>,
     cold_since: Option<Instant>,
     /// The load that others told of, and when.
@@ -48,6 +57,7 @@
             evidence: Evidence::new(now),
             ejection: None,
             rests_until: None,
+            strikes: 0,
             gone_until: None,
             cold_since: cold.then_some(now),
             told: None,
@@ -102,7 +112,16 @@
 
     /// Whether its ejection has passed, so that one request may try it.
     pub(crate) fn wants_trial(&self, now: Instant) -> bool {
-        self.running.is_empty() && self.ejection.is_some_and(|out| now >= out.until)
+        self.is_idle(now) && self.ejection.is_some_and(|out| now >= out.until)
+    }
+
+    /// Whether one answer would tell if what speaks against it was chance.
+    pub(crate) fn wants_test(&self, now: Instant) -> bool {
+        self.is_idle(now) && self.suspicion(now) == Suspicion::Suspect
+    }
+
+    fn is_idle(&self, now: Instant) -> bool {
+        self.running.is_empty() && self.is_present(now) && !self.rests(now)
     }
 
     /// Whether it is out and not yet to be tried.
@@ -136,6 +155,7 @@
     /// Takes a good answer; a trial's good answer brings the server back, cold.
     pub(crate) fn good(&mut self, now: Instant) {
         self.evidence.good(now);
+        self.strikes = 0;
         if self.ejection.is_some_and(|out| now >= out.until) {
             self.ejection = None;
             self.evidence.clear(now);
@@ -145,6 +165,15 @@
     /// Takes a bad answer; true when it ejects the server.
     pub(crate) fn bad(&mut self, settings: &EjectionSettings, room: bool, now: Instant) -> bool {
         self.evidence.bad(now);
+        let rest = BAD_REST * (1 << self.strikes.min(MAX_DOUBLINGS));
+        self.strikes += 1;
+        self.rests_until = self.rests_until.max(Some(now + rest));
+        self.judge(settings, room, now)
+    }
+
+    /// Takes an answer that did not come in time; true when it ejects the server.
+    pub(crate) fn late(&mut self, settings: &EjectionSettings, room: bool, now: Instant) -> bool {
+        self.evidence.overdue(now);
         self.judge(settings, room, now)
     }
 
--- a/crates/kws-dispatch/src/placer/suspicion.rs
+++ b/crates/kws-dispatch/src/placer/suspicion.rs
@@ -6,10 +6,11 @@
 
 /// What a bad answer adds: a healthy server gives one in eighty, a failing one about two in three.
 const BAD_ANSWER: f64 = 4.0;
-/// What a good answer takes: a failing server gives one in three.
-const GOOD_ANSWER: f64 = 1.2;
-/// What a request adds that is out for much longer than usual.
-const OVERDUE: f64 = 2.0;
+/// What a good answer takes: a failing server gives one in ten.
+const GOOD_ANSWER: f64 = 2.5;
+/// What a request adds that is out for much longer than usual, and again when it ends without an
+/// answer: long work does so on healthy servers too, but not on all slots at once.
+const OVERDUE: f64 = 1.0;
 /// Evidence fades by so much a second: failures last some seconds.
 const FADE_PER_SECOND: f64 = 0.6;
 /// Nothing counts beyond this, so that a server that is well again comes back in time.
--- a/crates/kws-dispatch/src/placer/waiting.rs
+++ b/crates/kws-dispatch/src/placer/waiting.rs
@@ -39,7 +39,8 @@
         let behind = TEAM_STEP.mul_f64(same.count() as f64 / request.weight.max(f64::MIN_POSITIVE));
         let rank = now + RANK_STEP * request.priority.min(10) + behind.min(RANK_STEP * 5);
         let place = self.requests.partition_point(|one| one.rank <= rank);
-        self.requests.insert(place, WaitingRequest { request, rank });
+        self.requests
+            .insert(place, WaitingRequest { request, rank });
         place
     }
 
--- a/crates/kws-dispatch/src/retry.rs
+++ b/crates/kws-dispatch/src/retry.rs
@@ -24,6 +24,8 @@
     LostAfterWrite,
     /// The server said in the agreed form that it did not run the request.
     ServerNotRun,
+    /// The server answered with an error of its own.
+    ServerError,
     /// No answer came in time after the first byte was written.
     Timeout,
 }
@@ -39,13 +41,14 @@
             Self::BadAnswer => RetryReason::BadAnswer,
             Self::ConnectFailed => RetryReason::ConnectFailed,
             Self::LostAfterWrite | Self::Timeout => RetryReason::ConnectionLost,
+            Self::ServerError => RetryReason::ServerError,
             Self::ServerNotRun => RetryReason::ServerNotRun,
         }
     }
 
     fn refusal_reason(self) -> RefusalReason {
         match self {
-            Self::BadAnswer => RefusalReason::BadAnswer,
+            Self::BadAnswer | Self::ServerError => RefusalReason::BadAnswer,
             Self::ConnectFailed | Self::ServerNotRun => RefusalReason::NoServer,
             Self::LostAfterWrite => RefusalReason::ConnectionLost,
             Self::Timeout => RefusalReason::DeadlinePassed,
@@ -101,6 +104,7 @@
 pub struct RetryBudget {
     share: f64,
     tokens: f64,
+    cap: f64,
 }
 
 impl RetryBudget {
@@ -109,6 +113,16 @@
         Self {
             share,
             tokens: if share > 0.0 { BUDGET_START } else { 0.0 },
+            cap: BUDGET_CAP,
+        }
+    }
+
+    /// A budget that starts with, and saves up at most, `burst` retries.
+    pub fn with_burst(share: f64, burst: f64) -> Self {
+        Self {
+            share,
+            tokens: if share > 0.0 { burst } else { 0.0 },
+            cap: burst,
         }
     }
 
@@ -122,7 +136,7 @@
 
     /// Counts a first try.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.share).min(BUDGET_CAP);
+        self.tokens = (self.tokens + self.share).min(self.cap);
     }
 }
 
--- a/crates/kws-forward/src/answer.rs
+++ b/crates/kws-forward/src/answer.rs
@@ -126,9 +126,7 @@
 }
 
 fn is_draining(dialect: &HeaderDialect, headers: &HeaderMap) -> bool {
-    dialect
-        .draining
-        .is_some_and(|mark| has_mark(headers, mark))
+    dialect.draining.is_some_and(|mark| has_mark(headers, mark))
 }
 
 fn has_mark(headers: &HeaderMap, mark: MarkHeader) -> bool {
@@ -178,6 +176,7 @@
     mut guard: TryGuard,
 ) -> Response {
     let class = if answer.status().is_server_error() {
+        guard.decided(TryClass::Bad);
         TryClass::Bad
     } else {
         TryClass::Good
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -138,10 +138,7 @@
     fn admit(&self, team: &TeamName) -> BoxFuture<'static, Result<(), Refusal>>;
 
     /// Waits for a slot of a backend server.
-    fn acquire(
-        &self,
-        request: ServerRequest,
-    ) -> BoxFuture<'static, Result<ServerGrant, Refusal>>;
+    fn acquire(&self, request: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, Refusal>>;
 
     /// Takes one retry from the budget of `service`.
     ///
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -85,7 +85,11 @@
             refusal_response(refused, &request_id, &worker.dialect)
         }
     };
-    set_header(response.headers_mut(), worker.dialect.request_id, &request_id);
+    set_header(
+        response.headers_mut(),
+        worker.dialect.request_id,
+        &request_id,
+    );
     if worker.is_draining() || asks_close(request.headers()) {
         response
             .head_mut()
@@ -132,7 +136,8 @@
         let team = self.judge.authenticate(&view, route)?;
         self.log.team.clone_from(&team);
         let patience = self.judge.parts.patience;
-        let deadline = self.started + patience.map_or(route.deadline, |time| time.min(route.deadline));
+        let deadline =
+            self.started + patience.map_or(route.deadline, |time| time.min(route.deadline));
         if let Some(team) = &team {
             self.admit(team, deadline).await?;
             let place = RoutePlace {
--- a/crates/kws-forward/src/judge.rs
+++ b/crates/kws-forward/src/judge.rs
@@ -7,9 +7,7 @@
     worker::WorkerState,
 };
 use kws_membership::KeyMatch;
-use kws_protocol::{
-    RefusalReason, RouteAccess, RouteName, RouteSettings, ServiceName, TeamName,
-};
+use kws_protocol::{RefusalReason, RouteAccess, RouteName, RouteSettings, ServiceName, TeamName};
 use std::sync::Arc;
 
 /// Where a request was to go before a wait.
--- a/crates/kws-forward/src/reply.rs
+++ b/crates/kws-forward/src/reply.rs
@@ -67,8 +67,8 @@
     request_id: &str,
     dialect: &HeaderDialect,
 ) -> Response {
-    let status = StatusCode::from_u16(refusal_status(refused))
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status =
+        StatusCode::from_u16(refusal_status(refused)).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = Response::build(status);
     builder
         .set_header("content-type", "application/json")
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -9,7 +9,7 @@
     try_guard::TryGuard,
 };
 use futures_util::future::{Either, select};
-use kws_dispatch::{FailedTry, RetryDecision, RetryPolicy, RetrySource};
+use kws_dispatch::{FailedTry, RetryDecision, RetryPolicy, RetrySource, TryFailure};
 use kws_protocol::{
     FleetSettings, RefusalReason, RetryReason, RouteSettings, RunState, ServerName, ServiceName,
     TeamName,
@@ -83,6 +83,15 @@
         loop {
             history.start(&grant);
             let end = match self.try_hedged(&grant, history).await {
+                Ok(response) if self.is_repeated(&response, history) => {
+                    // Without another server the server's own error is what there is to tell.
+                    history.may_have_run = true;
+                    match self.acquire(history).await {
+                        Ok(next) => grant = next,
+                        Err(_) => return Ok(response),
+                    }
+                    continue;
+                }
                 Ok(response) => return Ok(response),
                 Err(end) => end,
             };
@@ -93,6 +102,28 @@
         }
     }
 
+    /// Whether an answer is a server's own error that another server may do better.
+    fn is_repeated(&self, response: &Response, history: &TryHistory) -> bool {
+        if !self.is_repeatable() || !response.status().is_server_error() {
+            return false;
+        }
+        let failed = FailedTry {
+            failure: TryFailure::ServerError,
+            tries: history.tries,
+            may_have_run: true,
+            body_intact: self.body.is_whole(),
+            deadline: self.deadline,
+        };
+        let decision = self
+            .policy()
+            .decide(&failed, &mut self.budget(), Instant::now());
+        if let RetryDecision::Retry(reason) = decision {
+            self.judge.worker.control.count_retry(reason);
+            return true;
+        }
+        false
+    }
+
     /// The refusal that stands in when the retry that is allowed can't be made.
     ///
     /// # Errors
--- a/crates/kws-forward/src/try_guard.rs
+++ b/crates/kws-forward/src/try_guard.rs
@@ -4,13 +4,15 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// Ends its grant when it is finished or dropped; a dropped try counts as cancelled.
+/// Ends its grant when it is finished or dropped; a dropped try counts as cancelled, unless its
+/// head had decided already.
 pub(crate) struct TryGuard {
     control: Arc<dyn ForwardControl>,
     ticket: GrantTicket,
     started: Instant,
     latency: Option<Duration>,
     draining: bool,
+    unfinished: TryClass,
     finished: bool,
 }
 
@@ -23,6 +25,7 @@
             started: Instant::now(),
             latency: None,
             draining: false,
+            unfinished: TryClass::Cancelled,
             finished: false,
         }
     }
@@ -33,6 +36,11 @@
         self.draining = draining;
     }
 
+    /// The head says how the try ends, whether its body is read or not.
+    pub(crate) fn decided(&mut self, class: TryClass) {
+        self.unfinished = class;
+    }
+
     /// Reports the try.
     pub(crate) fn finish(&mut self, class: TryClass) {
         if self.finished {
@@ -50,6 +58,6 @@
 
 impl Drop for TryGuard {
     fn drop(&mut self) {
-        self.finish(TryClass::Cancelled);
+        self.finish(self.unfinished);
     }
 }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -69,10 +69,7 @@
         ready(*self.admits.lock().unwrap()).boxed()
     }
 
-    fn acquire(
-        &self,
-        request: ServerRequest,
-    ) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
+    fn acquire(&self, request: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
         let ticket = GrantTicket(self.next.fetch_add(1, Ordering::SeqCst));
         let free = |(name, _): &&(ServerName, SocketAddr)| !request.excluded.contains(name);
         let grant = self
--- a/crates/kws-limits/src/keeper.rs
+++ b/crates/kws-limits/src/keeper.rs
@@ -94,17 +94,7 @@
         let weight = region_share(settings, &self.region) * part;
         let rate = (limit.rate * weight).max(f64::MIN_POSITIVE);
         let burst = (limit.burst * weight).max(1.0);
-        let since = self.since;
-        let bucket = self
-            .buckets
-            .entry(team.clone())
-            .or_insert_with(|| TokenBucket {
-                level: 0.0,
-                filled: since,
-            });
-        let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
-        bucket.level = (bucket.level + time * rate).min(burst);
-        bucket.filled = bucket.filled.max(now);
+        let bucket = self.fill(team, (rate, burst), now);
         if bucket.level >= 1.0 {
             bucket.level -= 1.0;
             return TokenAnswer::Now;
@@ -119,6 +109,46 @@
         }
     }
 
+    /// Gives one token to the keeper of another region, if there is one to spare at this moment.
+    pub fn lend(&mut self, settings: &FleetSettings, team: &TeamName, now: Instant) -> TokenAnswer {
+        let Some(limit) = settings.teams.get(team) else {
+            return TokenAnswer::Unknown;
+        };
+        let weight = region_share(settings, &self.region);
+        let rate = (limit.rate * weight).max(f64::MIN_POSITIVE);
+        let burst = (limit.burst * weight).max(1.0);
+        let bucket = self.fill(team, (rate, burst), now);
+        if bucket.level >= 1.0 {
+            bucket.level -= 1.0;
+            return TokenAnswer::Now;
+        }
+        let missing = Duration::from_secs_f64(((1.0 - bucket.level) / rate).min(1e6));
+        TokenAnswer::Refused {
+            retry_after: missing.min(MAX_RETRY),
+        }
+    }
+
+    /// The team's bucket, filled up to `now`.
+    fn fill(
+        &mut self,
+        team: &TeamName,
+        (rate, burst): (f64, f64),
+        now: Instant,
+    ) -> &mut TokenBucket {
+        let since = self.since;
+        let bucket = self
+            .buckets
+            .entry(team.clone())
+            .or_insert_with(|| TokenBucket {
+                level: 0.0,
+                filled: since,
+            });
+        let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
+        bucket.level = (bucket.level + time * rate).min(burst);
+        bucket.filled = bucket.filled.max(now);
+        bucket
+    }
+
     fn sweep(&mut self, now: Instant) {
         if now < self.next_sweep {
             return;
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -36,11 +36,14 @@
 /// Hosts of each region that read the platform for the others: one may fail unnoticed for a while.
 const READERS: usize = 2;
 
+/// A host that heard no confirmation for this long reads by itself, whoever else should.
+const FEED_LIMIT: Duration = Duration::from_millis(3_500);
+
 /// A missing change is asked for again after this.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// When nobody read the platform for this long it was away, and what it holds may have lapsed.
-const AWAY_AFTER: Duration = Duration::from_millis(2_500);
+const AWAY_AFTER: Duration = Duration::from_secs(4);
 
 /// What lapsed while the platform was away is back within 2 s of its return, or gone.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
@@ -69,6 +72,8 @@
     /// When a question was sent to which the platform confirmed the values in force.
     confirmed: Option<Instant>,
     platform_sent: Option<Instant>,
+    /// Whether the last read of the platform failed.
+    cut_off: bool,
     /// Until when values that vanished during an outage of the platform are kept.
     lapse_end: Option<Instant>,
     /// Since when a peer is known to hold newer values.
@@ -103,6 +108,7 @@
             platform_values: None,
             confirmed: None,
             platform_sent: None,
+            cut_off: false,
             lapse_end: None,
             behind: None,
             fetched: None,
@@ -142,9 +148,8 @@
         ValuesView {
             revision: self.values.revision(),
             digest: self.values.digest(),
-            confirmed_age: self
-                .confirmed
-                .map(|at| now.saturating_duration_since(at)),
+            confirmed_age: self.confirmed.map(|at| now.saturating_duration_since(at)),
+            cut_off: self.cut_off,
         }
     }
 
@@ -191,8 +196,10 @@
     fn readers(&self, now: Instant) -> Vec<HostName> {
         let own = self.table.own();
         let near = self.table.fresh(now).filter(|one| one.region == own.region);
-        let names = near.map(|one| one.name.as_str());
-        let order = rendezvous_order("reader", names.chain([own.name.as_str()]));
+        let able = near.filter(|one| !self.table.is_cut_off(&one.name));
+        let names = able.map(|one| one.name.as_str());
+        let own = (!self.cut_off).then_some(own.name.as_str());
+        let order = rendezvous_order("reader", names.chain(own));
         order.into_iter().take(READERS).map(HostName::new).collect()
     }
 
@@ -251,12 +258,7 @@
         }
         let nonce = self.questions.open(now, self.lease());
         for to in targets {
-            let message = MeshMessage::Beat {
-                nonce,
-                view: self.view(now),
-                members: self.table.digest(),
-            };
-            actions.push(Self::send(&to, message));
+            actions.push(Self::send(&to, self.beat_message(nonce, now)));
         }
     }
 
@@ -272,7 +274,10 @@
         if members == self.table.digest() {
             self.table.merge_ages(ages, told);
         } else {
-            actions.push(Self::send(from, MeshMessage::Members(self.table.words(now))));
+            actions.push(Self::send(
+                from,
+                MeshMessage::Members(self.table.words(now)),
+            ));
         }
     }
 
@@ -285,6 +290,7 @@
         now: Instant,
         actions: &mut Vec<FleetAction>,
     ) {
+        self.table.note_cut_off(from, view.cut_off);
         if view.digest == self.values.digest() && view.digest != 0 {
             self.values.raise(view.revision);
             let heard = asked
@@ -464,6 +470,10 @@
             }
             change @ MeshMessage::Change { .. } => {
                 let outcome = self.values.apply(change);
+                if outcome == ValuesOutcome::Adopted {
+                    // The lease needs the word of someone who holds the same.
+                    self.next_beat = now;
+                }
                 let missing = outcome == ValuesOutcome::MissingBase;
                 self.settle(outcome, now, actions);
                 if missing {
@@ -495,6 +505,7 @@
     /// Compares what the platform said with what is in force.
     fn hear_platform(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
         self.platform_sent = Some(sent);
+        self.cut_off = false;
         self.note_outage(now);
         let lapsing = self.lapse_end.is_some_and(|end| now < end);
         let loses = self
@@ -502,21 +513,45 @@
             .as_ref()
             .is_some_and(|values| self.values.loses_keys(values));
         if lapsing && loses {
+            log::info!("values vanished just after an outage, kept for now");
             return self.drive(now, Vec::new());
         }
         self.offer_platform(sent, now)
     }
 
+    fn beat_region(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let region = self.table.own().region.clone();
+        let near = self.table.fresh(now).filter(|one| one.region == region);
+        let names: Vec<HostName> = near.map(|one| one.name.clone()).collect();
+        let nonce = self.questions.open(now, self.lease());
+        for to in names {
+            actions.push(Self::send(&to, self.beat_message(nonce, now)));
+        }
+    }
+
+    fn beat_message(&self, nonce: u64, now: Instant) -> MeshMessage {
+        MeshMessage::Beat {
+            nonce,
+            view: self.view(now),
+            members: self.table.digest(),
+        }
+    }
+
     fn offer_platform(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
         let mut actions = Vec::new();
         let Some(values) = self.platform_values.clone() else {
             return self.drive(now, actions);
         };
-        let digest = values.digest();
+        let (digest, revision) = (values.digest(), values.revision);
         let outcome = self.values.offer(values);
         let adopted = outcome == ValuesOutcome::Adopted;
         if outcome == ValuesOutcome::Older {
             self.counters.stale_platform += 1;
+            log::info!(
+                revision = revision.0,
+                held = self.values.revision().0;
+                "the platform's answer is older than what is held"
+            );
         }
         self.settle(outcome, now, &mut actions);
         if adopted {
@@ -564,7 +599,13 @@
 
     fn platform_failed(&mut self, now: Instant) -> Vec<FleetAction> {
         self.counters.failed_platform += 1;
-        self.drive(now, Vec::new())
+        let mut actions = Vec::new();
+        if !self.cut_off {
+            // Someone else must read now, so all of the region are told at once.
+            self.cut_off = true;
+            self.beat_region(now, &mut actions);
+        }
+        self.drive(now, actions)
     }
 
     fn receive(&mut self, from: &HostName, message: PeerMessage, now: Instant) -> Vec<FleetAction> {
@@ -607,7 +648,7 @@
     fn reads_platform(&self, now: Instant) -> bool {
         let fed = self
             .confirmed
-            .is_some_and(|at| now.saturating_duration_since(at) < self.lease() * 2 / 3);
+            .is_some_and(|at| now.saturating_duration_since(at) < FEED_LIMIT);
         self.is_reader(now) || !fed
     }
 
@@ -631,4 +672,3 @@
         &self.counters
     }
 }
-
--- a/crates/kws-membership/src/mesh/table.rs
+++ b/crates/kws-membership/src/mesh/table.rs
@@ -18,6 +18,8 @@
 struct MemberRecord {
     member: MeshMember,
     heard: Instant,
+    /// Whether its own reads of the platform fail.
+    cut_off: bool,
 }
 
 /// The table of one host; it never holds the host itself.
@@ -67,6 +69,7 @@
         let record = MemberRecord {
             member: member.clone(),
             heard,
+            cut_off: false,
         };
         self.records.insert(member.name.clone(), record);
         true
@@ -86,6 +89,18 @@
         }
     }
 
+    /// A member said whether it can read the platform.
+    pub(crate) fn note_cut_off(&mut self, name: &HostName, cut_off: bool) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.cut_off = cut_off;
+        }
+    }
+
+    /// Whether a member said that it cannot read the platform.
+    pub(crate) fn is_cut_off(&self, name: &HostName) -> bool {
+        self.records.get(name).is_some_and(|one| one.cut_off)
+    }
+
     /// A member said that it stops; true when it was known.
     pub(crate) fn leave(&mut self, name: &HostName, now: Instant) -> bool {
         self.left.insert(name.clone(), now);
@@ -165,9 +180,8 @@
 
     /// The other members heard within [`FRESH_AGE`].
     pub(crate) fn fresh(&self, now: Instant) -> impl Iterator<Item = &MeshMember> {
-        let fresh = move |record: &&MemberRecord| {
-            now.saturating_duration_since(record.heard) < FRESH_AGE
-        };
+        let fresh =
+            move |record: &&MemberRecord| now.saturating_duration_since(record.heard) < FRESH_AGE;
         self.records.values().filter(fresh).map(|one| &one.member)
     }
 
--- a/crates/kws-peer/src/exchange.rs
+++ b/crates/kws-peer/src/exchange.rs
@@ -118,12 +118,7 @@
     let address = outbound.address?;
     let (queue, receiver) = PeerQueue::new();
     links.insert(outbound.to.clone(), LinkEntry::Open(queue.clone()));
-    let work = dial_peer(
-        Arc::clone(state),
-        outbound.to.clone(),
-        address,
-        receiver,
-    );
+    let work = dial_peer(Arc::clone(state), outbound.to.clone(), address, receiver);
     tokio::spawn(work);
     Some(queue)
 }
--- a/crates/kws-platform/src/watch.rs
+++ b/crates/kws-platform/src/watch.rs
@@ -89,11 +89,13 @@
                 PlatformEvent::Failed { error }
             }
         };
+        let changed = matches!(event, PlatformEvent::Values { .. });
         if events.send(event).await.is_err() {
             return;
         }
         let pause = match failures {
-            0 => timing().pause,
+            0 if changed => timing().pause,
+            0 => Duration::ZERO,
             _ => backoff(timing(), failures),
         };
         sleep(pause).await;
--- a/crates/kws-protocol/src/message/mesh.rs
+++ b/crates/kws-protocol/src/message/mesh.rs
@@ -26,6 +26,8 @@
     /// How long ago the platform last confirmed them, to this host or to one it heard; absent for
     /// never.
     pub confirmed_age: Option<Duration>,
+    /// Whether the host's own reads of the platform fail.
+    pub cut_off: bool,
 }
 
 /// A member and how long ago it was last heard by anyone.
--- a/crates/kws-protocol/src/message/ticket.rs
+++ b/crates/kws-protocol/src/message/ticket.rs
@@ -117,6 +117,8 @@
         id: u64,
         /// The team.
         team: TeamName,
+        /// Whether the asker keeps the team's tokens in its own region, and is short of them.
+        short: bool,
     },
     /// The answer to [`TicketMessage::AskToken`].
     Token {
--- a/crates/kws-protocol/src/refusal.rs
+++ b/crates/kws-protocol/src/refusal.rs
@@ -150,17 +150,20 @@
     ConnectionLost,
     /// No answer came within the hedge delay.
     Hedge,
+    /// The backend server answered with an error of its own.
+    ServerError,
     /// The backend server said that it did not run the request.
     ServerNotRun,
 }
 
 impl RetryReason {
     /// Every reason, in the order of the enum.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::BadAnswer,
         Self::ConnectFailed,
         Self::ConnectionLost,
         Self::Hedge,
+        Self::ServerError,
         Self::ServerNotRun,
     ];
 
@@ -171,6 +174,7 @@
             Self::ConnectFailed => "connect_failed",
             Self::ConnectionLost => "connection_lost",
             Self::Hedge => "hedge",
+            Self::ServerError => "server_error",
             Self::ServerNotRun => "server_not_run",
         }
     }
--- a/crates/kws-protocol/src/wire/mesh.rs
+++ b/crates/kws-protocol/src/wire/mesh.rs
@@ -30,6 +30,14 @@
     digest: u64,
     #[serde(default, rename = "a", skip_serializing_if = "Option::is_none")]
     age_ms: Option<u64>,
+    #[serde(default, rename = "c", skip_serializing_if = "is_false")]
+    cut_off: bool,
+}
+
+// serde calls this with a reference to the field.
+#[expect(clippy::trivially_copy_pass_by_ref)]
+fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -81,6 +89,7 @@
             age_ms: view
                 .confirmed_age
                 .map(|age| age.as_micros().div_ceil(1_000) as u64),
+            cut_off: view.cut_off,
         },
         members,
         ages: ages.iter().copied().map(age_units).collect(),
@@ -93,6 +102,7 @@
             revision: TreeRevision(wire.revision),
             digest: wire.digest,
             confirmed_age: wire.age_ms.map(Duration::from_millis),
+            cut_off: wire.cut_off,
         }
     }
 }
--- a/crates/kws-protocol/src/wire/ticket.rs
+++ b/crates/kws-protocol/src/wire/ticket.rs
@@ -81,7 +81,7 @@
         d: Vec<(ServerName, u32, f32)>,
     },
     #[serde(rename = "k")]
-    AskToken { i: u64, t: TeamName },
+    AskToken { i: u64, t: TeamName, f: bool },
     #[serde(rename = "o")]
     Token { i: u64, w: Option<u64> },
 }
@@ -195,9 +195,10 @@
                     .map(|one| (one.server.clone(), one.placed, one.evidence as f32))
                     .collect(),
             },
-            TicketMessage::AskToken { id, team } => Self::AskToken {
+            TicketMessage::AskToken { id, team, short } => Self::AskToken {
                 i: *id,
                 t: team.clone(),
+                f: *short,
             },
             TicketMessage::Token { id, retry_after } => Self::Token {
                 i: *id,
@@ -252,7 +253,11 @@
                     loads: d.into_iter().map(load).collect(),
                 }
             }
-            WireTicket::AskToken { i, t } => Self::AskToken { id: i, team: t },
+            WireTicket::AskToken { i, t, f } => Self::AskToken {
+                id: i,
+                team: t,
+                short: f,
+            },
             WireTicket::Token { i, w } => Self::Token {
                 id: i,
                 retry_after: w.map(Duration::from_millis),
