--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -37,6 +37,8 @@
 const JUDGE_PERIOD: Duration = Duration::from_millis(200);
 /// How often the hosts of the region are told of loads.
 const LOADS_PERIOD: Duration = Duration::from_secs(1);
+/// A server that this host could not reach is tried again by it after this.
+const CUT_PATH_TIME: Duration = Duration::from_secs(4);
 /// How often the admin address is told of the servers' standing.
 const REPORT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -68,6 +70,8 @@
     granted: HashMap<TicketId, GrantedTicket>,
     foreign: ForeignTickets,
     doubts: DoubtList,
+    /// Servers to which this host found no way, and until when it stays away from them.
+    cut_paths: HashMap<ServerName, Instant>,
 }
 
 async fn run_placement(
@@ -86,6 +90,7 @@
         granted: HashMap::new(),
         foreign: ForeignTickets::default(),
         doubts: DoubtList::default(),
+        cut_paths: HashMap::new(),
     };
     let timer = |period| {
         let mut timer = interval(period);
@@ -158,6 +163,9 @@
     }
 
     fn enqueue(&mut self, request: DispatchRequest, reply: GrantReply, now: Instant) {
+        self.cut_paths.retain(|_, until| now < *until);
+        let mut excluded = request.excluded;
+        excluded.extend(self.cut_paths.keys().cloned());
         let request = SlotRequest {
             ticket: request.ticket.0,
             service: request.service,
@@ -168,7 +176,7 @@
             left: request.deadline.saturating_duration_since(now),
             repeatable: request.repeatable,
             bytes: request.bytes,
-            excluded: request.excluded,
+            excluded,
             repeat: request.repeat,
         };
         self.place(request, reply, now);
@@ -233,6 +241,10 @@
             server,
         } = granted;
         let end = slot_end(outcome.class);
+        if end == SlotEnd::Unreached {
+            log::info!(server = server.as_str(); "no way to a server");
+            self.cut_paths.insert(server.clone(), now + CUT_PATH_TIME);
+        }
         if keeper.is_none() {
             let place_end = PlaceEnd {
                 end,
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -397,8 +397,8 @@
             SlotEnd::Bad => (server.bad(&settings.ejection, room, now), "bad answer"),
             SlotEnd::Late => (server.late(&settings.ejection, room, now), "late answer"),
             SlotEnd::Unreached => {
-                server.unreached(now);
-                (server.bad(&settings.ejection, room, now), "not reached")
+                // One host's path says little of the server; that host stays away by itself.
+                (server.late(&settings.ejection, room, now), "not reached")
             }
             SlotEnd::Shed => {
                 server.shed(now);
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -15,9 +15,6 @@
 /// Each further bad answer in a row doubles that rest, so many times at the most.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// A server that could not be reached is left alone for this long.
-const UNREACHED_REST: Duration = Duration::from_millis(500);
-
 /// What another region's host said of the load is believed for this long.
 const TOLD_AGE: Duration = Duration::from_secs(3);
 
@@ -201,11 +198,6 @@
         self.rests_until = Some(now + SHED_REST);
     }
 
-    /// It could not be reached.
-    pub(crate) fn unreached(&mut self, now: Instant) {
-        self.rests_until = Some(now + UNREACHED_REST);
-    }
-
     /// It leaves, or another server has its address.
     pub(crate) fn leave(&mut self, now: Instant) {
         self.gone_until = Some(now + GONE_REST);
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -21,8 +21,9 @@
 };
 use tokio::time::timeout;
 
-/// The longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest wait for a connection: four times the way to another region and back. Nothing was sent
+/// by then, so that the request can still go to another server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long an idle connection may be reused for a repeatable request.
 const REPEATABLE_IDLE: Seconds = Seconds(10);
 /// How long an idle connection may be reused for any other request.
--- /dev/null
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -0,0 +1,357 @@
+//! Hosts that know of each other by seeds alone: how they meet, spread values and stay current.
+
+use kws_membership::{
+    CheckedTree, FleetAction, FreshnessRule, MeshView, TreeChecker, TreeRejection,
+};
+use kws_protocol::{
+    FleetSettings, FreshnessSettings, HostList, HostName, MeshMember, PeerMessage, PublishedValues,
+    TreeRevision,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::{Instant, advance};
+
+const LEASE: Duration = Duration::from_secs(3);
+const STEP: Duration = Duration::from_millis(20);
+const READ_PERIOD: Duration = Duration::from_millis(500);
+
+struct AnyValues;
+
+impl TreeChecker for AnyValues {
+    fn check(&self, values: &PublishedValues) -> Result<CheckedTree, TreeRejection> {
+        if values.values.values().any(|value| &**value == "broken") {
+            return Err(TreeRejection {
+                findings: "broken".to_owned(),
+                hosts: None,
+            });
+        }
+        let settings = FleetSettings {
+            freshness: FreshnessSettings {
+                lease: LEASE,
+                list_lag: Duration::ZERO,
+                stale_region: Duration::from_mins(10),
+                clock_drift_ppm: 0,
+            },
+            regions: [].into(),
+            services: [].into(),
+            routes: [].into(),
+            teams: [].into(),
+        };
+        Ok(CheckedTree {
+            settings,
+            hosts: HostList::default(),
+        })
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8], 700))
+}
+
+struct MeshHost {
+    view: MeshView,
+    name: HostName,
+    /// The values of each snapshot that came into force.
+    adopted: Vec<u64>,
+    contacts: BTreeMap<HostName, SocketAddr>,
+    next_read: Instant,
+}
+
+/// Hosts, the links between them and the store.
+struct TestMesh {
+    hosts: BTreeMap<usize, MeshHost>,
+    revision: u64,
+    values: BTreeMap<String, Arc<str>>,
+    /// Hosts that cannot read.
+    unreadable: BTreeSet<usize>,
+    /// Hosts that no message reaches or leaves.
+    cut: BTreeSet<usize>,
+    flying: Vec<(usize, HostName, PeerMessage)>,
+    reads: usize,
+    lives: usize,
+}
+
+impl TestMesh {
+    fn new(hosts: usize) -> Self {
+        let mut mesh = Self {
+            hosts: BTreeMap::new(),
+            revision: 1,
+            values: [("a".to_owned(), Arc::from("1"))].into(),
+            unreadable: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            flying: Vec::new(),
+            reads: 0,
+            lives: 0,
+        };
+        for number in 0..hosts {
+            mesh.start(number);
+        }
+        mesh
+    }
+
+    fn start(&mut self, number: usize) {
+        self.lives += 1;
+        let name = HostName::of_life(&address(number).to_string(), &self.lives.to_string());
+        let own = MeshMember {
+            name: name.clone(),
+            region: "vidzemes".into(),
+            center: "turaida".into(),
+            address: address(number),
+        };
+        let seeds = [address(0), address(1), address(2)];
+        let now = Instant::now();
+        let seed = self.lives as u64;
+        let host = MeshHost {
+            view: MeshView::new(own, &seeds, Box::new(AnyValues), seed, now),
+            name,
+            adopted: Vec::new(),
+            contacts: BTreeMap::new(),
+            next_read: now,
+        };
+        self.hosts.insert(number, host);
+    }
+
+    fn publish(&mut self, key: &str, value: Option<&str>) {
+        self.revision += 1;
+        match value {
+            Some(value) => self.values.insert(key.to_owned(), Arc::from(value)),
+            None => self.values.remove(key),
+        };
+    }
+
+    fn read(&mut self, number: usize, now: Instant) {
+        let readable = !self.unreadable.contains(&number) && !self.cut.contains(&number);
+        let values = PublishedValues {
+            revision: TreeRevision(self.revision),
+            values: self.values.clone(),
+        };
+        let host = self.hosts.get_mut(&number).expect("a host");
+        if now < host.next_read || !host.view.reads_platform(now) {
+            return;
+        }
+        host.next_read = now + READ_PERIOD;
+        self.reads += 1;
+        let actions = if readable {
+            host.view.platform_answer(values, now, now)
+        } else {
+            host.view.platform_failed(now)
+        };
+        self.carry_out(number, actions);
+    }
+
+    fn carry_out(&mut self, number: usize, actions: Vec<FleetAction>) {
+        let host = self.hosts.get_mut(&number).expect("a host");
+        for action in actions {
+            match action {
+                FleetAction::Send { to, message } => {
+                    let known = host.contacts.contains_key(&to);
+                    let target = self.flying.len();
+                    let _ = (known, target);
+                    self.flying.push((number, to, message));
+                }
+                FleetAction::Contact(hosts) => {
+                    let contacts = hosts.into_iter().map(|one| (one.name, one.peer));
+                    host.contacts = contacts.collect();
+                }
+                FleetAction::Publish(snapshot) => host.adopted.push(snapshot.revision.0),
+                _ => {}
+            }
+        }
+    }
+
+    /// Delivers what was sent in the step before, then lets every host read and tick.
+    async fn step(&mut self) {
+        advance(STEP).await;
+        let now = Instant::now();
+        for (sender, to, message) in std::mem::take(&mut self.flying) {
+            let from = self.hosts.get(&sender).map(|host| host.name.clone());
+            let target = self
+                .hosts
+                .iter()
+                .find(|(_, host)| to.names(&host.name))
+                .map(|(number, _)| *number);
+            let (Some(from), Some(target)) = (from, target) else {
+                continue;
+            };
+            if self.cut.contains(&sender) || self.cut.contains(&target) {
+                continue;
+            }
+            let host = self.hosts.get_mut(&target).expect("a host");
+            let actions = host.view.receive(&from, message, now);
+            self.carry_out(target, actions);
+        }
+        let numbers: Vec<usize> = self.hosts.keys().copied().collect();
+        for number in numbers {
+            self.read(number, now);
+            let host = self.hosts.get_mut(&number).expect("a host");
+            let actions = host.view.tick(now);
+            self.carry_out(number, actions);
+        }
+    }
+
+    async fn run(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.step().await;
+        }
+    }
+
+    fn members(&self, number: usize) -> usize {
+        self.hosts[&number].view.members(Instant::now()).len()
+    }
+
+    fn current(&self, number: usize) -> bool {
+        let until = self.hosts[&number].view.current_until();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether every host holds the store's newest values.
+    fn all_hold_newest(&self) -> bool {
+        self.hosts
+            .values()
+            .all(|host| host.view.revision() >= TreeRevision(self.revision))
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn seeds_told() {
+    let mut mesh = TestMesh::new(1);
+    mesh.step().await;
+    let contacts = &mesh.hosts[&0].contacts;
+    assert!(contacts.contains_key(&HostName::new("10.0.0.1:700")), "{contacts:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_meet() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(4)).await;
+    for number in 0..12 {
+        assert_eq!(mesh.members(number), 11, "host {number}");
+        assert!(mesh.current(number), "host {number}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn seeds_down() {
+    let mut mesh = TestMesh::new(3);
+    mesh.hosts.clear();
+    mesh.start(7);
+    mesh.run(Duration::from_secs(2)).await;
+    assert!(mesh.current(7), "a host that met nobody serves");
+}
+
+#[tokio::test(start_paused = true)]
+async fn change_spreads() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.publish("a", Some("2"));
+    mesh.run(Duration::from_secs(2)).await;
+    assert!(mesh.all_hold_newest());
+}
+
+/// Two hosts read for all, once each half a second.
+#[tokio::test(start_paused = true)]
+async fn few_readers() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    let before = mesh.reads;
+    mesh.run(Duration::from_secs(10)).await;
+    let reads = mesh.reads - before;
+    assert!(reads <= 44, "{reads} reads in 10 s");
+}
+
+/// Every host that reads is cut off from the store, one after the other until one can.
+#[tokio::test(start_paused = true)]
+async fn readers_cut_off() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.unreadable = (0..11).collect();
+    mesh.publish("a", Some("2"));
+    mesh.run(Duration::from_secs(8)).await;
+    assert!(mesh.all_hold_newest());
+    assert!((0..12).all(|number| mesh.current(number)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_away() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.unreadable = (0..12).collect();
+    mesh.run(Duration::from_mins(1)).await;
+    assert!((0..12).all(|number| mesh.current(number)));
+}
+
+/// A host that hears neither the store nor any other stops, although it holds everything.
+#[tokio::test(start_paused = true)]
+async fn lone_host_stops() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.cut.insert(5);
+    mesh.run(Duration::from_secs(30)).await;
+    assert!(!mesh.current(5));
+    assert!((0..12).filter(|number| *number != 5).all(|number| mesh.current(number)));
+    mesh.cut.clear();
+    mesh.publish("a", Some("2"));
+    mesh.run(Duration::from_secs(5)).await;
+    assert!(mesh.current(5) && mesh.all_hold_newest());
+}
+
+#[tokio::test(start_paused = true)]
+async fn restarted_host() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.start(4);
+    mesh.run(Duration::from_secs(4)).await;
+    for number in 0..12 {
+        assert_eq!(mesh.members(number), 11, "host {number}");
+    }
+}
+
+/// What vanished while the store was away is kept for 2 s from its return on; what comes back then
+/// was never away.
+#[tokio::test(start_paused = true)]
+async fn lapsed_values() {
+    let mut mesh = TestMesh::new(4);
+    mesh.publish("b", Some("1"));
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.unreadable = (0..4).collect();
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.publish("b", None);
+    let before = mesh.hosts[&0].adopted.len();
+    mesh.unreadable.clear();
+    mesh.run(Duration::from_millis(1_500)).await;
+    assert_eq!(mesh.hosts[&0].adopted.len(), before, "kept at first");
+    mesh.run(Duration::from_millis(1_500)).await;
+    assert!(mesh.all_hold_newest(), "gone after 2 s");
+}
+
+#[tokio::test(start_paused = true)]
+async fn broken_values() {
+    let mut mesh = TestMesh::new(4);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.publish("a", Some("broken"));
+    mesh.run(Duration::from_secs(4)).await;
+    assert!((0..4).all(|number| mesh.hosts[&number].adopted.iter().all(|one| *one < 2)));
+    mesh.publish("a", Some("3"));
+    mesh.run(Duration::from_secs(4)).await;
+    assert!(mesh.all_hold_newest());
+}
+
+/// A peer that hands over older values changes nothing.
+#[tokio::test(start_paused = true)]
+async fn never_back() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    for round in 2..30 {
+        mesh.publish("a", Some(&round.to_string()));
+        mesh.run(Duration::from_millis(300)).await;
+    }
+    mesh.run(Duration::from_secs(2)).await;
+    for host in mesh.hosts.values() {
+        assert!(host.adopted.is_sorted(), "{:?}", host.adopted);
+    }
+}
