Placing under overload: late answers of hasty requests don't count, waits are bounded

Cause: requests that had waited long ran out of time at healthy servers, which then counted as failing; capacity shrank, waits grew, and it stayed so until the restart of all hosts at 32 s.

--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -20,9 +20,16 @@
 /// The weight of the newest time in service in the average, between 0 and 1.
 const TIME_GAIN: f64 = 0.05;
 
-/// The part of the usual time in service that must be left after the wait: quick answers still
-/// make it.
-const LEAST_SERVICE: f64 = 0.5;
+/// So many times the usual time in service must be left after the wait, so that most answers still
+/// come in time: a request that has less left takes a slot for nothing.
+const LEAST_SERVICE: f64 = 1.25;
+
+/// A request that waits is given up when less than the usual time in service is left.
+const LAST_SERVICE: f64 = 0.9;
+
+/// The part of its time that a request may wait: a longer queue serves no more callers, only later
+/// ones.
+const WAIT_SHARE: f64 = 0.45;
 
 /// A request that is out for so many times the usual time counts against its server.
 const OVERDUE_FACTOR: f64 = 4.0;
@@ -147,6 +154,7 @@
             self.budget.earn();
         }
         let (key, deadline) = (request.key, request.deadline);
+        let left = deadline.saturating_duration_since(now);
         let queue = self.settings.as_ref().map_or(0, |one| one.queue as usize);
         if self.line.len() >= queue.max(1) {
             return vec![refuse(
@@ -157,7 +165,8 @@
         }
         let before = self.line.push(request, now);
         let wait = self.wait_among(Suspicion::Suspect, before, now);
-        if now + wait + self.service_time.mul_f64(LEAST_SERVICE) > deadline {
+        let needed = wait + self.service_time.mul_f64(LEAST_SERVICE);
+        if !wait.is_zero() && (needed > left || wait > left.mul_f64(WAIT_SHARE)) {
             self.line.remove(key);
             let advice = self.advice(now);
             return vec![refuse(key, RefusalReason::DeadlineEarly, Some(advice))];
@@ -233,7 +242,7 @@
 
     /// Grants what has a place to go, and refuses what its deadline lost.
     pub(crate) fn serve(&mut self, now: Instant) -> Vec<PlaceAction> {
-        let least = self.service_time.mul_f64(LEAST_SERVICE);
+        let least = self.service_time.mul_f64(LAST_SERVICE);
         let lost = self.line.take_if(|request| request.deadline < now + least);
         let mut actions = Vec::new();
         for request in lost {
@@ -386,6 +395,7 @@
 
     fn judge(&mut self, name: &ServerName, end: PlaceEnd, now: Instant) -> Option<PlaceAction> {
         let room = self.may_eject(name, now);
+        let limit = self.overdue_limit();
         let settings = self.settings.as_ref()?;
         let server = self.servers.get_mut(name)?;
         let was_out = server.suspicion(now) == Suspicion::Sick;
@@ -395,6 +405,8 @@
                 (false, "good answer")
             }
             SlotEnd::Bad => (server.bad(&settings.ejection, room, now), "bad answer"),
+            // A request that had little time left says nothing of the server.
+            SlotEnd::Late if end.latency < limit => (false, "late answer"),
             SlotEnd::Late => (server.late(&settings.ejection, room, now), "late answer"),
             SlotEnd::Unreached => {
                 // One host's path says little of the server; that host stays away by itself.
@@ -426,6 +438,11 @@
         })
     }
 
+    /// From when on a request counts as out for too long.
+    fn overdue_limit(&self) -> Duration {
+        self.service_time.mul_f64(OVERDUE_FACTOR).max(LEAST_OVERDUE)
+    }
+
     fn learn_time(&mut self, time: Duration) {
         self.service_time = self.service_time.mul_f64(1.0 - TIME_GAIN) + time.mul_f64(TIME_GAIN);
     }
@@ -446,7 +463,7 @@
 
     /// Judges requests that are out for too long, and keeps the floor.
     pub(crate) fn tick(&mut self, now: Instant) -> Vec<PlaceAction> {
-        let limit = self.service_time.mul_f64(OVERDUE_FACTOR).max(LEAST_OVERDUE);
+        let limit = self.overdue_limit();
         let names: Vec<ServerName> = self.servers.keys().cloned().collect();
         let mut actions = Vec::new();
         for name in names {
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// After a server turned a request away it counts as full for this long.
-const SHED_REST: Duration = Duration::from_millis(150);
+const SHED_REST: Duration = Duration::from_millis(30);
 
 /// After a bad answer a server gets no work for this long: one that fails at once would else be
 /// free whenever the others are full, and take all that is left.
