Waits are judged by servers that nothing speaks against; the request line says service, limit and wait

Cause: the estimate counted suspects' slots, which the choice then left aside, so that requests waited 0.9 s of 1.2 s and their answers came late.

--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -232,11 +232,8 @@
     }
 
     fn access_log(&self, record: AccessRecord) {
-        let snapshot = self.shared.snapshot();
-        let route = record.route.as_ref().zip(snapshot.as_ref());
-        let service = route
-            .and_then(|(route, snapshot)| snapshot.settings.routes.get(route))
-            .map_or("none", |route| route.service.as_str());
+        let service = record.service.as_ref();
+        let service = service.map_or("none", ServiceName::as_str);
         self.shared.metrics.request(RequestRecord {
             service,
             status: record.status,
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -39,7 +39,7 @@
 
 /// A request waits for a server that nothing speaks against rather than go to a suspect, unless
 /// the wait would be longer than this.
-const SUSPECT_WAIT: Duration = Duration::from_millis(400);
+const SUSPECT_WAIT: Duration = Duration::from_millis(250);
 
 /// A request that moves more than this waits for its own region, in bytes: the link between
 /// regions is paid by volume.
@@ -164,7 +164,7 @@
             )];
         }
         let before = self.line.push(request, now);
-        let wait = self.wait_among(Suspicion::Suspect, before, now);
+        let wait = self.wait_of(before, now);
         let needed = wait + self.service_time.mul_f64(LEAST_SERVICE);
         if !wait.is_zero() && (needed > left || wait > left.mul_f64(WAIT_SHARE)) {
             self.line.remove(key);
@@ -205,11 +205,7 @@
 
     /// How long a request with `before` others before it waits at the present pace.
     fn wait_of(&self, before: usize, now: Instant) -> Duration {
-        self.wait_among(self.counted(now), before, now)
-    }
-
-    /// The same, counting on the servers against which at most `counted` speaks.
-    fn wait_among(&self, counted: Suspicion, before: usize, now: Instant) -> Duration {
+        let counted = self.counted(now);
         let free = self.free_slots(now, counted) as usize;
         if before < free {
             return Duration::ZERO;
@@ -300,7 +296,9 @@
 
     /// A server that something speaks against, when there are no others or their queue is long.
     fn suspect(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
-        let short = self.slots(now, Suspicion::Clean) == 0 || self.wait_of(0, now) > SUSPECT_WAIT;
+        let waiting = self.line.len();
+        let short =
+            self.slots(now, Suspicion::Clean) == 0 || self.wait_of(waiting, now) > SUSPECT_WAIT;
         short
             .then(|| self.best(request, Suspicion::Suspect, true, now))
             .flatten()
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -112,6 +112,12 @@
     pub route: Option<RouteName>,
     /// The team, when one was authenticated.
     pub team: Option<TeamName>,
+    /// The service, when one was chosen.
+    pub service: Option<ServiceName>,
+    /// The time that the request had in all, when its route was found.
+    pub time_limit: Option<Duration>,
+    /// The time spent waiting for a token and for slots.
+    pub waited: Duration,
     /// The server of the last try.
     pub server: Option<ServerName>,
     /// The status sent to the caller.
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -9,12 +9,12 @@
     tries::{TryHistory, TrySeries},
     worker::WorkerState,
 };
-use kws_protocol::{HeaderDialect, RefusalReason, RouteName, TeamName};
+use kws_protocol::{HeaderDialect, RefusalReason, RouteName, ServiceName, TeamName};
 use ntex::{
     http::{ConnectionType, Payload, Request, Response},
     io::IoRef,
 };
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
 /// What is known of a request for its record.
@@ -24,6 +24,8 @@
     path: String,
     route: Option<RouteName>,
     team: Option<TeamName>,
+    service: Option<ServiceName>,
+    time_limit: Option<Duration>,
     tried: TryHistory,
 }
 
@@ -102,6 +104,9 @@
         path: log.path,
         route: log.route,
         team: log.team,
+        service: log.service,
+        time_limit: log.time_limit,
+        waited: log.tried.waited,
         server: log.tried.last,
         status: response.status().as_u16(),
         refusal,
@@ -135,11 +140,13 @@
         self.judge.check_size(route)?;
         let team = self.judge.authenticate(&view, route)?;
         self.log.team.clone_from(&team);
-        let patience = self.judge.parts.patience;
-        let deadline =
-            self.started + patience.map_or(route.deadline, |time| time.min(route.deadline));
+        let patience = self.judge.parts.patience.unwrap_or(route.deadline);
+        let time_limit = patience.min(route.deadline);
+        let deadline = self.started + time_limit;
+        self.log.time_limit = Some(time_limit);
         if let Some(team) = &team {
             self.admit(team, deadline).await?;
+            self.log.tried.waited = self.started.elapsed();
             let place = RoutePlace {
                 route: &route.name,
                 service: None,
@@ -147,6 +154,7 @@
             self.judge.recheck(place, Some(team))?;
         }
         let service = route.pick_service(rand::random());
+        self.log.service = Some(service.clone());
         let limits = BodyLimits {
             max_bytes: route.max_body,
             idle: route.idle,
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -25,6 +25,8 @@
     pub(crate) tries: u32,
     /// The server of the last one.
     pub(crate) last: Option<ServerName>,
+    /// The time spent waiting for a token and for slots.
+    pub(crate) waited: Duration,
     /// The servers of all.
     servers: BTreeSet<ServerName>,
     /// Whether one of those that failed may have run.
@@ -155,7 +157,14 @@
     }
 
     /// Waits for a slot, and judges the request again after the wait.
-    async fn acquire(&self, history: &TryHistory) -> Result<ServerGrant, Refused> {
+    async fn acquire(&self, history: &mut TryHistory) -> Result<ServerGrant, Refused> {
+        let asked = Instant::now();
+        let granted = self.wait_for_slot(history).await;
+        history.waited += asked.elapsed();
+        granted
+    }
+
+    async fn wait_for_slot(&self, history: &TryHistory) -> Result<ServerGrant, Refused> {
         let control = &self.judge.worker.control;
         let team = self.team.and_then(|team| self.settings.teams.get(team));
         let priority = team.and_then(|team| team.priority);
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -222,7 +222,10 @@
     let mut mesh = TestMesh::new(1);
     mesh.step().await;
     let contacts = &mesh.hosts[&0].contacts;
-    assert!(contacts.contains_key(&HostName::new("10.0.0.1:700")), "{contacts:?}");
+    assert!(
+        contacts.contains_key(&HostName::new("10.0.0.1:700")),
+        "{contacts:?}"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -293,7 +296,11 @@
     mesh.cut.insert(5);
     mesh.run(Duration::from_secs(30)).await;
     assert!(!mesh.current(5));
-    assert!((0..12).filter(|number| *number != 5).all(|number| mesh.current(number)));
+    assert!(
+        (0..12)
+            .filter(|number| *number != 5)
+            .all(|number| mesh.current(number))
+    );
     mesh.cut.clear();
     mesh.publish("a", Some("2"));
     mesh.run(Duration::from_secs(5)).await;
