--- /dev/null
+++ b/crates/kws-dispatch/tests/placed_together.rs
@@ -0,0 +1,292 @@
+//! One placer for a region: exact slots, one queue, one judgement; by events in and actions out.
+
+use kws_dispatch::{PlaceAction, PlaceEnd, PlaceRequest, Placer, Suspicion};
+use kws_fixture::SampleFleet;
+use kws_protocol::{
+    CenterName, FleetSettings, RefusalReason, RegionName, ServerName, ServiceName, SlotEnd,
+    TeamName,
+};
+use rstest::rstest;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::{Instant, advance};
+
+const LIMIT: Duration = Duration::from_millis(1_200);
+
+/// A placer before `servers` servers of one region with three slots each.
+struct TestPool {
+    placer: Placer,
+    settings: FleetSettings,
+    service: ServiceName,
+    next: u64,
+}
+
+impl TestPool {
+    fn new(servers: usize) -> Self {
+        let mut settings = SampleFleet::new(1, servers).snapshot().settings;
+        let service = settings.services.keys().next().expect("a service").clone();
+        let one = settings.services.get_mut(&service).expect("a service");
+        let region = one.servers.values().next().expect("a server").region.clone();
+        for server in one.servers.values_mut() {
+            server.region = region.clone();
+        }
+        one.retry_budget = 0.2;
+        one.floor = 0.5;
+        let mut pool = Self {
+            placer: Placer::new(region),
+            settings,
+            service,
+            next: 0,
+        };
+        pool.placer.adopt(&pool.settings, Instant::now());
+        pool
+    }
+
+    fn request(&mut self, repeatable: bool) -> PlaceRequest {
+        self.next += 1;
+        PlaceRequest {
+            key: self.next,
+            service: self.service.clone(),
+            center: CenterName::new("turaida"),
+            team: TeamName::new("orchard"),
+            weight: 1.0,
+            priority: 1,
+            deadline: Instant::now() + LIMIT,
+            repeatable,
+            bytes: 1_000,
+            excluded: Vec::new(),
+            repeat: false,
+        }
+    }
+
+    fn ask(&mut self, repeatable: bool) -> (u64, Vec<PlaceAction>) {
+        let request = self.request(repeatable);
+        let key = request.key;
+        (key, self.placer.ask(request, Instant::now()))
+    }
+
+    /// Asks, and gives the server of the grant.
+    fn granted(&mut self, repeatable: bool) -> Option<(u64, ServerName)> {
+        let (key, actions) = self.ask(repeatable);
+        granted(&actions, key).map(|server| (key, server))
+    }
+
+    fn end(&mut self, key: u64, server: &ServerName, end: SlotEnd, ms: u64) -> Vec<PlaceAction> {
+        let end = PlaceEnd {
+            end,
+            latency: Duration::from_millis(ms),
+            draining: false,
+        };
+        let service = self.service.clone();
+        self.placer
+            .end(key, &service, Some(server), end, Instant::now())
+    }
+
+    /// Sends requests one after the other; `fails` says which server answers with an error. Gives
+    /// the failures by server.
+    async fn run(
+        &mut self,
+        requests: usize,
+        repeatable: bool,
+        fails: impl Fn(&ServerName) -> bool,
+    ) -> BTreeMap<ServerName, usize> {
+        let mut failures = BTreeMap::new();
+        for _ in 0..requests {
+            advance(Duration::from_millis(20)).await;
+            self.placer.tick(Instant::now());
+            let Some((key, server)) = self.granted(repeatable) else {
+                continue;
+            };
+            let end = if fails(&server) {
+                *failures.entry(server.clone()).or_default() += 1;
+                SlotEnd::Bad
+            } else {
+                SlotEnd::Good
+            };
+            self.end(key, &server, end, 20);
+        }
+        failures
+    }
+
+    fn standing(&self, server: &ServerName) -> Suspicion {
+        let mut all = self.placer.standings(Instant::now());
+        all.find(|(_, name, _)| *name == server).expect("a server").2
+    }
+}
+
+fn granted(actions: &[PlaceAction], wanted: u64) -> Option<ServerName> {
+    actions.iter().find_map(|action| match action {
+        PlaceAction::Grant { key, server, .. } if *key == wanted => Some(server.clone()),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[PlaceAction]) -> Option<(RefusalReason, Option<Duration>)> {
+    actions.iter().find_map(|action| match action {
+        PlaceAction::Refuse {
+            reason,
+            retry_after,
+            ..
+        } => Some((*reason, *retry_after)),
+        _ => None,
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn even_load() {
+    let mut pool = TestPool::new(4);
+    let mut loads: BTreeMap<ServerName, usize> = BTreeMap::new();
+    for _ in 0..12 {
+        let (_, server) = pool.granted(false).expect("a slot");
+        *loads.entry(server).or_default() += 1;
+    }
+    assert!(loads.values().all(|load| *load == 3), "{loads:?}");
+    let (key, actions) = pool.ask(false);
+    assert_eq!(actions, [], "the thirteenth waits");
+    assert!(pool.placer.waits(key));
+}
+
+#[tokio::test(start_paused = true)]
+async fn freed_slot() {
+    let mut pool = TestPool::new(1);
+    let first = pool.granted(false).expect("a slot");
+    pool.granted(false).expect("a slot");
+    pool.granted(false).expect("a slot");
+    let (key, _) = pool.ask(false);
+    let actions = pool.end(first.0, &first.1, SlotEnd::Good, 20);
+    assert_eq!(granted(&actions, key), Some(first.1));
+}
+
+/// A failing server gets three requests at the most before all hosts know.
+#[rstest]
+#[case::repeatable(true)]
+#[case::once(false)]
+#[tokio::test(start_paused = true)]
+async fn failing_server(#[case] repeatable: bool) {
+    let mut pool = TestPool::new(6);
+    let sick = ServerName::new(pool.placer.servers(&pool.service.clone()).first().expect("one").as_str());
+    let failures = pool.run(100, repeatable, |server| server == &sick).await;
+    assert!(failures[&sick] <= 3, "{failures:?} in 2 s");
+}
+
+#[tokio::test(start_paused = true)]
+async fn server_returns() {
+    let mut pool = TestPool::new(6);
+    let sick = ServerName::new(pool.placer.servers(&pool.service.clone()).first().expect("one").as_str());
+    pool.run(150, true, |server| server == &sick).await;
+    pool.run(600, true, |_| false).await;
+    assert_eq!(pool.standing(&sick), Suspicion::Clean);
+}
+
+/// Requests that waited long run out of time at healthy servers: that speaks against none of them.
+#[tokio::test(start_paused = true)]
+async fn hasty_requests() {
+    let mut pool = TestPool::new(4);
+    for _ in 0..40 {
+        let (key, server) = pool.granted(false).expect("a slot");
+        pool.end(key, &server, SlotEnd::Late, 100);
+    }
+    let now = Instant::now();
+    assert!(pool.placer.standings(now).all(|(_, _, one)| one == Suspicion::Clean));
+}
+
+/// A service that fails as a whole keeps its floor in service.
+#[tokio::test(start_paused = true)]
+async fn floor_kept() {
+    let mut pool = TestPool::new(6);
+    pool.run(400, false, |_| true).await;
+    let now = Instant::now();
+    let out = pool.placer.standings(now).filter(|(_, _, one)| *one == Suspicion::Sick);
+    assert!(out.count() <= 3);
+}
+
+/// A request that would wait in vain is told so at once, with a time that depends on the queue.
+#[tokio::test(start_paused = true)]
+async fn hopeless_refused() {
+    let mut pool = TestPool::new(1);
+    let mut refusals = Vec::new();
+    for _ in 0..40 {
+        let (_, actions) = pool.ask(false);
+        refusals.extend(refused(&actions));
+    }
+    assert!(refusals.len() > 20, "{}", refusals.len());
+    for (reason, retry_after) in refusals {
+        assert_eq!(reason, RefusalReason::DeadlineEarly);
+        assert!(retry_after.is_some_and(|wait| wait >= Duration::from_millis(50)));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn retry_budget() {
+    let mut pool = TestPool::new(6);
+    let mut allowed = 0;
+    for _ in 0..100 {
+        let mut request = pool.request(true);
+        request.repeat = true;
+        let key = request.key;
+        let actions = pool.placer.ask(request, Instant::now());
+        if let Some(server) = granted(&actions, key) {
+            allowed += 1;
+            pool.end(key, &server, SlotEnd::Good, 20);
+        }
+    }
+    assert_eq!(allowed, 20, "no more than the burst without first tries");
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_server() {
+    let mut pool = TestPool::new(2);
+    let (key, server) = pool.granted(false).expect("a slot");
+    pool.end(key, &server, SlotEnd::Misdirected, 5);
+    for _ in 0..3 {
+        let (_, next) = pool.granted(false).expect("a slot");
+        assert_ne!(next, server, "another server has its address");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn hanging_server() {
+    let mut pool = TestPool::new(4);
+    let (_, sick) = pool.granted(false).expect("a slot");
+    while pool.standing(&sick) != Suspicion::Sick {
+        let held = pool.granted(false);
+        advance(Duration::from_millis(100)).await;
+        pool.placer.tick(Instant::now());
+        if let Some((key, server)) = held.filter(|(_, server)| *server != sick) {
+            pool.end(key, &server, SlotEnd::Good, 100);
+        }
+        assert!(Instant::now().elapsed() < Duration::from_mins(1));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn gone_server() {
+    let mut pool = TestPool::new(2);
+    let (_, server) = pool.granted(false).expect("a slot");
+    let one = pool.settings.services.get_mut(&pool.service).expect("a service");
+    one.servers.remove(&server);
+    pool.placer.adopt(&pool.settings, Instant::now());
+    for _ in 0..3 {
+        let (_, next) = pool.granted(false).expect("a slot");
+        assert_ne!(next, server);
+    }
+}
+
+#[test]
+fn unknown_service() {
+    let mut placer = Placer::new(RegionName::new("vidzemes"));
+    let request = PlaceRequest {
+        key: 1,
+        service: ServiceName::new("none"),
+        center: CenterName::new("turaida"),
+        team: TeamName::new(""),
+        weight: 1.0,
+        priority: 0,
+        deadline: Instant::now() + LIMIT,
+        repeatable: true,
+        bytes: 0,
+        excluded: Vec::new(),
+        repeat: false,
+    };
+    let actions = placer.ask(request, Instant::now());
+    assert_eq!(refused(&actions).map(|one| one.0), Some(RefusalReason::NoServer));
+}
