--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -123,7 +123,7 @@
 
     fn take_event(&mut self, event: DispatchEvent, now: Instant) {
         match event {
-            DispatchEvent::Adopt(snapshot) => self.adopt(snapshot, now),
+            DispatchEvent::Adopt(snapshot) => self.adopt(&snapshot, now),
             DispatchEvent::Cancel(ticket) => self.cancel(ticket, now),
             DispatchEvent::Enqueue { request, reply } => self.enqueue(request, reply, now),
             DispatchEvent::Finish { ticket, outcome } => self.finish(ticket, outcome, now),
@@ -132,12 +132,12 @@
         }
     }
 
-    fn adopt(&mut self, snapshot: Arc<FleetSnapshot>, now: Instant) {
+    fn adopt(&mut self, snapshot: &Arc<FleetSnapshot>, now: Instant) {
         let actions = self.placer.adopt(&snapshot.settings, now);
         let known = |host: &HostName| snapshot.hosts.host(host).is_some();
         let gone = self.foreign.drop_hosts(known);
         let lost = self.asked.take_lost(known);
-        self.snapshot = Some(Arc::clone(&snapshot));
+        self.snapshot = Some(Arc::clone(snapshot));
         self.carry_out(actions, now);
         for key in gone {
             let actions = self.placer.cancel(key, now);
@@ -211,12 +211,11 @@
             class: TryClass::Cancelled,
             draining: false,
         };
-        match self.granted.remove(&ticket) {
-            Some(granted) => self.end_granted(ticket, granted, outcome, now),
-            None => {
-                let actions = self.placer.cancel(ticket.0, now);
-                self.carry_out(actions, now);
-            }
+        if let Some(granted) = self.granted.remove(&ticket) {
+            self.end_granted(ticket, granted, outcome, now);
+        } else {
+            let actions = self.placer.cancel(ticket.0, now);
+            self.carry_out(actions, now);
         }
     }
 
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -31,6 +31,10 @@
 /// ones.
 const WAIT_SHARE: f64 = 0.45;
 
+/// No request waits longer, whatever time it has: a queue that only patient requests can bear turns
+/// all others away.
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
+
 /// A request that is out for so many times the usual time counts against its server.
 const OVERDUE_FACTOR: f64 = 4.0;
 
@@ -166,7 +170,8 @@
         let before = self.line.push(request, now);
         let wait = self.wait_of(before, now);
         let needed = wait + self.service_time.mul_f64(LEAST_SERVICE);
-        if !wait.is_zero() && (needed > left || wait > left.mul_f64(WAIT_SHARE)) {
+        let patience = left.mul_f64(WAIT_SHARE).min(LONGEST_WAIT);
+        if !wait.is_zero() && (needed > left || wait > patience) {
             self.line.remove(key);
             let advice = self.advice(now);
             return vec![refuse(key, RefusalReason::DeadlineEarly, Some(advice))];
--- a/crates/kws-limits/src/keeper.rs
+++ b/crates/kws-limits/src/keeper.rs
@@ -10,7 +10,7 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(150);
 
 /// A bucket that nobody asked for this long is full or forgotten.
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_mins(1);
 
 /// How often idle buckets are looked for.
 const SWEEP_PERIOD: Duration = Duration::from_secs(10);
