--- a/crates/kws-tree/tests/explained_values.rs
+++ b/crates/kws-tree/tests/explained_values.rs
@@ -41,6 +41,7 @@
 #[case("teams.shop", &[
     "teams.shop.burst 10 shop.yaml:10:12",
     "teams.shop.keys [sha256:111111111111..] shop.yaml:11:11",
+    "teams.shop.priority - built-in default",
     "teams.shop.rate 5/s root.yaml:3:16",
     "teams.shop.weight 1 built-in default",
 ])]
