--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -58,6 +58,7 @@
     drain_lag: Duration,
     admin: SocketAddr,
     peer: SocketAddr,
+    settings: HostSettings,
 }
 
 impl RunningDaemon {
@@ -92,6 +93,28 @@
         self.shared.readiness().is_ready() && self.shared.is_current() && !self.shared.is_stopping()
     }
 
+    /// Takes newer settings of this host. The seeds come into force at once; whatever else differs
+    /// does at the next start.
+    pub fn reload(&mut self, settings: &HostSettings, cause: &str) {
+        if settings == &self.settings {
+            return;
+        }
+        let later = HostSettings {
+            seeds: self.settings.seeds.clone(),
+            ..settings.clone()
+        };
+        log::info!(
+            cause = cause,
+            seeds = settings.seeds != self.settings.seeds,
+            at_next_start = later != self.settings;
+            "settings changed"
+        );
+        if settings.seeds != self.settings.seeds {
+            self.shared.set_seeds(settings.seeds.clone());
+        }
+        self.settings = settings.clone();
+    }
+
     /// Stops in order: readiness off, serving on while the balancer learns of it, loans returned,
     /// every request in flight finished.
     pub async fn stop(self) {
@@ -150,6 +173,7 @@
         drain_lag: options.drain_lag,
         admin: admin_address,
         peer: peer_address,
+        settings: settings.clone(),
     })
 }
 
--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -130,6 +130,9 @@
             log::warn!("the machine was suspended; the lease ends");
             return self.rule.clock_stood_still(now);
         }
+        if let Some(seeds) = self.shared.take_seeds() {
+            self.rule.set_seeds(&seeds);
+        }
         if self.shared.is_stopping() && !self.left {
             self.left = true;
             return self.rule.leave(now);
--- a/crates/kws-daemon/src/shared.rs
+++ b/crates/kws-daemon/src/shared.rs
@@ -42,6 +42,7 @@
     readiness: Mutex<Readiness>,
     servers: Mutex<Vec<ServerStatus>>,
     watch: Mutex<WatchTiming>,
+    seeds: Mutex<Option<Vec<SocketAddr>>>,
 }
 
 impl DaemonShared {
@@ -59,6 +60,7 @@
             readiness: Mutex::new(Readiness::Unready(UnreadyReason::NoTree)),
             servers: Mutex::default(),
             watch: Mutex::new(watch),
+            seeds: Mutex::default(),
         }
     }
 
@@ -124,6 +126,16 @@
         *lock(&self.watch) = timing;
     }
 
+    /// Leaves newer seeds for the duty that finds the other hosts.
+    pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *lock(&self.seeds) = Some(seeds);
+    }
+
+    /// The newer seeds, once.
+    pub(crate) fn take_seeds(&self) -> Option<Vec<SocketAddr>> {
+        lock(&self.seeds).take()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -641,6 +641,15 @@
             .collect()
     }
 
+    fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        let own = self.table.own().address;
+        let others = seeds.iter().filter(|seed| **seed != own);
+        self.seeds = others.copied().collect();
+        // Their addresses are told anew, and one of them is asked in the next round.
+        self.roster = None;
+        self.round = 0;
+    }
+
     fn current_until(&self) -> Option<Instant> {
         self.lease_end().filter(|_| self.joined)
     }
--- a/crates/kws-membership/src/rule.rs
+++ b/crates/kws-membership/src/rule.rs
@@ -2,7 +2,7 @@
 
 use crate::{FleetAction, FleetCounters, FleetView};
 use kws_protocol::{HostName, PeerMessage, PublishedValues, TreeRevision};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
 /// Freshness, membership and configuration of one host. Each event takes `now` and returns what to
@@ -42,6 +42,11 @@
         Vec::new()
     }
 
+    /// Takes newer seeds.
+    fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        let _ = seeds;
+    }
+
     /// The end of the lease; none while the host takes no part.
     fn current_until(&self) -> Option<Instant>;
 
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -148,9 +148,6 @@
         for action in actions {
             match action {
                 FleetAction::Send { to, message } => {
-                    let known = host.contacts.contains_key(&to);
-                    let target = self.flying.len();
-                    let _ = (known, target);
                     self.flying.push((number, to, message));
                 }
                 FleetAction::Contact(hosts) => {
@@ -247,6 +244,22 @@
     assert!(mesh.current(7), "a host that met nobody serves");
 }
 
+/// A host whose seeds are all down meets the others by newer ones.
+#[tokio::test(start_paused = true)]
+async fn newer_seeds() {
+    let mut mesh = TestMesh::new(6);
+    for number in 0..3 {
+        mesh.hosts.remove(&number);
+    }
+    mesh.run(Duration::from_secs(4)).await;
+    assert_eq!(mesh.members(5), 0);
+    for host in mesh.hosts.values_mut() {
+        host.view.set_seeds(&[address(4)]);
+    }
+    mesh.run(Duration::from_secs(4)).await;
+    assert_eq!(mesh.members(5), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn change_spreads() {
     let mut mesh = TestMesh::new(12);
--- a/src/bin/knapweedseamd.rs
+++ b/src/bin/knapweedseamd.rs
@@ -2,12 +2,15 @@
 
 use clap::Parser;
 use eyre::{Result, WrapErr};
-use kws_daemon::{load_options, start_daemon, start_logging};
+use kws_daemon::{RunningDaemon, load_options, start_daemon, start_logging};
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::interval,
+};
 
 /// The daemon of the proxy fleet.
-#[derive(Debug, Parser)]
+#[derive(Clone, Debug, Parser)]
 #[command(version, after_help = EXAMPLES)]
 struct DaemonArgs {
     /// The settings of this host.
@@ -33,6 +36,9 @@
     drain_lag: Option<u64>,
 }
 
+/// How often the settings are looked at, since they may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
+
 const EXAMPLES: &str = "Examples:
   knapweedseamd
   knapweedseamd --settings /etc/knapweedseam/host.yaml --name entry-7f3a
@@ -60,11 +66,29 @@
     start_logging(&options.settings.log)?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be caught")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be caught")?;
-    let daemon = start_daemon(&options)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP can't be caught")?;
+    let mut daemon = start_daemon(&options)?;
+    let mut checks = interval(SETTINGS_CHECK);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&mut daemon, &args, "signal"),
+            _ = checks.tick() => reload(&mut daemon, &args, "check"),
+        }
     }
     daemon.stop().await;
     Ok(())
 }
+
+/// Reads the settings again; what is in force stays when they can't be used.
+fn reload(daemon: &mut RunningDaemon, args: &DaemonArgs, cause: &str) {
+    match load_options(&args.settings, args.name.as_deref(), args.listen) {
+        Ok(options) => daemon.reload(&options.settings, cause),
+        Err(error) => log::error!(
+            cause = cause,
+            error = error.to_string().as_str();
+            "the settings can't be used, those in force stay"
+        ),
+    }
+}
--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -336,6 +336,19 @@
     assert_eq!(status.revision.0, 1);
 }
 
+/// A hangup says that the settings may have changed; it stops nothing, also when they are broken.
+#[tokio::test]
+async fn hangup_survived() {
+    let fleet = TestFleet::start(1).await;
+    fleet.wait_admitted().await;
+    fleet.daemons[0].signal("-HUP");
+    fleet.wait_admitted().await;
+    fs::write(fleet.files.path().join("host-1.yaml"), "region: [").expect("settings");
+    fleet.daemons[0].signal("-HUP");
+    sleep(PAUSE * 10).await;
+    fleet.wait_admitted().await;
+}
+
 #[tokio::test]
 async fn planned_stop() {
     let mut fleet = TestFleet::start(1).await;
