--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -14,7 +14,8 @@
 use eyre::Result;
 use foreign::ForeignTickets;
 use kws_dispatch::{
-    DispatchRequest, PlaceAction, PlaceEnd, PlaceRequest, Placer, ServerGrant, Suspicion, TicketId,
+    DispatchRequest, PlaceAction, PlaceEnd, PlaceReport, PlaceRequest, Placer, ServerGrant,
+    Suspicion, TicketId,
 };
 use kws_forward::{Refusal, TryClass, TryOutcome};
 use kws_protocol::{
@@ -250,9 +251,13 @@
                 latency: outcome.latency,
                 draining: outcome.draining,
             };
-            let ended = self
-                .placer
-                .end(ticket.0, &service, Some(&server), place_end, now);
+            let host = self.shared.identity.host.clone();
+            let report = PlaceReport {
+                teller: &host,
+                sent: Some(&server),
+                end: place_end,
+            };
+            let ended = self.placer.end(ticket.0, &service, report, now);
             self.carry_out(ended, now);
         }
         let to = keeper.unwrap_or_else(|| self.keeper(&service, now));
@@ -308,9 +313,12 @@
                     draining,
                 };
                 let key = key.unwrap_or(foreign::UNKNOWN_KEY);
-                let ended = self
-                    .placer
-                    .end(key, &service, server.as_ref(), place_end, now);
+                let report = PlaceReport {
+                    teller: from,
+                    sent: server.as_ref(),
+                    end: place_end,
+                };
+                let ended = self.placer.end(key, &service, report, now);
                 self.carry_out(ended, now);
             }
             TicketMessage::Loads { service, loads } => {
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -1,14 +1,15 @@
 //! Places the requests of a whole region on the backend servers of a service: exact slots, one
 //! queue, one judgement. One host does so for each service; `docs/PLATFORM.md` tells which.
 
+mod complaint;
 mod pool;
 mod server;
 mod suspicion;
 mod waiting;
 
 use kws_protocol::{
-    CenterName, FleetSettings, RefusalReason, RegionName, ServerLoad, ServerName, ServiceName,
-    SlotEnd, TeamName,
+    CenterName, FleetSettings, HostName, RefusalReason, RegionName, ServerLoad, ServerName,
+    ServiceName, SlotEnd, TeamName,
 };
 use pool::ServicePool;
 use std::{
@@ -91,6 +92,17 @@
     pub draining: bool,
 }
 
+/// A try that ended: at which server, and by whose word.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceReport<'a> {
+    /// The host that tells.
+    pub teller: &'a HostName,
+    /// The server that the request was sent to, if it was.
+    pub sent: Option<&'a ServerName>,
+    /// How the try ended.
+    pub end: PlaceEnd,
+}
+
 /// Places for the services of one region.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -167,21 +179,20 @@
         pool.is_some_and(|pool| pool.waits(key))
     }
 
-    /// Ends a request that waits or runs. `sent` names the server that it was sent to, if it was;
-    /// of a request that another host placed only the evidence counts.
+    /// Ends a request that waits or runs; of a request that another host placed only the evidence
+    /// counts.
     pub fn end(
         &mut self,
         key: u64,
         service: &ServiceName,
-        sent: Option<&ServerName>,
-        end: PlaceEnd,
+        report: PlaceReport<'_>,
         now: Instant,
     ) -> Vec<PlaceAction> {
         self.keys.remove(&key);
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
-        let mut actions = pool.finish(key, sent, end, now);
+        let mut actions = pool.finish(key, Some(report), now);
         actions.extend(pool.serve(now));
         self.forget_refused(&actions);
         actions
@@ -192,12 +203,14 @@
         let Some(service) = self.keys.get(&key).cloned() else {
             return Vec::new();
         };
-        let end = PlaceEnd {
-            end: SlotEnd::Cancelled,
-            latency: Duration::ZERO,
-            draining: false,
+        self.keys.remove(&key);
+        let Some(pool) = self.pools.get_mut(&service) else {
+            return Vec::new();
         };
-        self.end(key, &service, None, end, now)
+        let mut actions = pool.finish(key, None, now);
+        actions.extend(pool.serve(now));
+        self.forget_refused(&actions);
+        actions
     }
 
     /// Takes what another host tells of the servers that it places on.
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -1,8 +1,8 @@
 //! The servers and the queue of one service.
 
 use super::{
-    PlaceAction, PlaceEnd, PlaceRequest, server::PlacedServer, suspicion::Suspicion,
-    waiting::WaitingLine,
+    PlaceAction, PlaceReport, PlaceRequest, complaint::PathComplaints, server::PlacedServer,
+    suspicion::Suspicion, waiting::WaitingLine,
 };
 use crate::{RetryBudget, RetrySource};
 use kws_protocol::{
@@ -65,6 +65,10 @@
 /// A service that had a repeatable request within this time keeps its trials for those.
 const REPEATABLE_AGE: Duration = Duration::from_secs(1);
 
+/// A server that waits for a trial for longer than this gets one by a request that may run only once:
+/// capacity that is well again must not lie idle.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
+
 /// One service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServicePool {
@@ -77,6 +81,7 @@
     service_time: Duration,
     budget: RetryBudget,
     repeatable_seen: Option<Instant>,
+    complaints: PathComplaints,
     draws: u64,
 }
 
@@ -93,6 +98,7 @@
             service_time: FIRST_SERVICE_TIME,
             budget: RetryBudget::with_burst(0.0, RETRY_BURST),
             repeatable_seen: None,
+            complaints: PathComplaints::default(),
             draws: 0,
         }
     }
@@ -309,22 +315,26 @@
             .flatten()
     }
 
-    /// A server whose ejection has passed. It costs one request, so one that may be repeated goes
-    /// first.
+    /// A server whose ejection has passed, the one that has waited longest. It costs one request, so
+    /// one that may be repeated goes first, unless none came for a while.
     fn trial(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
         let repeatables = self
             .repeatable_seen
             .is_some_and(|at| now.saturating_duration_since(at) < REPEATABLE_AGE);
-        if !request.excluded.is_empty() || !request.repeatable && repeatables {
-            return None;
-        }
-        let wanted = |one: &PlacedServer| {
+        let due = if request.repeatable || !repeatables {
+            now
+        } else {
+            now - TRIAL_PATIENCE
+        };
+        let wanted = |(name, one): &(&ServerName, &PlacedServer)| {
             // A request that may be repeated tells at little cost whether a suspect is sick.
-            one.wants_trial(now) || request.repeatable && one.wants_test(now)
+            let tells = one.wants_trial(due, now) || request.repeatable && one.wants_test(now);
+            self.is_near(one) && tells && !request.excluded.contains(name)
         };
-        let mut near = self.servers.iter().filter(|(_, one)| self.is_near(one));
-        let found = near.find(|(_, one)| wanted(one));
-        found.map(|(name, _)| name.clone())
+        let found = self.servers.iter().filter(wanted);
+        found
+            .min_by_key(|(_, one)| one.last_used)
+            .map(|(name, _)| name.clone())
     }
 
     fn best(
@@ -374,29 +384,33 @@
     pub(crate) fn finish(
         &mut self,
         key: u64,
-        sent: Option<&ServerName>,
-        end: PlaceEnd,
+        report: Option<PlaceReport<'_>>,
         now: Instant,
     ) -> Vec<PlaceAction> {
         if self.line.remove(key) {
             return Vec::new();
         }
-        let placed = self.placed.remove(&key);
-        let Some(name) = sent.or(placed.as_ref()).cloned() else {
-            return Vec::new();
-        };
-        if let Some(placed) = &placed
-            && let Some(entry) = self.servers.get_mut(placed)
+        if let Some(placed) = self.placed.remove(&key)
+            && let Some(entry) = self.servers.get_mut(&placed)
         {
             entry.finish(key);
         }
-        if sent.is_none() {
-            return Vec::new();
-        }
-        self.judge(&name, end, now).into_iter().collect()
+        let told = report.and_then(|report| Some((report, report.sent?)));
+        let judged = told.and_then(|(report, name)| self.judge(name, report, now));
+        judged.into_iter().collect()
     }
 
-    fn judge(&mut self, name: &ServerName, end: PlaceEnd, now: Instant) -> Option<PlaceAction> {
+    fn judge(
+        &mut self,
+        name: &ServerName,
+        report: PlaceReport<'_>,
+        now: Instant,
+    ) -> Option<PlaceAction> {
+        let end = report.end;
+        let complains = matches!(end.end, SlotEnd::Late | SlotEnd::Unreached);
+        if complains && !self.complaints.note(report.teller, name, now) {
+            return None;
+        }
         let room = self.may_eject(name, now);
         let limit = self.overdue_limit();
         let settings = self.settings.as_ref()?;
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -107,9 +107,9 @@
         self.evidence.verdict(now).min(Suspicion::Suspect)
     }
 
-    /// Whether its ejection has passed, so that one request may try it.
-    pub(crate) fn wants_trial(&self, now: Instant) -> bool {
-        self.is_idle(now) && self.ejection.is_some_and(|out| now >= out.until)
+    /// Whether its ejection had passed by `due`, so that one request may try it.
+    pub(crate) fn wants_trial(&self, due: Instant, now: Instant) -> bool {
+        self.is_idle(now) && self.ejection.is_some_and(|out| due >= out.until)
     }
 
     /// Whether one answer would tell if what speaks against it was chance.
--- a/crates/kws-dispatch/tests/placed_together.rs
+++ b/crates/kws-dispatch/tests/placed_together.rs
@@ -1,10 +1,10 @@
 //! One placer for a region: exact slots, one queue, one judgement; by events in and actions out.
 
-use kws_dispatch::{PlaceAction, PlaceEnd, PlaceRequest, Placer, Suspicion};
+use kws_dispatch::{PlaceAction, PlaceEnd, PlaceReport, PlaceRequest, Placer, Suspicion};
 use kws_fixture::SampleFleet;
 use kws_protocol::{
-    CenterName, FleetSettings, RefusalReason, RegionName, ServerName, ServiceName, SlotEnd,
-    TeamName,
+    CenterName, FleetSettings, HostName, RefusalReason, RegionName, ServerName, ServiceName,
+    SlotEnd, TeamName,
 };
 use rstest::rstest;
 use std::{collections::BTreeMap, time::Duration};
@@ -77,14 +77,29 @@
     }
 
     fn end(&mut self, key: u64, server: &ServerName, end: SlotEnd, ms: u64) -> Vec<PlaceAction> {
+        self.told_end("host-1", (key, server), end, ms)
+    }
+
+    /// Ends a try by the word of a host.
+    fn told_end(
+        &mut self,
+        host: &str,
+        (key, server): (u64, &ServerName),
+        end: SlotEnd,
+        ms: u64,
+    ) -> Vec<PlaceAction> {
         let end = PlaceEnd {
             end,
             latency: Duration::from_millis(ms),
             draining: false,
         };
         let service = self.service.clone();
-        self.placer
-            .end(key, &service, Some(server), end, Instant::now())
+        let report = PlaceReport {
+            teller: &HostName::new(host),
+            sent: Some(server),
+            end,
+        };
+        self.placer.end(key, &service, report, Instant::now())
     }
 
     /// Sends requests one after the other; `fails` says which server answers with an error. Gives
@@ -213,6 +228,42 @@
     );
 }
 
+/// A host that woke from a pause, or whose link is bad, complains of every server that it used.
+#[tokio::test(start_paused = true)]
+async fn complaining_host() {
+    let mut pool = TestPool::new(6);
+    for _ in 0..3 {
+        let held: Vec<(u64, ServerName)> = (0..6).filter_map(|_| pool.granted(false)).collect();
+        for (key, server) in &held {
+            pool.told_end("host-9", (*key, server), SlotEnd::Unreached, 250);
+        }
+    }
+    let now = Instant::now();
+    let blamed = pool
+        .placer
+        .standings(now)
+        .filter(|(_, _, one)| *one != Suspicion::Clean);
+    assert!(blamed.count() <= 2);
+}
+
+/// Several servers that are well again all come back, whatever the requests are.
+#[tokio::test(start_paused = true)]
+async fn all_return() {
+    let mut pool = TestPool::new(6);
+    let service = pool.service.clone();
+    let names = pool.placer.servers(&service);
+    let sick: Vec<ServerName> = names.into_iter().take(3).cloned().collect();
+    pool.run(100, false, |server| sick.contains(server)).await;
+    // One request in ten may be repeated, and seldom meets a trial that is due.
+    for _ in 0..40 {
+        pool.run(1, true, |_| false).await;
+        pool.run(9, false, |_| false).await;
+    }
+    for server in &sick {
+        assert_ne!(pool.standing(server), Suspicion::Sick, "{server}");
+    }
+}
+
 /// A service that fails as a whole keeps its floor in service.
 #[tokio::test(start_paused = true)]
 async fn floor_kept() {
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -1,8 +1,10 @@
 //! Frames decode to what was encoded, and no frame panics.
 
 use kws_protocol::{
-    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, PeerMessage, RegionName,
-    RevisionView, ServerDigest, TeamName, TreeRevision, decode_message, encode_message,
+    ConfigMessage, HealthMessage, LeaseMessage, LoanId, LoanMessage, MemberWord, MeshMember,
+    MeshMessage, PeerMessage, RefusalReason, RegionName, RevisionView, ServerDigest, ServerLoad,
+    SlotEnd, SlotRequest, TeamName, TicketMessage, TreeRevision, ValuesView, decode_message,
+    encode_message,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -53,6 +55,78 @@
     digest("till", "till-2", 9),
     digest("listing", "listing-1", 9),
 ])))]
+#[case::beat(PeerMessage::Mesh(MeshMessage::Beat {
+    nonce: 7,
+    view: ValuesView {
+        revision: TreeRevision(4),
+        digest: 5,
+        confirmed_age: Some(Duration::from_millis(6)),
+        cut_off: true,
+    },
+    members: 8,
+}))]
+#[case::reply(PeerMessage::Mesh(MeshMessage::Reply {
+    nonce: 7,
+    view: ValuesView::default(),
+    members: 8,
+    ages: vec![Duration::ZERO, Duration::from_millis(1_300)],
+}))]
+#[case::members(PeerMessage::Mesh(MeshMessage::Members(vec![MemberWord {
+    member: MeshMember {
+        name: "10.0.0.7:700/1".into(),
+        region: "vidzemes".into(),
+        center: "turaida".into(),
+        address: ([10, 0, 0, 7], 700).into(),
+    },
+    age: Duration::from_millis(200),
+}])))]
+#[case::change(PeerMessage::Mesh(MeshMessage::Change {
+    base: 1,
+    revision: TreeRevision(8),
+    digest: 2,
+    set: vec![("a".to_owned(), "1".into())],
+    removed: vec!["b".to_owned()],
+}))]
+#[case::ask(PeerMessage::Ticket(TicketMessage::Ask(SlotRequest {
+    ticket: 3,
+    service: "till".into(),
+    center: "turaida".into(),
+    team: "orchard".into(),
+    weight: 1.5,
+    priority: 2,
+    left: Duration::from_millis(900),
+    repeatable: false,
+    bytes: 1_000,
+    excluded: vec!["till-1".into()],
+    repeat: true,
+})))]
+#[case::grant(PeerMessage::Ticket(TicketMessage::Grant {
+    ticket: 3,
+    server: "till-2".into(),
+    address: ([10, 0, 0, 9], 80).into(),
+}))]
+#[case::refuse(PeerMessage::Ticket(TicketMessage::Refuse {
+    ticket: 3,
+    reason: RefusalReason::DeadlineEarly,
+    retry_after: Some(Duration::from_millis(70)),
+}))]
+#[case::end(PeerMessage::Ticket(TicketMessage::End {
+    ticket: 3,
+    service: "till".into(),
+    server: Some("till-2".into()),
+    end: SlotEnd::Misdirected,
+    latency: Duration::from_micros(1_234),
+    draining: true,
+}))]
+#[case::loads(PeerMessage::Ticket(TicketMessage::Loads {
+    service: "till".into(),
+    loads: vec![ServerLoad { server: "till-2".into(), placed: 2, evidence: 1.5 }],
+}))]
+#[case::ask_token(PeerMessage::Ticket(TicketMessage::AskToken {
+    id: 4,
+    team: "orchard".into(),
+    short: true,
+}))]
 fn round_trip(#[case] message: PeerMessage) {
     let frame = encode_message(&message).expect("encodes");
     assert_eq!(decode_message(&frame).expect("decodes"), message);
