--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -69,6 +69,16 @@
 /// capacity that is well again must not lie idle.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
 
+/// With this share of requests unserved, servers in doubt are tried by any request: the service needs
+/// whatever is well again.
+const EAGER_FROM: f64 = 0.07;
+
+/// A suspect that had no request for this long is tried then.
+const IDLE_SUSPECT: Duration = Duration::from_millis(1_200);
+
+/// The weight of the newest end in the share of requests unserved, between 0 and 1.
+const UNSERVED_GAIN: f64 = 0.03;
+
 /// One service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServicePool {
@@ -82,6 +92,8 @@
     budget: RetryBudget,
     repeatable_seen: Option<Instant>,
     complaints: PathComplaints,
+    /// The share of requests that ended badly or were refused, lately.
+    unserved: f64,
     draws: u64,
 }
 
@@ -99,6 +111,7 @@
             budget: RetryBudget::with_burst(0.0, RETRY_BURST),
             repeatable_seen: None,
             complaints: PathComplaints::default(),
+            unserved: 0.0,
             draws: 0,
         }
     }
@@ -179,6 +192,7 @@
         let patience = left.mul_f64(WAIT_SHARE).min(LONGEST_WAIT);
         if !wait.is_zero() && (needed > left || wait > patience) {
             self.line.remove(key);
+            self.note_unserved(true);
             let advice = self.advice(now);
             return vec![refuse(key, RefusalReason::DeadlineEarly, Some(advice))];
         }
@@ -321,14 +335,19 @@
         let repeatables = self
             .repeatable_seen
             .is_some_and(|at| now.saturating_duration_since(at) < REPEATABLE_AGE);
-        let due = if request.repeatable || !repeatables {
+        let short = self.unserved > EAGER_FROM;
+        let due = if request.repeatable || !repeatables || short {
             now
         } else {
             now - TRIAL_PATIENCE
         };
         let wanted = |(name, one): &(&ServerName, &PlacedServer)| {
             // A request that may be repeated tells at little cost whether a suspect is sick.
-            let tells = one.wants_trial(due, now) || request.repeatable && one.wants_test(now);
+            let idle = one
+                .last_used
+                .is_none_or(|at| now.saturating_duration_since(at) > IDLE_SUSPECT);
+            let tests = one.wants_test(now) && (request.repeatable || short && idle);
+            let tells = one.wants_trial(due, now) || tests;
             self.is_near(one) && tells && !request.excluded.contains(name)
         };
         let found = self.servers.iter().filter(wanted);
@@ -407,6 +426,7 @@
         now: Instant,
     ) -> Option<PlaceAction> {
         let end = report.end;
+        self.note_unserved(end.end != SlotEnd::Good && end.end != SlotEnd::Cancelled);
         let complains = matches!(end.end, SlotEnd::Late | SlotEnd::Unreached);
         if complains && !self.complaints.note(report.teller, name, now) {
             return None;
@@ -460,6 +480,11 @@
         self.service_time.mul_f64(OVERDUE_FACTOR).max(LEAST_OVERDUE)
     }
 
+    fn note_unserved(&mut self, unserved: bool) {
+        let newest = f64::from(u8::from(unserved));
+        self.unserved += UNSERVED_GAIN * (newest - self.unserved);
+    }
+
     fn learn_time(&mut self, time: Duration) {
         self.service_time = self.service_time.mul_f64(1.0 - TIME_GAIN) + time.mul_f64(TIME_GAIN);
     }
