Logs never block: lines pass a bounded ring, those left out are counted

A daemon whose output nobody read stood still once the pipe was full: every duty waited for the log (tests/daemon_processes.rs, unread_log, failing before).

--- a/crates/kws-admin/src/metrics.rs
+++ b/crates/kws-admin/src/metrics.rs
@@ -54,6 +54,7 @@
     current: IntGauge,
     ready: IntGauge,
     servers: IntGaugeVec,
+    log_dropped: IntCounter,
 }
 
 impl FleetMetrics {
@@ -83,6 +84,10 @@
             revision: IntGauge::with_opts(options("revision", "Revision in force"))?,
             current: IntGauge::with_opts(options("current", "1 while the lease holds"))?,
             ready: IntGauge::with_opts(options("ready", "1 while ready"))?,
+            log_dropped: IntCounter::with_opts(options(
+                "log_lines_dropped_total",
+                "Log lines left out",
+            ))?,
             servers: IntGaugeVec::new(
                 options("servers", "Backend servers by state"),
                 &["service", "state"],
@@ -94,7 +99,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.refusals.clone()),
@@ -111,6 +116,7 @@
             Box::new(self.current.clone()),
             Box::new(self.ready.clone()),
             Box::new(self.servers.clone()),
+            Box::new(self.log_dropped.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector)?;
@@ -197,6 +203,12 @@
         self.ring_full.with_label_values(&[ring]).inc();
     }
 
+    /// Takes the number of log lines left out so far.
+    pub fn set_log_dropped(&self, lines: u64) {
+        let known = self.log_dropped.get();
+        self.log_dropped.inc_by(lines.saturating_sub(known));
+    }
+
     /// Sets the revision in force.
     pub fn set_revision(&self, revision: u64) {
         self.revision
--- a/crates/kws-daemon/src/admin.rs
+++ b/crates/kws-daemon/src/admin.rs
@@ -1,6 +1,8 @@
 //! What the admin listener shows of this daemon.
 
-use crate::{duty::start_thread, fleet::listed_hosts, shared::DaemonShared};
+use crate::{
+    duty::start_thread, fleet::listed_hosts, logging::dropped_lines, shared::DaemonShared,
+};
 use eyre::Result;
 use kws_admin::{AdminView, FleetMetrics, run_admin};
 use kws_protocol::StatusReport;
@@ -49,6 +51,7 @@
     }
 
     fn metrics(&self) -> &FleetMetrics {
+        self.0.metrics.set_log_dropped(dropped_lines());
         &self.0.metrics
     }
 }
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -370,6 +370,12 @@
         if self.roster.as_ref() == Some(&roster) {
             return;
         }
+        log::info!(
+            members = roster.len(),
+            known = self.table.words(now).len() - 1,
+            reads = self.is_reader(now);
+            "members changed"
+        );
         self.roster = Some(roster);
         let seeds = self.seeds.iter().map(|seed| ListedHost {
             name: seed_name(*seed),
--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -11,7 +11,7 @@
 use std::{
     fmt::Write as _,
     fs,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Lines},
     net::SocketAddr,
     process::{Child, ChildStdout, Command, Stdio},
     thread,
@@ -36,6 +36,8 @@
     listen: SocketAddr,
     admin: SocketAddr,
     peer: SocketAddr,
+    /// Its output, when nobody reads it: the pipe must not close.
+    _unread: Option<LogLines>,
 }
 
 impl DaemonProcess {
@@ -59,6 +61,7 @@
     servers: Vec<BackendHandle>,
     daemons: Vec<DaemonProcess>,
     files: TempDir,
+    read_logs: bool,
 }
 
 /// The status and body of one answer; none when the connection broke.
@@ -66,6 +69,11 @@
 
 impl TestFleet {
     async fn start(hosts: usize) -> Self {
+        Self::start_with(hosts, true).await
+    }
+
+    /// `read_logs` says whether anyone reads the daemons' output.
+    async fn start_with(hosts: usize, read_logs: bool) -> Self {
         let mut servers = Vec::new();
         for _ in 0..2 {
             let server = BackendServer::start(BackendScript::default()).await;
@@ -76,6 +84,7 @@
             servers,
             daemons: Vec::new(),
             files: TempDir::new().expect("directory"),
+            read_logs,
         };
         fs::write(
             fleet.files.path().join("secret"),
@@ -114,13 +123,20 @@
             .stdout(Stdio::piped())
             .spawn()
             .expect("the daemon starts");
-        let started = read_started(child.stdout.take().expect("a pipe"));
+        let (started, rest) = read_started(child.stdout.take().expect("a pipe"));
+        let unread = if self.read_logs {
+            thread::spawn(move || rest.count());
+            None
+        } else {
+            Some(rest)
+        };
         self.daemons.push(DaemonProcess {
             child,
             name: name.to_owned(),
             listen: started.listen,
             admin: started.admin,
             peer: started.peer,
+            _unread: unread,
         });
     }
 
@@ -232,15 +248,17 @@
 }
 
 /// Reads the log up to the line that names the addresses, and the rest on a thread of its own.
-fn read_started(stdout: ChildStdout) -> StartedLine {
+type LogLines = Lines<BufReader<ChildStdout>>;
+
+fn read_started(stdout: ChildStdout) -> (StartedLine, LogLines) {
     let mut lines = BufReader::new(stdout).lines();
     let started = lines
         .by_ref()
         .map(|line| serde_json::from_str(&line.expect("a line")).expect("a JSON line"))
         .find(|line: &LogLine| line.message == "started")
         .expect("the daemon says where it listens");
-    thread::spawn(move || lines.count());
-    serde_json::from_value(started.attributes).expect("addresses")
+    let started = serde_json::from_value(started.attributes).expect("addresses");
+    (started, lines)
 }
 
 async fn get(address: SocketAddr, path: &str, key: Option<&str>) -> Answer {
@@ -336,6 +354,22 @@
     assert_eq!(status.revision.0, 1);
 }
 
+/// Nobody reads the log: its pipe is full after some hundred lines, the ring after a thousand, and requests go on.
+#[tokio::test]
+async fn unread_log() {
+    let fleet = TestFleet::start_with(1, false).await;
+    fleet.wait_admitted().await;
+    for _ in 0..1_400 {
+        let answer = timeout(PATIENCE / 6, get(fleet.daemons[0].listen, "/none", None)).await;
+        answer.expect("in time").expect("an answer");
+    }
+    let metrics = get(fleet.daemons[0].admin, "/metrics", None).await;
+    let (_, text) = metrics.expect("the metrics");
+    let counted = |line: &&str| line.starts_with("knapweedseam_log_lines_dropped_total ");
+    let line = text.lines().find(counted).expect("a counter");
+    assert!(!line.ends_with(" 0"), "{line}");
+}
+
 /// A hangup says that the settings may have changed; it stops nothing, also when they are broken.
 #[tokio::test]
 async fn hangup_survived() {
