--- a/crates/kws-bench/src/forward.rs
+++ b/crates/kws-bench/src/forward.rs
@@ -72,7 +72,7 @@
 /// The listener with a control that always grants, or within a whole daemon.
 enum BenchListener {
     Alone(ListenerHandle),
-    Daemon(RunningDaemon),
+    Daemon(Box<RunningDaemon>),
 }
 
 impl BenchListener {
@@ -116,7 +116,7 @@
     while !is_admitted(daemon.address()).await? {
         sleep(Duration::from_millis(100)).await;
     }
-    Ok(BenchListener::Daemon(daemon))
+    Ok(BenchListener::Daemon(Box::new(daemon)))
 }
 
 impl ForwardArgs {
