--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -71,10 +71,10 @@
 
 /// With this share of requests unserved, servers in doubt are tried by any request: the service needs
 /// whatever is well again.
-const EAGER_FROM: f64 = 0.07;
+const EAGER_FROM: f64 = 0.12;
 
 /// A suspect that had no request for this long is tried then.
-const IDLE_SUSPECT: Duration = Duration::from_millis(1_200);
+const IDLE_SUSPECT: Duration = Duration::from_millis(1_500);
 
 /// The weight of the newest end in the share of requests unserved, between 0 and 1.
 const UNSERVED_GAIN: f64 = 0.03;
@@ -336,6 +336,7 @@
             .repeatable_seen
             .is_some_and(|at| now.saturating_duration_since(at) < REPEATABLE_AGE);
         let short = self.unserved > EAGER_FROM;
+        let ejection = &self.settings.as_ref()?.ejection;
         let due = if request.repeatable || !repeatables || short {
             now
         } else {
@@ -346,8 +347,9 @@
             let idle = one
                 .last_used
                 .is_none_or(|at| now.saturating_duration_since(at) > IDLE_SUSPECT);
-            let tests = one.wants_test(now) && (request.repeatable || short && idle);
-            let tells = one.wants_trial(due, now) || tests;
+            let tests = one.wants_test(now) && (request.repeatable || idle);
+            let early = short && one.wants_early_trial(ejection, now);
+            let tells = one.wants_trial(due, now) || early || tests;
             self.is_near(one) && tells && !request.excluded.contains(name)
         };
         let found = self.servers.iter().filter(wanted);
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -112,6 +112,12 @@
         self.is_idle(now) && self.ejection.is_some_and(|out| due >= out.until)
     }
 
+    /// The same, with no ejection longer than the first one: the service is short of servers.
+    pub(crate) fn wants_early_trial(&self, settings: &EjectionSettings, now: Instant) -> bool {
+        let passed = |out: Ejection| now + out.length >= out.until + settings.base;
+        self.is_idle(now) && self.ejection.is_some_and(passed)
+    }
+
     /// Whether one answer would tell if what speaks against it was chance.
     pub(crate) fn wants_test(&self, now: Instant) -> bool {
         self.is_idle(now) && self.suspicion(now) == Suspicion::Suspect
@@ -153,7 +159,9 @@
     pub(crate) fn good(&mut self, now: Instant) {
         self.evidence.good(now);
         self.strikes = 0;
-        if self.ejection.is_some_and(|out| now >= out.until) {
+        // Requests that were out when it was ejected tell nothing of it now.
+        let tried = self.last_used.zip(self.ejection);
+        if tried.is_some_and(|(used, out)| used + out.length > out.until) {
             self.ejection = None;
             self.evidence.clear(now);
         }
@@ -175,9 +183,13 @@
     }
 
     fn judge(&mut self, settings: &EjectionSettings, room: bool, now: Instant) -> bool {
-        let failed_trial = self.ejection.filter(|out| now >= out.until);
+        let failed_trial = self.ejection.filter(|out| {
+            let since_ejection = |used: Instant| used + out.length > out.until;
+            self.last_used.is_some_and(since_ejection)
+        });
         let sick = self.evidence.verdict(now) == Suspicion::Sick;
-        if self.is_out(now) || !(room && sick || failed_trial.is_some()) {
+        let still_out = self.ejection.is_some() && failed_trial.is_none();
+        if still_out || !(room && sick || failed_trial.is_some()) {
             return false;
         }
         let length = failed_trial.map_or(settings.base, |out| (out.length * 2).min(settings.max));
