--- a/crates/kws-limits/src/keeper.rs
+++ b/crates/kws-limits/src/keeper.rs
@@ -1,7 +1,7 @@
 //! Tokens of teams where the platform lists no hosts: one host of each region keeps the region's
 //! share of a team. `docs/LIMITS.md` says what that can promise.
 
-use kws_protocol::{FleetSettings, RegionName, TeamName};
+use kws_protocol::{FleetSettings, RegionName, TeamName, TeamSettings};
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
@@ -40,9 +40,19 @@
 #[derive(Clone, Copy, Debug)]
 struct TokenBucket {
     level: f64,
+    /// In tokens a second.
+    rate: f64,
     filled: Instant,
 }
 
+impl TokenBucket {
+    /// The time until a whole token is there.
+    fn time_to_token(&self) -> Duration {
+        let seconds = (1.0 - self.level) / self.rate;
+        Duration::from_secs_f64(seconds.clamp(0.0, MAX_RETRY.as_secs_f64()))
+    }
+}
+
 /// The tokens that one host keeps, or a part of them that it uses alone.
 #[derive(Clone, Debug)]
 pub struct TokenKeeper {
@@ -91,15 +101,12 @@
             return TokenAnswer::Now;
         }
         self.sweep(now);
-        let weight = region_share(settings, &self.region) * part;
-        let rate = (limit.rate * weight).max(f64::MIN_POSITIVE);
-        let burst = (limit.burst * weight).max(1.0);
-        let bucket = self.fill(team, (rate, burst), now);
+        let bucket = self.fill(limit, part * region_share(settings, &self.region), now);
         if bucket.level >= 1.0 {
             bucket.level -= 1.0;
             return TokenAnswer::Now;
         }
-        let missing = Duration::from_secs_f64(((1.0 - bucket.level) / rate).min(1e6));
+        let missing = bucket.time_to_token();
         if missing <= LONGEST_WAIT {
             bucket.level -= 1.0;
             return TokenAnswer::After(missing);
@@ -114,37 +121,31 @@
         let Some(limit) = settings.teams.get(team) else {
             return TokenAnswer::Unknown;
         };
-        let weight = region_share(settings, &self.region);
-        let rate = (limit.rate * weight).max(f64::MIN_POSITIVE);
-        let burst = (limit.burst * weight).max(1.0);
-        let bucket = self.fill(team, (rate, burst), now);
+        let bucket = self.fill(limit, region_share(settings, &self.region), now);
         if bucket.level >= 1.0 {
             bucket.level -= 1.0;
             return TokenAnswer::Now;
         }
-        let missing = Duration::from_secs_f64(((1.0 - bucket.level) / rate).min(1e6));
         TokenAnswer::Refused {
-            retry_after: missing.min(MAX_RETRY),
+            retry_after: bucket.time_to_token().min(MAX_RETRY),
         }
     }
 
-    /// The team's bucket, filled up to `now`.
-    fn fill(
-        &mut self,
-        team: &TeamName,
-        (rate, burst): (f64, f64),
-        now: Instant,
-    ) -> &mut TokenBucket {
+    /// The team's bucket with `part` of its rate and burst, filled up to `now`.
+    fn fill(&mut self, team: &TeamSettings, part: f64, now: Instant) -> &mut TokenBucket {
         let since = self.since;
+        let burst = (team.burst * part).max(1.0);
         let bucket = self
             .buckets
-            .entry(team.clone())
+            .entry(team.name.clone())
             .or_insert_with(|| TokenBucket {
                 level: 0.0,
+                rate: 0.0,
                 filled: since,
             });
+        bucket.rate = (team.rate * part).max(f64::MIN_POSITIVE);
         let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
-        bucket.level = (bucket.level + time * rate).min(burst);
+        bucket.level = (bucket.level + time * bucket.rate).min(burst);
         bucket.filled = bucket.filled.max(now);
         bucket
     }
