--- a/crates/kws-dispatch/tests/placed_together.rs
+++ b/crates/kws-dispatch/tests/placed_together.rs
@@ -36,6 +36,8 @@
             server.region = region.clone();
         }
         one.retry_budget = 0.2;
+        one.ejection.base = Duration::from_secs(2);
+        one.ejection.max = Duration::from_secs(4);
         one.floor = 0.5;
         let mut pool = Self {
             placer: Placer::new(region),
