--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -124,13 +124,12 @@
 
     /// Takes newer settings. Requests that wait for a service that is gone are refused.
     pub fn adopt(&mut self, settings: &FleetSettings, now: Instant) -> Vec<PlaceAction> {
-        let regions = settings.regions.len().max(1) as f64;
         for (name, service) in &settings.services {
             let region = &self.region;
             self.pools
                 .entry(name.clone())
-                .or_insert_with(|| ServicePool::new(name, region.clone(), now))
-                .adopt(service, regions, now);
+                .or_insert_with(|| ServicePool::new(name, region.clone()))
+                .adopt(service, now);
         }
         let mut actions = Vec::new();
         self.pools.retain(|name, pool| {
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -99,7 +99,7 @@
 
 impl ServicePool {
     /// A service without servers.
-    pub(crate) fn new(name: &ServiceName, region: RegionName, _now: Instant) -> Self {
+    pub(crate) fn new(name: &ServiceName, region: RegionName) -> Self {
         Self {
             name: name.clone(),
             region,
@@ -116,9 +116,8 @@
         }
     }
 
-    /// Takes newer settings; servers of the first ones are taken to be warm. `_regions` regions
-    /// place for the service, each with a budget of its own.
-    pub(crate) fn adopt(&mut self, settings: &ServiceSettings, _regions: f64, now: Instant) {
+    /// Takes newer settings; servers of the first ones are taken to be warm.
+    pub(crate) fn adopt(&mut self, settings: &ServiceSettings, now: Instant) {
         let first = self.settings.is_none();
         if first {
             self.budget = RetryBudget::with_burst(settings.retry_budget, RETRY_BURST);
