--- a/crates/kws-daemon/src/doubt.rs
+++ b/crates/kws-daemon/src/doubt.rs
@@ -1,6 +1,6 @@
 //! Hosts that did not answer lately.
 
-use kws_protocol::HostName;
+use kws_protocol::{HostName, rendezvous_order};
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
@@ -23,8 +23,19 @@
         self.0.remove(host);
     }
 
-    /// Whether `host` should be passed over now.
-    pub(crate) fn is_doubted(&self, host: &HostName, now: Instant) -> bool {
+    /// The first of `hosts` by rendezvous for `subject` that is not in doubt.
+    pub(crate) fn first_trusted<'a>(
+        &self,
+        subject: &str,
+        hosts: impl Iterator<Item = &'a HostName>,
+        now: Instant,
+    ) -> Option<HostName> {
+        let trusted = hosts.filter(|host| !self.is_doubted(host, now));
+        let order = rendezvous_order(subject, trusted.map(HostName::as_str));
+        order.first().map(|name| HostName::new(name))
+    }
+
+    fn is_doubted(&self, host: &HostName, now: Instant) -> bool {
         self.0.get(host).is_some_and(|until| now < *until)
     }
 }
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -156,11 +156,9 @@
             let near = snapshot.hosts.in_region(&identity.region);
             near.map(|host| &host.name)
         });
-        let trusted = hosts.filter(|host| !self.doubts.is_doubted(host, now));
-        let names = trusted.chain([&identity.host]).map(HostName::as_str);
-        let order = rendezvous_order(service.as_str(), names);
-        let first = order.first().copied();
-        first.map_or_else(|| identity.host.clone(), HostName::new)
+        let hosts = hosts.chain([&identity.host]);
+        let first = self.doubts.first_trusted(service.as_str(), hosts, now);
+        first.unwrap_or_else(|| identity.host.clone())
     }
 
     fn enqueue(&mut self, request: DispatchRequest, reply: GrantReply, now: Instant) {
--- a/crates/kws-daemon/src/tokens.rs
+++ b/crates/kws-daemon/src/tokens.rs
@@ -10,9 +10,7 @@
 use eyre::Result;
 use kws_forward::Refusal;
 use kws_limits::{TokenAnswer, TokenKeeper};
-use kws_protocol::{
-    FleetSnapshot, HostName, PeerMessage, RefusalReason, TeamName, TicketMessage, rendezvous_order,
-};
+use kws_protocol::{FleetSnapshot, HostName, PeerMessage, RefusalReason, TeamName, TicketMessage};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::Receiver,
@@ -172,7 +170,8 @@
     fn answer(&mut self, answer: TokenAnswer, team: &TeamName, waiter: TokenWaiter, now: Instant) {
         let refused = matches!(answer, TokenAnswer::Refused { .. });
         let dry = self.dry.get(team).is_some_and(|until| now < *until);
-        match self.far_keeper(team, now).filter(|_| refused && !dry) {
+        let far = (refused && !dry).then(|| self.far_keeper(team, now));
+        match far.flatten() {
             Some(far) => self.ask(team.clone(), waiter, far, Some(answer), now),
             None => self.settle(answer, waiter),
         }
@@ -186,9 +185,8 @@
         let regions: Vec<_> = others.collect();
         let region = regions.get(rand::random_range(0..regions.len().max(1)))?;
         let hosts = snapshot.hosts.in_region(region);
-        let trusted = hosts.filter(|host| !self.doubts.is_doubted(&host.name, now));
-        let order = rendezvous_order(team.as_str(), trusted.map(|host| host.name.as_str()));
-        order.first().map(|name| HostName::new(name))
+        let names = hosts.map(|host| &host.name);
+        self.doubts.first_trusted(team.as_str(), names, now)
     }
 
     fn settle(&self, answer: TokenAnswer, waiter: TokenWaiter) {
@@ -221,12 +219,9 @@
     /// The host that keeps the team's tokens in this region; this one when it knows no other.
     fn keeper_of(&self, team: &TeamName, now: Instant) -> HostName {
         let own = &self.shared.identity.host;
-        let hosts = self.hosts.iter();
-        let trusted = hosts.filter(|host| !self.doubts.is_doubted(host, now));
-        let names = trusted.chain([own]).map(HostName::as_str);
-        let order = rendezvous_order(team.as_str(), names);
-        let first = order.first().copied();
-        first.map_or_else(|| own.clone(), HostName::new)
+        let hosts = self.hosts.iter().chain([own]);
+        let first = self.doubts.first_trusted(team.as_str(), hosts, now);
+        first.unwrap_or_else(|| own.clone())
     }
 
     fn hear(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -187,14 +187,7 @@
         report: PlaceReport<'_>,
         now: Instant,
     ) -> Vec<PlaceAction> {
-        self.keys.remove(&key);
-        let Some(pool) = self.pools.get_mut(service) else {
-            return Vec::new();
-        };
-        let mut actions = pool.finish(key, Some(report), now);
-        actions.extend(pool.serve(now));
-        self.forget_refused(&actions);
-        actions
+        self.finish(key, service, Some(report), now)
     }
 
     /// Forgets a request whose sender is gone.
@@ -202,11 +195,22 @@
         let Some(service) = self.keys.get(&key).cloned() else {
             return Vec::new();
         };
+        self.finish(key, &service, None, now)
+    }
+
+    /// Takes a request off its pool, whose room may go to requests that wait.
+    fn finish(
+        &mut self,
+        key: u64,
+        service: &ServiceName,
+        report: Option<PlaceReport<'_>>,
+        now: Instant,
+    ) -> Vec<PlaceAction> {
         self.keys.remove(&key);
-        let Some(pool) = self.pools.get_mut(&service) else {
+        let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
-        let mut actions = pool.finish(key, None, now);
+        let mut actions = pool.finish(key, report, now);
         actions.extend(pool.serve(now));
         self.forget_refused(&actions);
         actions
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -253,13 +253,22 @@
         self.next_beat = now + period;
         self.round += 1;
         let targets = self.beat_targets(now);
+        self.beat_all(&targets, now, actions);
+    }
+
+    /// Asks `targets` in one round.
+    fn beat_all(&mut self, targets: &[HostName], now: Instant, actions: &mut Vec<FleetAction>) {
         if targets.is_empty() {
             return;
         }
         let nonce = self.questions.open(now, self.lease());
-        for to in targets {
-            actions.push(Self::send(&to, self.beat_message(nonce, now)));
-        }
+        let message = MeshMessage::Beat {
+            nonce,
+            view: self.view(now),
+            members: self.table.digest(),
+        };
+        let sent = targets.iter().map(|to| Self::send(to, message.clone()));
+        actions.extend(sent);
     }
 
     fn take_ages(
@@ -529,18 +538,7 @@
         let region = self.table.own().region.clone();
         let near = self.table.fresh(now).filter(|one| one.region == region);
         let names: Vec<HostName> = near.map(|one| one.name.clone()).collect();
-        let nonce = self.questions.open(now, self.lease());
-        for to in names {
-            actions.push(Self::send(&to, self.beat_message(nonce, now)));
-        }
-    }
-
-    fn beat_message(&self, nonce: u64, now: Instant) -> MeshMessage {
-        MeshMessage::Beat {
-            nonce,
-            view: self.view(now),
-            members: self.table.digest(),
-        }
+        self.beat_all(&names, now, actions);
     }
 
     fn offer_platform(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
--- a/crates/kws-platform/src/consul.rs
+++ b/crates/kws-platform/src/consul.rs
@@ -1,13 +1,9 @@
 //! Reads the published values over the read side of Consul's key-value HTTP protocol.
 
-use crate::{PlatformAnswer, PlatformError, PlatformReader, ReadFuture};
+use crate::{PlatformAnswer, PlatformError, PlatformReader, ReadFuture, reader::reading_client};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use kws_protocol::{PublishedValues, TreeRevision};
-use ntex::{
-    SharedCfg,
-    client::{Client, ClientResponse},
-    time::Millis,
-};
+use ntex::client::{Client, ClientResponse};
 use serde::Deserialize;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -91,14 +87,7 @@
         if let Some(client) = &self.client {
             return Ok(client.clone());
         }
-        let client = Client::builder()
-            .disable_timeout()
-            .disable_redirects()
-            .response_payload_limit(MAX_ANSWER_BYTES)
-            .response_payload_timeout(Millis::ZERO)
-            .build(SharedCfg::default())
-            .await
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+        let client = reading_client(MAX_ANSWER_BYTES).await?;
         self.client = Some(client.clone());
         Ok(client)
     }
--- a/crates/kws-platform/src/reader.rs
+++ b/crates/kws-platform/src/reader.rs
@@ -1,6 +1,7 @@
 //! The border between the daemon and the platform's configuration service.
 
 use kws_protocol::{PublishedValues, TreeRevision};
+use ntex::{SharedCfg, client::Client, time::Millis};
 use std::{future::Future, pin::Pin, time::Duration};
 use thiserror::Error;
 
@@ -48,6 +49,22 @@
     },
 }
 
+/// A client that sends each read once, follows nothing, and has no timeouts of its own; answers
+/// larger than `max_bytes` are refused.
+///
+/// # Errors
+/// [`PlatformError::Unreachable`] when it can't be made.
+pub async fn reading_client(max_bytes: usize) -> Result<Client, PlatformError> {
+    Client::builder()
+        .disable_timeout()
+        .disable_redirects()
+        .response_payload_limit(max_bytes)
+        .response_payload_timeout(Millis::ZERO)
+        .build(SharedCfg::default())
+        .await
+        .map_err(|error| PlatformError::Unreachable(error.to_string()))
+}
+
 /// A reader of the published values; each call is one call on the platform.
 pub trait PlatformReader {
     /// Reads the values once they differ from revision `known`, or answers
