--- a/crates/kws-bench/src/lib.rs
+++ b/crates/kws-bench/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod fleet;
 pub mod forward;
 pub mod limits;
+pub mod placing;
--- a/crates/kws-bench/src/main.rs
+++ b/crates/kws-bench/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use kws_bench::{
     backends::BackendsArgs, capacity::CapacityArgs, control::ControlArgs, fleet::FleetArgs,
-    forward::ForwardArgs, limits::LimitsArgs,
+    forward::ForwardArgs, limits::LimitsArgs, placing::PlacingArgs,
 };
 
 /// Measurements over the product and its baselines.
@@ -26,6 +26,8 @@
     Forward(ForwardArgs),
     /// Limits: admitted over entitled, refusals within the rate, loans, waits.
     Limits(LimitsArgs),
+    /// Placing: served, refused and failed requests of one service under load and failures.
+    Placing(PlacingArgs),
     /// Freshness: time until a withdrawal is in force, and control traffic.
     Fleet(FleetArgs),
 }
@@ -37,6 +39,7 @@
         BenchTable::Control(args) => args.run(),
         BenchTable::Forward(args) => args.run(),
         BenchTable::Limits(args) => args.run(),
+        BenchTable::Placing(args) => args.run(),
         BenchTable::Fleet(args) => args.run(),
     }
 }
--- /dev/null
+++ b/crates/kws-bench/src/placing.rs
@@ -0,0 +1,52 @@
+//! The table of placing: one service in two regions under the loads and failures that fleets meet,
+//! on virtual time, with one placer in each region.
+
+pub mod load;
+pub mod run;
+pub mod scenario;
+pub mod score;
+pub mod world;
+
+use clap::Args;
+use run::PlacingRun;
+use scenario::LoadScenario;
+use score::PlacingScore;
+use std::thread;
+
+/// What to measure.
+#[derive(Args, Clone, Debug)]
+pub struct PlacingArgs {
+    /// The scenarios; all when absent.
+    #[arg(long, value_enum)]
+    scenario: Vec<LoadScenario>,
+    /// The number of seeds; each row is their mean.
+    #[arg(long, default_value_t = 4)]
+    seeds: u64,
+}
+
+impl PlacingArgs {
+    /// Prints a row for each scenario.
+    ///
+    /// # Errors
+    /// When a run panicked.
+    pub fn run(&self) -> eyre::Result<()> {
+        println!("{}", PlacingScore::HEADER);
+        let scenarios: Vec<LoadScenario> = if self.scenario.is_empty() {
+            LoadScenario::ALL.to_vec()
+        } else {
+            self.scenario.clone()
+        };
+        for scenario in scenarios {
+            let runs: Vec<_> = (1..=self.seeds)
+                .map(|seed| thread::spawn(move || PlacingRun::new(scenario.load(), seed).score()))
+                .collect();
+            let mut sum = PlacingScore::default();
+            for run in runs {
+                let score = run.join().map_err(|_| eyre::eyre!("a run panicked"))?;
+                sum.add(&score);
+            }
+            println!("{}", sum.row(&scenario.to_string()));
+        }
+        Ok(())
+    }
+}
