Each region judges its own servers

Cause: the hosts that place for a service in two regions tell each other their evidence each second, and each took the higher of its own and the other's. What one had cleared came back from the other until it had decayed there: a server that recovered from an ejection stayed suspect, with one slot of four, for up to 17 s. Change: evidence is taken only from hosts of the own region and, on its own servers, from another region, whose word replaces what was held; the outcome of a request that another region sent goes to the owner there.

--- a/crates/kws-bench/src/placing/run.rs
+++ b/crates/kws-bench/src/placing/run.rs
@@ -90,6 +90,9 @@
 
 impl PlacingRun {
     /// Prepares a run; the seed decides arrivals, times in service and failures.
+    ///
+    /// # Panics
+    /// If the sample fleet has no service.
     pub fn new(load: ServiceLoad, seed: u64) -> Self {
         let fleet = SampleFleet {
             slots: load.slots,
@@ -403,7 +406,8 @@
         for from in 0..self.placers.len() {
             let loads = self.placers[from].loads(&self.service, now);
             for to in (0..self.placers.len()).filter(|to| *to != from) {
-                self.placers[to].apply_loads(&self.service, &loads, now);
+                let sender = &self.regions[from];
+                self.placers[to].apply_loads(&self.service, &loads, sender, now);
             }
         }
         self.schedule(self.now + LOADS_PERIOD, RunEvent::Loads);
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -199,6 +199,26 @@
             .first_responsive((service.as_str(), needed), hosts, now)
     }
 
+    /// Owner of `service` in the region of `server`, if that is another region.
+    fn remote_owner(
+        &self,
+        service: &ServiceName,
+        server: &ServerName,
+        now: Instant,
+    ) -> Option<HostName> {
+        let snapshot = self.snapshot.as_ref()?;
+        let server = snapshot
+            .settings
+            .services
+            .get(service)?
+            .servers
+            .get(server)?;
+        let is_remote = server.region != self.shared.identity.region;
+        is_remote
+            .then(|| self.owner_in(&server.region, service, now))
+            .flatten()
+    }
+
     fn enqueue(&mut self, request: DispatchRequest, reply: GrantReply, now: Instant) {
         self.unreachable.retain(|_, until| now < *until);
         let mut excluded = request.excluded;
@@ -278,8 +298,9 @@
         }
     }
 
-    /// Reports the outcome of a try to the host that placed it and to the current owner of the
-    /// service. The owner gets the outcomes of uncoordinated placements as evidence too.
+    /// Reports the outcome of a try to the host that placed it, to the current owner of the service
+    /// and to the owner in the server's region. The owners get the outcomes of uncoordinated
+    /// placements and of other regions' requests as evidence too.
     fn finish_granted(
         &mut self,
         ticket: TicketId,
@@ -321,9 +342,15 @@
             let actions = self.placer.complete(ticket.0, &service, report, now);
             self.run_actions(actions, now);
         }
-        // The host that placed the request releases the slot; the current owner rates the server.
-        let current_owner = self.owner(&service, now);
-        let recipients: BTreeSet<HostName> = placed_by.into_iter().chain([current_owner]).collect();
+        // The host that placed the request releases the slot; the owners rate the server.
+        let owners = [
+            Some(self.owner(&service, now)),
+            self.remote_owner(&service, &server, now),
+        ];
+        let recipients: BTreeSet<HostName> = placed_by
+            .into_iter()
+            .chain(owners.into_iter().flatten())
+            .collect();
         let message = TicketMessage::Finished {
             ticket: ticket.0,
             service,
@@ -419,7 +446,11 @@
             }
             TicketMessage::Running { tickets } => self.handle_running(from, &tickets, now),
             TicketMessage::Loads { service, loads } => {
-                self.placer.apply_loads(&service, &loads, now);
+                let snapshot = self.snapshot.as_ref();
+                if let Some(sender) = snapshot.and_then(|one| one.hosts.host(from)) {
+                    self.placer
+                        .apply_loads(&service, &loads, &sender.region, now);
+                }
             }
             TicketMessage::RequestToken { .. } | TicketMessage::TokenReply { .. } => {}
         }
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -262,10 +262,17 @@
         actions
     }
 
-    /// Applies the server loads that another host reports for the servers that it places on.
-    pub fn apply_loads(&mut self, service: &ServiceName, loads: &[ServerLoad], now: Instant) {
+    /// Applies the server loads that a host of the region `sender` reports for the servers that it
+    /// places on.
+    pub fn apply_loads(
+        &mut self,
+        service: &ServiceName,
+        loads: &[ServerLoad],
+        sender: &RegionName,
+        now: Instant,
+    ) {
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.apply_loads(loads, now);
+            pool.apply_loads(loads, sender, now);
         }
     }
 
--- a/crates/kws-dispatch/src/placer/evidence.rs
+++ b/crates/kws-dispatch/src/placer/evidence.rs
@@ -34,6 +34,10 @@
 /// exceed it.
 const EJECTION_THRESHOLD: f64 = 6.0;
 
+/// Time within which a response counted here reaches the host that places requests on the server
+/// and returns in its next report.
+const REPORT_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Health of a server by the evidence of failure.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ServerHealth {
@@ -53,6 +57,8 @@
     /// Sum for late responses.
     late_sum: f64,
     updated_at: Instant,
+    /// When a bad or overdue response was last counted here.
+    last_counted: Option<Instant>,
 }
 
 impl FailureEvidence {
@@ -62,6 +68,7 @@
             bad_sum: 0.0,
             late_sum: 0.0,
             updated_at: now,
+            last_counted: None,
         }
     }
 
@@ -92,6 +99,7 @@
     /// Counts a bad response.
     pub(crate) fn record_bad(&mut self, now: Instant) {
         self.add(BAD_RESPONSE_INCREMENT, 0.0, now);
+        self.last_counted = Some(now);
     }
 
     /// Counts a good response.
@@ -102,13 +110,18 @@
     /// Counts an overdue request.
     pub(crate) fn record_overdue(&mut self, now: Instant) {
         self.add(0.0, OVERDUE_INCREMENT, now);
+        self.last_counted = Some(now);
     }
 
-    /// Adopts the sum that another host reported if it is higher.
-    pub(crate) fn merge(&mut self, score: f64, now: Instant) {
-        let sums = self.sums(now);
-        self.bad_sum = sums.0.max(score.clamp(0.0, MAX_SUM));
-        self.late_sum = sums.1;
+    /// Adopts the score of the host that places requests on the server. A response counted here
+    /// within [`REPORT_DELAY`] may not be part of it yet, so that the higher score then stays.
+    pub(crate) fn adopt(&mut self, score: f64, now: Instant) {
+        let counted_lately = self
+            .last_counted
+            .is_some_and(|at| now.saturating_duration_since(at) < REPORT_DELAY);
+        let own = if counted_lately { self.score(now) } else { 0.0 };
+        self.bad_sum = own.max(score.clamp(0.0, MAX_SUM));
+        self.late_sum = 0.0;
         self.updated_at = now;
     }
 
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -762,8 +762,10 @@
             .sum()
     }
 
-    /// Applies the server loads that another host reports.
-    pub(crate) fn apply_loads(&mut self, loads: &[ServerLoad], now: Instant) {
+    /// Applies the server loads that a host of the region `sender` reports. Each region judges its
+    /// own servers: what another one knows of them comes from few requests, and returning evidence
+    /// that this region has cleared would keep recovered servers suspect.
+    pub(crate) fn apply_loads(&mut self, loads: &[ServerLoad], sender: &RegionName, now: Instant) {
         let reports: HashMap<&ServerName, &ServerLoad> =
             loads.iter().map(|load| (&load.server, load)).collect();
         for (name, server) in &mut self.servers {
@@ -771,7 +773,8 @@
             let (placed, evidence) = reports
                 .get(name)
                 .map_or((0, 0.0), |load| (load.placed, load.evidence));
-            server.apply_report(placed, evidence, now);
+            let judges = *sender == self.region || *sender == server.settings.region;
+            server.apply_report(placed, judges.then_some(evidence), now);
         }
     }
 
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -264,10 +264,13 @@
         self.unavailable_until = Some(now + DEPARTURE_COOLDOWN);
     }
 
-    /// Applies the load and the evidence that another host reported.
-    pub(crate) fn apply_report(&mut self, load: u32, evidence: f64, now: Instant) {
+    /// Applies the load that another host reported, and its evidence if it is the one that places
+    /// requests on the server.
+    pub(crate) fn apply_report(&mut self, load: u32, evidence: Option<f64>, now: Instant) {
         self.reported_load = Some((load, now));
-        self.evidence.merge(evidence, now);
+        if let Some(score) = evidence {
+            self.evidence.adopt(score, now);
+        }
     }
 
     /// Whether a request has run for longer than `limit` and was not yet counted as overdue.
--- a/crates/kws-dispatch/tests/placed_together.rs
+++ b/crates/kws-dispatch/tests/placed_together.rs
@@ -132,6 +132,13 @@
         failures
     }
 
+    /// Applies a load report of a host in `region`.
+    fn apply_loads(&mut self, loads: &[ServerLoad], region: &str) {
+        let sender = RegionName::new(region);
+        self.placer
+            .apply_loads(&self.service, loads, &sender, Instant::now());
+    }
+
     fn first_server(&self) -> ServerName {
         let servers = self.placer.servers(&self.service);
         (*servers.first().expect("one")).clone()
@@ -493,14 +500,13 @@
 #[tokio::test(start_paused = true)]
 async fn host_takeover() {
     let mut pool = TestPool::new(1);
-    let service = pool.service.clone();
     let server = pool.first_server();
     let loads = [ServerLoad {
         server: server.clone(),
         placed: 3,
         evidence: 0.0,
     }];
-    pool.placer.apply_loads(&service, &loads, Instant::now());
+    pool.apply_loads(&loads, "vidzemes");
     let (queued, actions) = pool.ask(false);
     assert_eq!(actions, [], "all slots are taken");
     let unknown = u64::MAX;
@@ -547,12 +553,40 @@
         evidence: 0.0,
     };
     let busy = [load(3)];
-    pool.placer.apply_loads(&service, &busy, Instant::now());
+    pool.apply_loads(&busy, "vidzemes");
     assert_eq!(pool.granted(false), None, "all slots are taken");
-    pool.placer.apply_loads(&service, &[], Instant::now());
+    pool.apply_loads(&[], "vidzemes");
     assert!(pool.granted(false).is_some());
 }
 
+/// Each region judges its own servers: evidence that another region still holds doesn't make a
+/// recovered server suspect again, and a region's word on its own servers replaces older evidence.
+#[rstest]
+#[case::own_server("vidzemes", ServerHealth::Healthy, ServerHealth::Healthy)]
+#[case::other_region("zemgales", ServerHealth::Suspect, ServerHealth::Healthy)]
+#[tokio::test(start_paused = true)]
+async fn other_evidence(
+    #[case] region: &str,
+    #[case] reported: ServerHealth,
+    #[case] cleared: ServerHealth,
+) {
+    let mut pool = TestPool::new(2);
+    let server = pool.first_server();
+    let service = pool.settings.services.get_mut(&pool.service);
+    let servers = &mut service.expect("a service").servers;
+    servers.get_mut(&server).expect("a server").region = RegionName::new(region);
+    pool.placer.apply_settings(&pool.settings, Instant::now());
+    let load = ServerLoad {
+        server: server.clone(),
+        placed: 0,
+        evidence: 9.0,
+    };
+    pool.apply_loads(&[load], "zemgales");
+    assert_eq!(pool.health(&server), reported);
+    pool.apply_loads(&[], "zemgales");
+    assert_eq!(pool.health(&server), cleared);
+}
+
 /// A server on which every second request hangs is ejected although it answers the others.
 #[tokio::test(start_paused = true)]
 async fn hanging_half() {
