Placing: newer requests judge, probes by need, known servers first

Change: a good response counts only if its request was placed after the last bad one; one request at a time verifies a suspect, also beside older ones; probes by requests that may run once wait 10 s and 8 s while nobody waits; a retry never probes; where requests are too few for all servers, those that served lately are taken.

--- a/crates/kws-bench/src/placing/scenario.rs
+++ b/crates/kws-bench/src/placing/scenario.rs
@@ -12,6 +12,8 @@
     Payments,
     /// The same while every server rejects half of its requests.
     Shedding,
+    /// Payments with twenty times the servers that they need.
+    Sparse,
     /// Lookups that may be repeated, with capacity to spare.
     Lookups,
     /// Lookups at nine tenths of what the healthy servers can do.
@@ -26,9 +28,10 @@
 
 impl LoadScenario {
     /// All scenarios, in the order of the table.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Payments,
         Self::Shedding,
+        Self::Sparse,
         Self::Lookups,
         Self::FullLookups,
         Self::Bursts,
@@ -44,6 +47,14 @@
                 shedding: vec![phase(8_000..16_500, 0.55)],
                 ..payments()
             },
+            Self::Sparse => ServiceLoad {
+                servers: 900,
+                kinds: vec![RequestKind {
+                    rate: 60.0,
+                    ..PAYMENT
+                }],
+                ..payments()
+            },
             Self::Lookups => lookups(174.0),
             Self::FullLookups => lookups(350.0),
             Self::Bursts => ServiceLoad {
@@ -79,6 +90,14 @@
     fails: 0.9,
 };
 
+const PAYMENT: RequestKind = RequestKind {
+    rate: 502.0,
+    repeatable: false,
+    priority: 1,
+    timeout: Duration::from_secs(4),
+    objective: Duration::from_millis(2_500),
+};
+
 fn payments() -> ServiceLoad {
     ServiceLoad {
         servers: 257,
@@ -90,13 +109,7 @@
         shedding: Vec::new(),
         bursts: Vec::new(),
         crash: None,
-        kinds: vec![RequestKind {
-            rate: 502.0,
-            repeatable: false,
-            priority: 1,
-            timeout: Duration::from_secs(4),
-            objective: Duration::from_millis(2_500),
-        }],
+        kinds: vec![PAYMENT],
         length: Duration::from_secs(30),
     }
 }
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -156,7 +156,7 @@
             let region = &self.region;
             self.pools
                 .entry(name.clone())
-                .or_insert_with(|| ServicePool::new(name, region.clone(), self.seed))
+                .or_insert_with(|| ServicePool::new(name, region.clone(), self.seed, now))
                 .apply_settings(service, now);
         }
         let mut actions = Vec::new();
--- a/crates/kws-dispatch/src/placer/evidence.rs
+++ b/crates/kws-dispatch/src/placer/evidence.rs
@@ -24,7 +24,7 @@
 /// Sum of late responses below which it is disregarded. Two requests that hang exceed it.
 const LATE_THRESHOLD: f64 = 3.0;
 /// Decay of the sum of bad responses, per second. Failures typically last some seconds.
-const BAD_DECAY_PER_SECOND: f64 = 0.6;
+const BAD_DECAY_PER_SECOND: f64 = 0.2;
 /// Upper bound of each sum, so that a server that recovered is brought back soon.
 const MAX_SUM: f64 = 12.0;
 /// Evidence from which a server is suspect and used only when the others are full. One bad response
@@ -107,6 +107,11 @@
         self.add(-GOOD_RESPONSE_DECREMENT, -IN_TIME_DECREMENT, now);
     }
 
+    /// Counts a response in time to a request that began before the last bad response.
+    pub(crate) fn record_in_time(&mut self, now: Instant) {
+        self.add(0.0, -IN_TIME_DECREMENT, now);
+    }
+
     /// Counts an overdue request.
     pub(crate) fn record_overdue(&mut self, now: Instant) {
         self.add(0.0, OVERDUE_INCREMENT, now);
--- /dev/null
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -0,0 +1,222 @@
+//! Selects the server for a request.
+
+use super::ServicePool;
+use crate::placer::{PlaceRequest, evidence::ServerHealth, server::PoolServer};
+use kws_protocol::{ServerName, weighted_score};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A request that transfers more than this, in bytes, is served only in its own region, since
+/// traffic between regions is billed by volume.
+pub(super) const MAX_SPILL_BYTES: u64 = 24 * 1024;
+
+/// Queue wait from which the service lacks the capacity of its suspect and ejected servers: a
+/// considerable part of the usual service time.
+const CONTENDED_WAIT: Duration = Duration::from_millis(50);
+
+/// A service that had a repeatable request within this time prefers those for probes.
+const REPEATABLE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Delay after the end of an ejection from which a request that may run once probes a server whose
+/// capacity is needed, while repeatable requests are expected.
+const PROBE_DELAY: Duration = Duration::from_secs(1);
+
+/// The same delay for a repeatable request while the capacity is not needed. Failures typically
+/// last some seconds, and each probe uses up a part of the retry budget.
+const SPARE_PROBE_DELAY: Duration = Duration::from_secs(3);
+
+/// The same delay for a request that may run once while the capacity is not needed: the probe would
+/// only risk the request.
+const SPARE_RISKY_DELAY: Duration = Duration::from_secs(8);
+
+/// Time without a request after which a suspect server gets one that may run once, while its
+/// capacity is needed.
+const SUSPECT_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// The same time while its capacity is not needed.
+const SPARE_SUSPECT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Share of the servers above the capacity floor that is kept in use while many requests go
+/// unserved.
+const FLOOR_MARGIN: f64 = 0.05;
+
+/// Cost of a fully loaded server over an idle one. This and the costs below are in shares of what a
+/// served request is worth.
+const LOAD_COST: f64 = 0.05;
+
+/// Cost of a failure to a request that another server can still serve.
+const REPEATABLE_FAILURE_COST: f64 = 0.3;
+
+/// Cost of each KiB that crosses from one data centre to another.
+const CENTER_COST_PER_KIB: f64 = 0.004;
+
+/// Highest cost of a server in another data centre.
+const MAX_CENTER_COST: f64 = 0.5;
+
+impl ServicePool {
+    /// The best server for a request. In this order: a server that is due for a probe, a healthy
+    /// one of the region, a healthy one of another region, a suspect one of the region.
+    pub(super) fn select_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        // A retry is the last try of its request, so it doesn't probe.
+        if !request.retry
+            && let Some(server) = self.probe_server(request, now)
+        {
+            return Some(server);
+        }
+        let healthy = self.best_server(request, ServerHealth::Healthy, true, now);
+        healthy
+            .or_else(|| self.spill_server(request, now))
+            .or_else(|| self.suspect_server(request, now))
+    }
+
+    /// Whether requests wait so long that the capacity of suspect and ejected servers is needed.
+    fn is_contended(&self, now: Instant) -> bool {
+        self.expected_wait(self.queue.len(), now) > CONTENDED_WAIT
+    }
+
+    /// A suspect server, if its capacity is needed.
+    fn suspect_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        let needed = self.healthy_slots(now) == 0 || self.is_contended(now);
+        needed
+            .then(|| self.best_server(request, ServerHealth::Suspect, true, now))
+            .flatten()
+    }
+
+    /// The server to probe: of those that are due, the one used least recently. A probe may cost
+    /// the request, so repeatable requests are preferred, unless there was none for a while.
+    fn probe_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        let needs_all = self.uses_too_few_servers(now);
+        let ejection = &self.settings.as_ref()?.ejection;
+        let delay = self.probe_delay(request, needs_all, now);
+        let suspect_interval = match (request.repeatable, needs_all) {
+            (true, _) => Duration::ZERO,
+            (false, true) => SUSPECT_PROBE_INTERVAL,
+            (false, false) => SPARE_SUSPECT_INTERVAL,
+        };
+        let is_candidate = |(name, server): &(&ServerName, &PoolServer)| {
+            let rested = server
+                .last_used
+                .is_none_or(|at| now.saturating_duration_since(at) > suspect_interval);
+            let verifies = server.is_verifiable(now) && rested;
+            let early = needs_all && server.is_early_probe_due(ejection, now);
+            let is_due = server.is_probe_due(delay, now) || early || verifies;
+            self.is_in_region(server) && is_due && !request.excluded.contains(name)
+        };
+        let candidates = self.servers.iter().filter(is_candidate);
+        candidates
+            .min_by_key(|(_, server)| server.last_used)
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Whether many requests go unserved while less than the capacity floor is in use, so that
+    /// servers are probed although it may cost the request.
+    fn uses_too_few_servers(&self, now: Instant) -> bool {
+        let local = self.local_servers();
+        if !self.demand.needs_all_servers(local, now) {
+            return false;
+        }
+        let floor = self.settings.as_ref().map_or(0.0, |one| one.floor) + FLOOR_MARGIN;
+        let servers = self.servers.values();
+        let used = servers.filter(|server| {
+            self.is_in_region(server) && server.was_used(SUSPECT_PROBE_INTERVAL, now)
+        });
+        (used.count() as f64) < floor * local as f64
+    }
+
+    /// How long after the end of an ejection a probe waits for a more suitable request.
+    fn probe_delay(&self, request: &PlaceRequest, needs_all: bool, now: Instant) -> Duration {
+        if needs_all {
+            return Duration::ZERO;
+        }
+        let expects_repeatable = self
+            .last_repeatable
+            .is_some_and(|at| now.saturating_duration_since(at) < REPEATABLE_WINDOW);
+        match (self.is_contended(now), request.repeatable) {
+            (true, false) if expects_repeatable => PROBE_DELAY,
+            (true, _) => Duration::ZERO,
+            (false, true) => SPARE_PROBE_DELAY,
+            (false, false) => SPARE_RISKY_DELAY,
+        }
+    }
+
+    /// The server with a free slot whose use costs least.
+    fn best_server(
+        &self,
+        request: &PlaceRequest,
+        health: ServerHealth,
+        in_region: bool,
+        now: Instant,
+    ) -> Option<ServerName> {
+        let slow_start = self.slow_start();
+        let has_free_slot = |(name, server): &(&ServerName, &PoolServer)| {
+            self.is_in_region(server) == in_region
+                && server.is_available(now)
+                && !server.in_cooldown(now)
+                && server.health(now) == health
+                && server.free_slots(slow_start, now) > 0
+                && !request.excluded.contains(name)
+        };
+        let candidates = self.servers.iter().filter(has_free_slot);
+        if request.uncoordinated {
+            let subject = (self.seed ^ request.key).to_string();
+            let drawn = candidates.max_by(|left, right| {
+                let score = |(name, server): &(&ServerName, &PoolServer)| {
+                    let free = server.free_slots(slow_start, now);
+                    weighted_score(&subject, name.as_str(), free)
+                };
+                score(left).total_cmp(&score(right))
+            });
+            return drawn.map(|(name, _)| name.clone());
+        }
+        let failure_cost = self.failure_cost(request, now);
+        let cost = |server: &PoolServer| self.server_cost(server, request, failure_cost, now);
+        candidates
+            .min_by(|(_, left), (_, right)| {
+                cost(left)
+                    .total_cmp(&cost(right))
+                    .then_with(|| left.last_used.cmp(&right.last_used))
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Cost of sending the request to a server of unknown state. Where many servers fail by turns,
+    /// those that served a request lately are the safer choice; where none does, the cost vanishes
+    /// and the load decides. When all servers are needed, it must not keep any from being used.
+    fn failure_cost(&self, request: &PlaceRequest, now: Instant) -> f64 {
+        if self.demand.needs_all_servers(self.local_servers(), now) {
+            return 0.0;
+        }
+        let lost = if request.repeatable {
+            REPEATABLE_FAILURE_COST
+        } else {
+            1.0
+        };
+        self.demand.unknown_failures() * lost
+    }
+
+    fn server_cost(
+        &self,
+        server: &PoolServer,
+        request: &PlaceRequest,
+        failure_cost: f64,
+        now: Instant,
+    ) -> f64 {
+        let slots = server.usable_slots(self.slow_start(), now).max(1);
+        let load = f64::from(server.load(now)) / f64::from(slots);
+        let center = if server.settings.center == request.center {
+            0.0
+        } else {
+            let kib = request.bytes as f64 / 1_024.0;
+            (CENTER_COST_PER_KIB * kib).min(MAX_CENTER_COST)
+        };
+        LOAD_COST * load + failure_cost * server.uncertainty(now) + center
+    }
+
+    /// A healthy server of another region with a free slot, if the request is small enough.
+    fn spill_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
+        let small = request.bytes <= MAX_SPILL_BYTES;
+        small
+            .then(|| self.best_server(request, ServerHealth::Healthy, false, now))
+            .flatten()
+    }
+}
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -22,11 +22,29 @@
 /// A server that announced its departure is not used for this long, unless its address changes.
 const DEPARTURE_COOLDOWN: Duration = Duration::from_secs(30);
 
+/// Time after a good response in which a server's state becomes unknown.
+const KNOWN_PERIOD: Duration = Duration::from_secs(5);
+
 /// A request that is running on the server.
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
     since: Instant,
     overdue: bool,
+    /// The server's health when the request was placed.
+    health: ServerHealth,
+    /// Whether nothing was known of the server's state then.
+    was_unknown: bool,
+}
+
+/// The placement of a request that ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedRequest {
+    /// When the request was placed.
+    pub(crate) placed_at: Instant,
+    /// The server's health then.
+    pub(crate) health: ServerHealth,
+    /// Whether nothing was known of the server's state then.
+    pub(crate) was_unknown: bool,
 }
 
 /// A backend server with its requests, health and reported load.
@@ -39,6 +57,10 @@
     cooldown_until: Option<Instant>,
     /// Consecutive bad responses.
     consecutive_failures: u32,
+    /// When the last bad response arrived.
+    last_bad: Option<Instant>,
+    /// When the last good response arrived to a request placed after the last bad one.
+    last_good: Option<Instant>,
     unavailable_until: Option<Instant>,
     slow_start_since: Option<Instant>,
     /// Requests placed by other hosts as last reported, and when.
@@ -56,6 +78,8 @@
             ejection: None,
             cooldown_until: None,
             consecutive_failures: 0,
+            last_bad: None,
+            last_good: None,
             unavailable_until: None,
             slow_start_since: in_slow_start.then_some(now),
             reported_load: None,
@@ -137,10 +161,36 @@
         self.is_idle(now) && self.ejection.is_some_and(passed)
     }
 
-    /// Whether the server is an idle suspect, so that a single response shows whether it is
-    /// healthy.
-    pub(crate) fn is_idle_suspect(&self, now: Instant) -> bool {
-        self.is_idle(now) && self.health(now) == ServerHealth::Suspect
+    /// Whether a request would verify a suspect server: no request placed since its last bad
+    /// response is running.
+    pub(crate) fn is_verifiable(&self, now: Instant) -> bool {
+        self.health(now) == ServerHealth::Suspect
+            && self.is_available(now)
+            && !self.in_cooldown(now)
+            && !self.is_being_verified()
+    }
+
+    /// Whether a request placed since the last bad response is running. Its result decides whether
+    /// the server is healthy; those of earlier requests don't.
+    fn is_being_verified(&self) -> bool {
+        let Some(last_bad) = self.last_bad else {
+            return !self.running.is_empty();
+        };
+        self.running
+            .values()
+            .any(|request| request.since >= last_bad)
+    }
+
+    /// Slots that the next requests may use: one at a time of a suspect server.
+    pub(crate) fn free_slots(&self, slow_start: Duration, now: Instant) -> u32 {
+        let free = self
+            .usable_slots(slow_start, now)
+            .saturating_sub(self.load(now));
+        match self.health(now) {
+            ServerHealth::Healthy => free,
+            ServerHealth::Suspect if self.is_verifiable(now) => free.min(1),
+            ServerHealth::Suspect | ServerHealth::Unhealthy => 0,
+        }
     }
 
     fn is_idle(&self, now: Instant) -> bool {
@@ -160,19 +210,40 @@
         self.settings = settings.clone();
     }
 
+    /// Whether a request was placed on the server within `period`.
+    pub(crate) fn was_used(&self, period: Duration, now: Instant) -> bool {
+        self.last_used
+            .is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
+    /// How little is known of the server's present state, from 0 just after a good response to 1.
+    pub(crate) fn uncertainty(&self, now: Instant) -> f64 {
+        self.last_good.map_or(1.0, |at| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            (age / KNOWN_PERIOD.as_secs_f64()).min(1.0)
+        })
+    }
+
     /// Records that a request was placed on the server.
     pub(crate) fn start_request(&mut self, key: u64, now: Instant) {
         let running = RunningRequest {
             since: now,
             overdue: false,
+            health: self.health(now),
+            was_unknown: self.uncertainty(now) >= 1.0,
         };
         self.running.insert(key, running);
         self.last_used = Some(now);
     }
 
-    /// Records the end of a request that this host placed.
-    pub(crate) fn finish_request(&mut self, key: u64) {
-        self.running.remove(&key);
+    /// Records the end of a request that this host placed. Returns what its placement was based on.
+    pub(crate) fn finish_request(&mut self, key: u64) -> Option<EndedRequest> {
+        let request = self.running.remove(&key)?;
+        Some(EndedRequest {
+            placed_at: request.since,
+            health: request.health,
+            was_unknown: request.was_unknown,
+        })
     }
 
     /// Records the end of a request that another host placed, by reducing the reported load.
@@ -182,10 +253,15 @@
         }
     }
 
-    /// Records a good response. A good response to a probe ends the ejection and clears the
-    /// evidence.
-    pub(crate) fn record_good(&mut self, now: Instant) {
+    /// Records a good response to a request placed at `placed`. A good response to a probe ends the
+    /// ejection and clears the evidence. One to a request placed before the last bad response says
+    /// nothing about the server's present state.
+    pub(crate) fn record_good(&mut self, placed: Instant, now: Instant) {
+        if self.last_bad.is_some_and(|bad| placed < bad) {
+            return self.evidence.record_in_time(now);
+        }
         self.evidence.record_good(now);
+        self.last_good = Some(now);
         self.consecutive_failures = 0;
         if self.probed_ejection().is_some() {
             self.ejection = None;
@@ -201,6 +277,7 @@
         now: Instant,
     ) -> bool {
         self.evidence.record_bad(now);
+        self.last_bad = Some(now);
         let cooldown = FAILURE_COOLDOWN * (1 << self.consecutive_failures.min(MAX_DOUBLINGS));
         self.consecutive_failures += 1;
         self.cooldown_until = self.cooldown_until.max(Some(now + cooldown));
