Waits by the route's objective, response sizes and unserved requests by route

Cause 1: every request could wait 400 ms at most, whatever its route's objective, so that bursts of two seconds were refused. Change: a request waits as long as its objective (new field of routes, the platform's targetLatency) leaves after the usual time in service, and the queue is ordered by the time at which each should be placed. Cause 2: every response counted as 16 KiB, so that downloads of 90 KB crossed data centres and regions. Change: each host learns the sizes by route, and a server in another data centre costs by volume. Change: hosts tell with each slot request what share of its route goes unserved, and a service whose routes fail elsewhere uses all its servers.

--- a/crates/kws-bench/src/backends/model.rs
+++ b/crates/kws-bench/src/backends/model.rs
@@ -204,11 +204,14 @@
             service: listing(),
             team: TeamName::new(&format!("team-{team}")),
             weight: TEAMS[team],
+            objective: None,
             deadline: now + DEADLINE,
             priority: 0,
             repeatable: true,
             retry: false,
             bytes: 2_000,
+
+            unserved_share: 0.0,
             excluded: Vec::new(),
         };
         let actions = self.hosts[host].enqueue(request, now);
--- a/crates/kws-bench/src/capacity/dispatch.rs
+++ b/crates/kws-bench/src/capacity/dispatch.rs
@@ -154,11 +154,14 @@
         service: service_name(call % services),
         team: team_name(call),
         weight: 1.0,
+        objective: None,
         deadline: now + Duration::from_mins(10),
         priority: 0,
         repeatable: true,
         retry: false,
         bytes: 1_024,
+
+        unserved_share: 0.0,
         excluded: Vec::new(),
     }
 }
--- a/crates/kws-bench/src/forward/granting.rs
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -47,6 +47,7 @@
         access: RouteAccess::Open,
         repeatable: None,
         deadline: Duration::from_secs(10),
+        objective: None,
         idle: Duration::from_secs(10),
         tries: 1,
         hedge: None,
--- a/crates/kws-bench/src/placing/run.rs
+++ b/crates/kws-bench/src/placing/run.rs
@@ -241,8 +241,11 @@
             weight: 1.0,
             priority: kind.priority,
             deadline: self.base + request.arrived + kind.timeout,
+            objective: Some(self.base + request.arrived + kind.objective),
             repeatable: kind.repeatable,
             bytes: 5_000,
+
+            unserved_share: 0.0,
             excluded: request.excluded.clone(),
             retry: request.tries > 1,
             uncoordinated: false,
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -30,10 +30,6 @@
 
 /// The team under which requests without an API key are queued.
 const KEYLESS_TEAM: &str = "";
-/// Estimated transfer of a request between regions, in bytes, before the size of its response is
-/// known.
-const EXPECTED_TRANSFER_BYTES: u64 = 16 * 1024;
-
 /// Connects the caller listeners to the ledger and the dispatcher.
 pub(crate) struct ChannelControl {
     shared: Arc<DaemonShared>,
@@ -142,10 +138,12 @@
             team,
             weight,
             deadline: request.deadline,
+            objective: request.objective,
             priority: request.priority,
             repeatable: request.repeatable,
             retry: request.retry,
-            bytes: EXPECTED_TRANSFER_BYTES,
+            bytes: request.response_bytes,
+            unserved_share: request.unserved_share,
             excluded: request.excluded.into_iter().collect(),
         }
     }
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -231,8 +231,12 @@
             weight: request.weight,
             priority: request.priority,
             remaining: request.deadline.saturating_duration_since(now),
+            objective: request
+                .objective
+                .map(|objective| objective.saturating_duration_since(now)),
             repeatable: request.repeatable,
             expected_bytes: request.bytes,
+            unserved_share: request.unserved_share,
             excluded,
             retry: request.retry,
         };
@@ -731,8 +735,10 @@
         weight: request.weight,
         priority: request.priority,
         deadline: now + request.remaining,
+        objective: request.objective.map(|left| now + left),
         repeatable: request.repeatable,
         bytes: request.expected_bytes,
+        unserved_share: request.unserved_share,
         excluded: request.excluded,
         retry: request.retry,
         uncoordinated: false,
--- a/crates/kws-daemon/src/placement/pending.rs
+++ b/crates/kws-daemon/src/placement/pending.rs
@@ -44,6 +44,10 @@
         let waited = now.saturating_duration_since(self.first_sent);
         SlotRequest {
             remaining: self.request.remaining.saturating_sub(waited),
+            objective: self
+                .request
+                .objective
+                .map(|left| left.saturating_sub(waited)),
             ..self.request.clone()
         }
     }
--- a/crates/kws-dispatch/src/action.rs
+++ b/crates/kws-dispatch/src/action.rs
@@ -21,6 +21,8 @@
     pub weight: f64,
     /// When the response must be complete.
     pub deadline: Instant,
+    /// When a response stops being of full use to the caller; `None` if the route doesn't say.
+    pub objective: Option<Instant>,
     /// The priority; 0 is the highest.
     pub priority: u32,
     /// Whether it may be executed more than once.
@@ -29,6 +31,8 @@
     pub retry: bool,
     /// Expected size of request and response together, in bytes; charged to the spill budget.
     pub bytes: u64,
+    /// Share of the route's latest requests on the host that were not served, between 0 and 1.
+    pub unserved_share: f64,
     /// Servers to avoid while others are available. A hedge excludes the server of the first try.
     pub excluded: Vec<ServerName>,
 }
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -39,10 +39,15 @@
     pub priority: u32,
     /// When the response must be complete.
     pub deadline: Instant,
+    /// When a response stops being of full use to the caller; `None` if unknown.
+    pub objective: Option<Instant>,
     /// Whether the request may be executed more than once.
     pub repeatable: bool,
     /// Expected size of request and response together, in bytes.
     pub bytes: u64,
+    /// Share of the route's latest requests on the sending host that were not served, between 0 and
+    /// 1. The route may also lead to other services.
+    pub unserved_share: f64,
     /// Servers that earlier tries used; they are not selected again.
     pub excluded: Vec<ServerName>,
     /// Whether this is a retry, which is charged to the retry budget.
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -152,7 +152,7 @@
             }
         } else {
             self.retry_budget.record_first_try();
-            self.demand.record_arrival(now);
+            self.demand.record_arrival(request.unserved_share, now);
         }
         let queue_limit = self
             .settings
@@ -165,7 +165,7 @@
         }
         let key = request.key;
         let limits = self.wait_limits(&request, now);
-        let ahead = self.queue.push(request, now);
+        let ahead = self.queue.push(request, limits.useful, now);
         let wait = self.expected_wait(ahead, now);
         if limits.allow(wait) || self.finds_server(key, now) {
             return Vec::new();
--- a/crates/kws-dispatch/src/placer/pool/choice.rs
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -36,10 +36,6 @@
 /// The same time while its capacity is not needed.
 const SPARE_SUSPECT_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Share of the servers above the capacity floor that is kept in use while many requests go
-/// unserved.
-const FLOOR_MARGIN: f64 = 0.05;
-
 /// Cost of a fully loaded server over an idle one. This and the costs below are in shares of what a
 /// served request is worth.
 const LOAD_COST: f64 = 0.05;
@@ -85,7 +81,7 @@
     /// The server to probe: of those that are due, the one used least recently. A probe may cost
     /// the request, so repeatable requests are preferred, unless there was none for a while.
     fn probe_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
-        let needs_all = self.uses_too_few_servers(now);
+        let needs_all = self.needs_all_servers(now);
         let ejection = &self.settings.as_ref()?.ejection;
         let delay = self.probe_delay(request, needs_all, now);
         let suspect_interval = match (request.repeatable, needs_all) {
@@ -108,19 +104,10 @@
             .map(|(name, _)| name.clone())
     }
 
-    /// Whether many requests go unserved while less than the capacity floor is in use, so that
-    /// servers are probed although it may cost the request.
-    fn uses_too_few_servers(&self, now: Instant) -> bool {
-        let local = self.local_servers();
-        if !self.demand.needs_all_servers(local, now) {
-            return false;
-        }
-        let floor = self.settings.as_ref().map_or(0.0, |one| one.floor) + FLOOR_MARGIN;
-        let servers = self.servers.values();
-        let used = servers.filter(|server| {
-            self.is_in_region(server) && server.was_used(SUSPECT_PROBE_INTERVAL, now)
-        });
-        (used.count() as f64) < floor * local as f64
+    /// Whether so many requests go unserved that every server which may serve is used, also where a
+    /// probe may cost the request.
+    fn needs_all_servers(&self, now: Instant) -> bool {
+        self.demand.needs_all_servers(self.local_servers(), now)
     }
 
     /// How long after the end of an ejection a probe waits for a more suitable request.
@@ -183,7 +170,7 @@
     /// those that served a request lately are the safer choice; where none does, the cost vanishes
     /// and the load decides. When all servers are needed, it must not keep any from being used.
     fn failure_cost(&self, request: &PlaceRequest, now: Instant) -> f64 {
-        if self.demand.needs_all_servers(self.local_servers(), now) {
+        if self.needs_all_servers(now) {
             return 0.0;
         }
         let lost = if request.repeatable {
--- a/crates/kws-dispatch/src/placer/pool/demand.rs
+++ b/crates/kws-dispatch/src/placer/pool/demand.rs
@@ -22,6 +22,8 @@
     arrivals: f64,
     /// Requests that failed or were refused early in the same time.
     unserved: f64,
+    /// Sum over the arrivals of the unserved shares of their routes.
+    route_unserved: f64,
     updated_at: Instant,
     /// Share of the requests sent to servers of unknown state that failed there.
     unknown_failures: f64,
@@ -32,6 +34,7 @@
         Self {
             arrivals: 0.0,
             unserved: 0.0,
+            route_unserved: 0.0,
             updated_at: now,
             unknown_failures: INITIAL_UNKNOWN_FAILURES,
         }
@@ -43,20 +46,26 @@
         (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
     }
 
-    fn add(&mut self, arrivals: f64, unserved: f64, now: Instant) {
+    /// Decays the averages to `now`.
+    fn update(&mut self, now: Instant) {
         let decay = self.decay(now);
-        self.arrivals = self.arrivals * decay + arrivals;
-        self.unserved = self.unserved * decay + unserved;
+        self.arrivals *= decay;
+        self.unserved *= decay;
+        self.route_unserved *= decay;
         self.updated_at = now;
     }
 
-    pub(super) fn record_arrival(&mut self, now: Instant) {
-        self.add(1.0, 0.0, now);
+    /// Records a request of a route of which the share `route_unserved` goes unserved.
+    pub(super) fn record_arrival(&mut self, route_unserved: f64, now: Instant) {
+        self.update(now);
+        self.arrivals += 1.0;
+        self.route_unserved += route_unserved;
     }
 
     /// Records a request that was refused early or failed.
     pub(super) fn record_unserved(&mut self, now: Instant) {
-        self.add(0.0, 1.0, now);
+        self.update(now);
+        self.unserved += 1.0;
     }
 
     /// Records whether a request failed on a server of unknown state.
@@ -71,9 +80,11 @@
     }
 
     /// Whether the service needs all capacity that may have recovered: a considerable share of its
-    /// requests goes unserved, and there are enough of them to use all `servers`.
+    /// requests, or of all requests of the routes that lead to it, goes unserved, and there are
+    /// enough of them to use all `servers`.
     pub(super) fn needs_all_servers(&self, servers: usize, now: Instant) -> bool {
         let uses_all = self.arrivals * self.decay(now) >= servers as f64;
-        uses_all && self.unserved > UNSERVED_THRESHOLD * self.arrivals
+        let unserved = self.unserved.max(self.route_unserved);
+        uses_all && unserved > UNSERVED_THRESHOLD * self.arrivals
     }
 }
--- a/crates/kws-dispatch/src/placer/pool/waiting.rs
+++ b/crates/kws-dispatch/src/placer/pool/waiting.rs
@@ -20,10 +20,13 @@
 /// more callers, it only delays them.
 const MAX_WAIT_SHARE: f64 = 0.45;
 
-/// Longest wait in the queue, whatever the deadline. A queue that is too long for requests with
-/// short deadlines would cause all of those to be refused.
+/// Longest wait in the queue of a request without an objective, whatever its deadline. Its caller
+/// may need the response long before the deadline.
 const MAX_QUEUE_WAIT: Duration = Duration::from_millis(400);
 
+/// Shortest limit of the wait in the queue: short bursts are served late rather than refused.
+const MIN_QUEUE_WAIT: Duration = Duration::from_millis(100);
+
 /// Shortest delay that a refused caller is told to wait.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -36,7 +39,7 @@
     /// Longest wait after which a response still arrives before the deadline.
     servable: Duration,
     /// Longest wait that serves the caller.
-    useful: Duration,
+    pub(super) useful: Duration,
 }
 
 impl WaitLimits {
@@ -50,9 +53,13 @@
     pub(super) fn wait_limits(&self, request: &PlaceRequest, now: Instant) -> WaitLimits {
         let remaining = request.deadline.saturating_duration_since(now);
         let needed = self.service_time.mul_f64(MIN_SERVICE_TIMES_AFTER_WAIT);
+        let useful = request.objective.map_or(MAX_QUEUE_WAIT, |objective| {
+            let left = objective.saturating_duration_since(now);
+            left.saturating_sub(needed).max(MIN_QUEUE_WAIT)
+        });
         WaitLimits {
             servable: remaining.saturating_sub(needed),
-            useful: remaining.mul_f64(MAX_WAIT_SHARE).min(MAX_QUEUE_WAIT),
+            useful: useful.min(remaining.mul_f64(MAX_WAIT_SHARE)),
         }
     }
 
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -210,12 +210,6 @@
         self.settings = settings.clone();
     }
 
-    /// Whether a request was placed on the server within `period`.
-    pub(crate) fn was_used(&self, period: Duration, now: Instant) -> bool {
-        self.last_used
-            .is_some_and(|at| now.saturating_duration_since(at) < period)
-    }
-
     /// How little is known of the server's present state, from 0 just after a good response to 1.
     pub(crate) fn uncertainty(&self, now: Instant) -> f64 {
         self.last_good.map_or(1.0, |at| {
--- a/crates/kws-dispatch/src/placer/slot_queue.rs
+++ b/crates/kws-dispatch/src/placer/slot_queue.rs
@@ -18,7 +18,9 @@
     rank: Instant,
 }
 
-/// A queue ordered by rank: the arrival time plus the delays for priority and team.
+/// A queue ordered by rank: the time at which a request should be placed at the latest, plus the
+/// delays for priority and team. Requests that can wait longer give way to the others, and under
+/// overload all kinds wait as long as they can.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SlotQueue {
     requests: Vec<QueuedRequest>,
@@ -39,16 +41,21 @@
         self.requests.get(index).map(|queued| &queued.request)
     }
 
-    /// Adds a request and returns the number of requests ahead of it.
-    pub(crate) fn push(&mut self, request: PlaceRequest, now: Instant) -> usize {
+    /// Adds a request that may wait for `max_wait`. Returns the number of requests ahead of it.
+    pub(crate) fn push(
+        &mut self,
+        request: PlaceRequest,
+        max_wait: Duration,
+        now: Instant,
+    ) -> usize {
         let same_team = self
             .requests
             .iter()
             .filter(|queued| queued.request.team == request.team);
         let team_delay =
             TEAM_DELAY.mul_f64(same_team.count() as f64 / request.weight.max(f64::MIN_POSITIVE));
-        let rank =
-            now + PRIORITY_DELAY * request.priority.min(10) + team_delay.min(PRIORITY_DELAY * 5);
+        let delays = PRIORITY_DELAY * request.priority.min(10) + team_delay.min(PRIORITY_DELAY * 5);
+        let rank = now + max_wait + delays;
         let position = self.requests.partition_point(|queued| queued.rank <= rank);
         self.requests
             .insert(position, QueuedRequest { request, rank });
--- a/crates/kws-dispatch/tests/placed_together.rs
+++ b/crates/kws-dispatch/tests/placed_together.rs
@@ -54,8 +54,11 @@
             weight: 1.0,
             priority: 1,
             deadline: Instant::now() + REQUEST_TIMEOUT,
+            objective: None,
             repeatable,
             bytes: 1_000,
+
+            unserved_share: 0.0,
             excluded: Vec::new(),
             retry: false,
             uncoordinated: false,
@@ -647,8 +650,11 @@
         weight: 1.0,
         priority: 0,
         deadline: Instant::now() + REQUEST_TIMEOUT,
+        objective: None,
         repeatable: true,
         bytes: 0,
+
+        unserved_share: 0.0,
         excluded: Vec::new(),
         retry: false,
         uncoordinated: false,
--- a/crates/kws-dispatch/tests/retry_policy.rs
+++ b/crates/kws-dispatch/tests/retry_policy.rs
@@ -21,6 +21,7 @@
         access: RouteAccess::AnyTeam,
         repeatable,
         deadline: Duration::from_secs(5),
+        objective: None,
         idle: Duration::from_secs(1),
         tries: 3,
         hedge: Some(Duration::from_millis(100)),
--- a/crates/kws-dispatch/tests/support.rs
+++ b/crates/kws-dispatch/tests/support.rs
@@ -57,11 +57,14 @@
             service: listing(),
             team: TeamName::new(team),
             weight: 1.0,
+            objective: None,
             deadline: Instant::now() + Duration::from_secs(10),
             priority: 0,
             repeatable: true,
             retry: false,
             bytes: 1_000,
+
+            unserved_share: 0.0,
             excluded: Vec::new(),
         }
     }
--- a/crates/kws-forward/src/access_entry.rs
+++ b/crates/kws-forward/src/access_entry.rs
@@ -11,6 +11,11 @@
 use std::{mem, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
+/// Status of a request of a team that is over its rate.
+const TOO_MANY_REQUESTS: u16 = 429;
+/// Lowest status of a request that was not served although it was proper.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// Data collected for the access record while a request is handled.
 #[derive(Debug, Default)]
 pub(crate) struct ExchangeLog {
@@ -63,9 +68,21 @@
         self.write(AccessOutcome::Responded, status, refused);
     }
 
+    /// Counts the request for its route, unless its caller left or its team is over its rate.
+    fn record_outcome(&self, route: &RouteName, outcome: AccessOutcome, status: u16) {
+        let is_counted = outcome == AccessOutcome::Responded && status != TOO_MANY_REQUESTS;
+        if is_counted {
+            let served = status < FIRST_SERVER_ERROR;
+            self.worker.routes.record_outcome(route, served);
+        }
+    }
+
     fn write(&mut self, outcome: AccessOutcome, status: u16, refused: Option<RequestRefusal>) {
         self.written = true;
         let log = mem::take(&mut self.log);
+        if let Some(route) = &log.route {
+            self.record_outcome(route, outcome, status);
+        }
         self.worker.control.record_access(AccessRecord {
             request_id: mem::take(&mut self.request_id),
             caller: self.caller,
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -28,7 +28,7 @@
 }
 
 /// A request for a slot of a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServerRequest {
     /// The request identifier, for the log.
     pub request_id: String,
@@ -38,12 +38,18 @@
     pub team: Option<TeamName>,
     /// The deadline of the request.
     pub deadline: Instant,
+    /// When a response stops being of full use to the caller; `None` if the route doesn't say.
+    pub objective: Option<Instant>,
     /// The priority of the request; 0 is the highest.
     pub priority: u32,
     /// Whether the request may be executed more than once.
     pub repeatable: bool,
     /// Whether this is a retry.
     pub retry: bool,
+    /// Expected size of the response, in bytes.
+    pub response_bytes: u64,
+    /// Share of the route's latest requests on this host that were not served, between 0 and 1.
+    pub unserved_share: f64,
     /// Servers that earlier tries of this request used; they are not granted again.
     pub excluded: BTreeSet<ServerName>,
 }
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -149,6 +149,7 @@
             trace_id: self.trace_id,
             caller: self.caller,
             deadline,
+            objective: route.objective.map(|objective| self.started + objective),
             tls: speaks_tls,
             body: RequestBody::new(payload, self.checks.parts.length, limits),
         };
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod response;
 mod response_body;
 mod route;
+mod route_history;
 mod routing;
 mod silence;
 mod single_try;
--- a/crates/kws-forward/src/response.rs
+++ b/crates/kws-forward/src/response.rs
@@ -30,6 +30,10 @@
     mut guard: TryGuard,
 ) -> Result<Response, TryError> {
     let dialect = &context.worker.dialect;
+    if let Ok(Some(ResponseLength::Sized(bytes))) = declared_length(response) {
+        let routes = &context.worker.routes;
+        routes.record_size(&context.route.name, bytes);
+    }
     guard.record_head(is_draining(dialect, response.headers()));
     let matches = matches_request(context, response.headers());
     if matches && let Some(class) = not_run_class(dialect, response) {
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -75,6 +75,8 @@
     pub(crate) caller: &'a IoRef,
     /// The deadline of the request.
     pub(crate) deadline: Instant,
+    /// When a response stops being of full use to the caller, if the route says.
+    pub(crate) objective: Option<Instant>,
     /// Whether to connect to the servers of the service over TLS.
     pub(crate) tls: bool,
     /// The request body.
@@ -181,7 +183,8 @@
     }
 
     async fn wait_for_slot(&self, history: &TryHistory) -> Result<ServerGrant, RequestRefusal> {
-        let control = &self.checks.worker.control;
+        let worker = self.checks.worker;
+        let control = &worker.control;
         let team = self.team.and_then(|team| self.settings.teams.get(team));
         let priority = team.and_then(|team| team.priority);
         let request = ServerRequest {
@@ -189,9 +192,12 @@
             service: self.service.clone(),
             team: self.team.cloned(),
             deadline: self.deadline,
+            objective: self.objective,
             priority: priority.unwrap_or(self.route.priority),
             repeatable: self.is_repeatable(),
             retry: history.tries > 0,
+            response_bytes: worker.routes.response_bytes(&self.route.name),
+            unserved_share: worker.routes.unserved_share(&self.route.name),
             excluded: history.servers.clone(),
         };
         let granted = timeout_at(self.deadline, control.acquire(request)).await;
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,8 +1,8 @@
 //! State shared by the requests of one worker.
 
 use crate::{
-    control::ForwardControl, live_count::LiveCount, request_id::IdSource, tls::BackendTrust,
-    upstream::UpstreamPool,
+    control::ForwardControl, live_count::LiveCount, request_id::IdSource,
+    route_history::RouteHistory, tls::BackendTrust, upstream::UpstreamPool,
 };
 use kws_protocol::HeaderDialect;
 use std::{
@@ -42,6 +42,8 @@
     pub(crate) ids: IdSource,
     /// The names of the headers exchanged with callers and backend servers.
     pub(crate) dialect: HeaderDialect,
+    /// What is known of the routes' requests and responses.
+    pub(crate) routes: RouteHistory,
     draining: Arc<AtomicBool>,
 }
 
@@ -53,6 +55,7 @@
             pool: Rc::new(UpstreamPool::new(parts.backend_trust)),
             ids: IdSource::new(),
             dialect: parts.dialect,
+            routes: RouteHistory::default(),
             draining: parts.draining,
         }
     }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -146,6 +146,7 @@
         access: RouteAccess::AnyTeam,
         repeatable: None,
         deadline: TEST_TIMEOUT,
+        objective: None,
         idle: TEST_TIMEOUT,
         tries: 2,
         hedge: None,
--- a/crates/kws-protocol/src/message/ticket.rs
+++ b/crates/kws-protocol/src/message/ticket.rs
@@ -21,10 +21,15 @@
     pub priority: u32,
     /// Time left until the response must be complete.
     pub remaining: Duration,
+    /// Time left until a response stops being of full use to the caller; `None` if unknown.
+    pub objective: Option<Duration>,
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// Expected size of the request and its response, in bytes.
     pub expected_bytes: u64,
+    /// Share of the route's latest requests on the requesting host that were not served, between 0
+    /// and 1.
+    pub unserved_share: f64,
     /// Servers used by earlier tries of the request.
     pub excluded: Vec<ServerName>,
     /// Whether this is a retry.
--- a/crates/kws-protocol/src/settings.rs
+++ b/crates/kws-protocol/src/settings.rs
@@ -152,6 +152,9 @@
     pub repeatable: Option<bool>,
     /// Maximum total time of a request.
     pub deadline: Duration,
+    /// Latency objective: time within which a response is of full use to the caller; `None` if the
+    /// route has none.
+    pub objective: Option<Duration>,
     /// Maximum idle time of a backend server or caller while it sends a body.
     pub idle: Duration,
     /// Maximum number of tries of a request, including the first.
--- a/crates/kws-protocol/src/wire/ticket.rs
+++ b/crates/kws-protocol/src/wire/ticket.rs
@@ -24,10 +24,14 @@
     priority: u32,
     #[serde(rename = "l")]
     remaining_ms: u64,
+    #[serde(default, rename = "o", skip_serializing_if = "Option::is_none")]
+    objective_ms: Option<u64>,
     #[serde(rename = "r")]
     repeatable: bool,
     #[serde(rename = "b")]
     expected_bytes: u64,
+    #[serde(default, rename = "u", skip_serializing_if = "is_zero")]
+    unserved_percent: u8,
     #[serde(default, rename = "x", skip_serializing_if = "Vec::is_empty")]
     excluded: Vec<ServerName>,
     #[serde(rename = "a")]
@@ -114,6 +118,14 @@
     Cancelled
 );
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature that serde asks for"
+)]
+fn is_zero(percent: &u8) -> bool {
+    *percent == 0
+}
+
 fn round_up_millis(time: Duration) -> u64 {
     time.as_micros().div_ceil(1_000) as u64
 }
@@ -129,8 +141,10 @@
             priority: request.priority,
             // Rounded down: the time left must not grow in transit.
             remaining_ms: request.remaining.as_millis() as u64,
+            objective_ms: request.objective.map(|left| left.as_millis() as u64),
             repeatable: request.repeatable,
             expected_bytes: request.expected_bytes,
+            unserved_percent: (request.unserved_share.clamp(0.0, 1.0) * 100.0).round() as u8,
             excluded: request.excluded.clone(),
             retry: request.retry,
         }
@@ -152,8 +166,10 @@
             weight: wire.weight,
             priority: wire.priority,
             remaining: Duration::from_millis(wire.remaining_ms),
+            objective: wire.objective_ms.map(Duration::from_millis),
             repeatable: wire.repeatable,
             expected_bytes: wire.expected_bytes,
+            unserved_share: f64::from(wire.unserved_percent.min(100)) / 100.0,
             excluded: wire.excluded,
             retry: wire.retry,
         })
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -125,8 +125,11 @@
     weight: 1.5,
     priority: 2,
     remaining: Duration::from_millis(900),
+    objective: None,
     repeatable: false,
     expected_bytes: 1_000,
+
+    unserved_share: 0.0,
     excluded: vec!["till-1".into()],
     retry: true,
 })))]
--- a/crates/kws-protocol/tests/wire_frames.rs
+++ b/crates/kws-protocol/tests/wire_frames.rs
@@ -194,8 +194,11 @@
         weight: 1.5,
         priority: 2,
         remaining: Duration::from_millis(900),
+        objective: None,
         repeatable: true,
         expected_bytes: 1_000,
+
+        unserved_share: 0.0,
         excluded: vec!["till-1".into()],
         retry: true,
     })),
@@ -210,8 +213,11 @@
         weight: 1.0,
         priority: 0,
         remaining: Duration::ZERO,
+        objective: None,
         repeatable: false,
         expected_bytes: 0,
+
+        unserved_share: 0.0,
         excluded: Vec::new(),
         retry: false,
     })),
--- a/crates/kws-replay/src/backends/fleet.rs
+++ b/crates/kws-replay/src/backends/fleet.rs
@@ -156,11 +156,14 @@
                 service: self.service.clone(),
                 team: TeamName::new("orchard"),
                 weight: 1.0,
+                objective: None,
                 deadline: now + DEADLINE,
                 priority: 0,
                 repeatable: true,
                 retry: false,
                 bytes: 0,
+
+                unserved_share: 0.0,
                 excluded: Vec::new(),
             };
             let TraceHost {
--- a/crates/kws-tree/src/decode.rs
+++ b/crates/kws-tree/src/decode.rs
@@ -250,6 +250,7 @@
         access: reader.access("access"),
         repeatable: reader.flag("repeatable"),
         deadline: reader.duration("deadline"),
+        objective: reader.optional_duration("objective"),
         idle: reader.duration("idle"),
         tries: reader.count("tries"),
         hedge: reader.optional_duration("hedge"),
--- a/crates/kws-tree/src/references/route.rs
+++ b/crates/kws-tree/src/references/route.rs
@@ -63,6 +63,13 @@
         let problem = Problem::Contradiction("`hedge` is not shorter than `deadline`");
         findings.push(field_finding(entry, "hedge", problem));
     }
+    if route
+        .objective
+        .is_some_and(|objective| objective > route.deadline)
+    {
+        let problem = Problem::Contradiction("`objective` is longer than `deadline`");
+        findings.push(field_finding(entry, "objective", problem));
+    }
     if route.hedge.is_some() && route.repeatable == Some(false) {
         let problem = Problem::Contradiction("a request that is not `repeatable` has no `hedge`");
         findings.push(field_finding(entry, "hedge", problem));
--- a/crates/kws-tree/src/schema/route.rs
+++ b/crates/kws-tree/src/schema/route.rs
@@ -60,6 +60,12 @@
             EmptyList,
             "The methods that it serves. Empty means every method.",
         ),
+        value(
+            "objective",
+            ValueKind::OptionalDuration,
+            Text("off"),
+            "The time within which an answer is of full use. Requests wait for a slot as long as it allows.",
+        ),
         scoped(
             FieldScope::Own,
             value(
