Probes are told to hosts, and unreachable servers rest

Cause 1: failed probes counted as unserved requests, which demanded more probes. Change: a grant says whether it probes, and the host leaves failed probes out. Change: a failed connection starts a cooldown of 0.1 s that doubles up to 3.2 s.

--- a/crates/kws-bench/src/forward/granting.rs
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -30,6 +30,7 @@
                 server: ServerName::new("listing-00"),
                 address,
                 ticket: GrantTicket(0),
+                probe: false,
             },
         }
     }
--- a/crates/kws-bench/src/placing/run.rs
+++ b/crates/kws-bench/src/placing/run.rs
@@ -28,6 +28,8 @@
 const CONFIRM_PERIOD: Duration = Duration::from_millis(300);
 /// Time after which a running request is first confirmed.
 const CONFIRM_DELAY: Duration = Duration::from_millis(500);
+/// Time over which hosts count their requests.
+const OUTCOME_WINDOW: Duration = Duration::from_secs(3);
 /// Tries of a request.
 const MAX_TRIES: usize = 2;
 /// Teams that send requests.
@@ -69,6 +71,32 @@
     verdict: ServerVerdict,
 }
 
+/// Latest requests of a region, as its hosts count them.
+#[derive(Clone, Copy, Debug, Default)]
+struct RegionOutcomes {
+    requests: f64,
+    unserved: f64,
+    updated_at: Duration,
+}
+
+impl RegionOutcomes {
+    fn record(&mut self, served: bool, now: Duration) {
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        let decay = (-elapsed / OUTCOME_WINDOW.as_secs_f64()).exp();
+        self.requests = self.requests * decay + 1.0;
+        self.unserved = self.unserved * decay + f64::from(u8::from(!served));
+        self.updated_at = now;
+    }
+
+    fn unserved_share(&self) -> f64 {
+        if self.requests > 0.0 {
+            self.unserved / self.requests
+        } else {
+            0.0
+        }
+    }
+}
+
 /// One run of a load.
 pub struct PlacingRun {
     load: ServiceLoad,
@@ -80,6 +108,7 @@
     names: Vec<ServerName>,
     index: HashMap<ServerName, usize>,
     requests: BTreeMap<u64, ModelRequest>,
+    outcomes: [RegionOutcomes; 2],
     events: BinaryHeap<Reverse<(Duration, u64, RunEvent)>>,
     order: u64,
     base: Instant,
@@ -125,6 +154,7 @@
             names,
             index,
             requests: BTreeMap::new(),
+            outcomes: [RegionOutcomes::default(); 2],
             events: BinaryHeap::new(),
             order: 0,
             base,
@@ -245,7 +275,7 @@
             repeatable: kind.repeatable,
             bytes: 5_000,
 
-            unserved_share: 0.0,
+            unserved_share: self.outcomes[request.region].unserved_share(),
             excluded: request.excluded.clone(),
             retry: request.tries > 1,
             uncoordinated: false,
@@ -289,6 +319,7 @@
         let Some(request) = self.requests.remove(&key) else {
             return;
         };
+        self.outcomes[request.region].record(false, self.now);
         if request.tries > 1 && request.verdict == ServerVerdict::Error {
             self.score.failed += 1;
         } else {
@@ -372,7 +403,12 @@
         if may_repeat && in_time && (tries as usize) < MAX_TRIES {
             return self.schedule(self.now + 2 * HOP, RunEvent::Ask(key));
         }
+        let (region, health) = (self.requests[&key].region, self.requests[&key].health);
         self.requests.remove(&key);
+        let served = verdict == ServerVerdict::Good && in_time;
+        if served || health == ServerHealth::Healthy {
+            self.outcomes[region].record(served, self.now);
+        }
         match verdict {
             ServerVerdict::Good if self.now <= arrived + kind.objective => self.score.fast += 1,
             ServerVerdict::Good if in_time => self.score.late += 1,
--- a/crates/kws-bench/src/placing/scenario.rs
+++ b/crates/kws-bench/src/placing/scenario.rs
@@ -24,11 +24,13 @@
     Bookings,
     /// Payments while an eighth of the servers goes away without a word.
     Crash,
+    /// The same for lookups at nine tenths of what the healthy servers can do.
+    FullCrash,
 }
 
 impl LoadScenario {
     /// All scenarios, in the order of the table.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Payments,
         Self::Shedding,
         Self::Sparse,
@@ -37,6 +39,7 @@
         Self::Bursts,
         Self::Bookings,
         Self::Crash,
+        Self::FullCrash,
     ];
 
     /// The load of the scenario.
@@ -66,6 +69,10 @@
                 crash: Some((Duration::from_secs(8), 0.125)),
                 ..payments()
             },
+            Self::FullCrash => ServiceLoad {
+                crash: Some((Duration::from_secs(8), 0.125)),
+                ..lookups(300.0)
+            },
         }
     }
 }
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -212,6 +212,7 @@
                     server: grant.server,
                     address: grant.address,
                     ticket: GrantTicket(grant.ticket.0),
+                    probe: grant.probe,
                 }),
                 (Err(reason), ticket) => {
                     ticket.and_then(|ticket| guard.permits.remove(ticket));
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -19,7 +19,7 @@
 use kws_forward::{Refusal, TryClass, TryOutcome};
 use kws_protocol::{
     FleetSnapshot, HostName, PeerMessage, RegionName, ServerName, ServerStatus, ServiceName,
-    SlotOutcome, SlotRequest, TicketMessage,
+    SlotGrant, SlotOutcome, SlotRequest, TicketMessage,
 };
 use pending::{PendingSlot, PendingSlots};
 use remote::RemoteTickets;
@@ -406,11 +406,7 @@
         match message {
             TicketMessage::RequestSlot(request) => self.handle_slot_request(from, request, now),
             TicketMessage::Queued { ticket } => self.pending.record_queued(ticket, now),
-            TicketMessage::Grant {
-                ticket,
-                server,
-                address,
-            } => self.handle_grant(from, ticket, (server, address), now),
+            TicketMessage::Grant { ticket, grant } => self.handle_grant(from, ticket, grant, now),
             TicketMessage::Refuse {
                 ticket,
                 reason,
@@ -468,12 +464,8 @@
                 .placer
                 .request_slot(place_request(request, key, now), now);
             self.run_actions(actions, now);
-        } else if let Some((server, address)) = self.remote.granted(key) {
-            let message = TicketMessage::Grant {
-                ticket,
-                server,
-                address,
-            };
+        } else if let Some(grant) = self.remote.granted(key) {
+            let message = TicketMessage::Grant { ticket, grant };
             self.peers.send(from, PeerMessage::Ticket(message));
         }
         if self.placer.is_queued(key) {
@@ -482,13 +474,7 @@
         }
     }
 
-    fn handle_grant(
-        &mut self,
-        from: &HostName,
-        ticket: u64,
-        (server, address): (ServerName, std::net::SocketAddr),
-        now: Instant,
-    ) {
+    fn handle_grant(&mut self, from: &HostName, ticket: u64, grant: SlotGrant, now: Instant) {
         let id = TicketId(ticket);
         let Some(pending) = self.pending.remove(ticket) else {
             // The request was placed elsewhere or cancelled in the meantime: release the slot.
@@ -502,25 +488,25 @@
         let granted = GrantedTicket {
             placed_by: Some(from.clone()),
             service: pending.request.service,
-            server: server.clone(),
+            server: grant.server.clone(),
             since: now,
         };
-        self.deliver_grant(id, granted, address, pending.reply, now);
+        self.deliver_grant(id, granted, grant, pending.reply, now);
     }
 
     fn deliver_grant(
         &mut self,
         ticket: TicketId,
         granted: GrantedTicket,
-        address: std::net::SocketAddr,
+        slot: SlotGrant,
         reply: GrantReply,
         now: Instant,
     ) {
         let grant = ServerGrant {
             ticket,
-            server: granted.server.clone(),
-            address,
-            probe: false,
+            server: slot.server,
+            address: slot.address,
+            probe: slot.probe,
             spill: false,
         };
         self.granted.insert(ticket, granted);
@@ -539,7 +525,12 @@
                     health,
                 } => {
                     self.log_placed(key, &server, health);
-                    self.send_grant(key, server, address, now);
+                    let grant = SlotGrant {
+                        server,
+                        address,
+                        probe: health != ServerHealth::Healthy,
+                    };
+                    self.send_grant(key, grant, now);
                 }
                 PlaceAction::Refuse {
                     key,
@@ -585,19 +576,9 @@
         try_log::log_placed(asker, ticket, &placed);
     }
 
-    fn send_grant(
-        &mut self,
-        key: u64,
-        server: ServerName,
-        address: std::net::SocketAddr,
-        now: Instant,
-    ) {
-        if let Some((host, ticket)) = self.remote.record_grant(key, &server, address, now) {
-            let message = TicketMessage::Grant {
-                ticket,
-                server,
-                address,
-            };
+    fn send_grant(&mut self, key: u64, grant: SlotGrant, now: Instant) {
+        if let Some((host, ticket)) = self.remote.record_grant(key, &grant, now) {
+            let message = TicketMessage::Grant { ticket, grant };
             self.peers.send(&host, PeerMessage::Ticket(message));
             return;
         }
@@ -612,10 +593,10 @@
         let granted = GrantedTicket {
             placed_by: None,
             service,
-            server,
+            server: grant.server.clone(),
             since: now,
         };
-        self.deliver_grant(TicketId(key), granted, address, reply, now);
+        self.deliver_grant(TicketId(key), granted, grant, reply, now);
     }
 
     fn send_refusal(&mut self, key: u64, refusal: Refusal, context: &RefusalContext) {
--- a/crates/kws-daemon/src/placement/remote.rs
+++ b/crates/kws-daemon/src/placement/remote.rs
@@ -1,7 +1,7 @@
 //! Slot requests of other hosts that this host places.
 
-use kws_protocol::{HostName, ServerName};
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use kws_protocol::{HostName, SlotGrant};
+use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
 /// First key of other hosts' requests; the tickets of this host are smaller.
@@ -17,7 +17,7 @@
 struct RemoteTicket {
     host: HostName,
     ticket: u64,
-    granted: Option<(ServerName, SocketAddr)>,
+    granted: Option<SlotGrant>,
     last_confirmed: Instant,
 }
 
@@ -67,12 +67,11 @@
     pub(super) fn record_grant(
         &mut self,
         key: u64,
-        server: &ServerName,
-        address: SocketAddr,
+        grant: &SlotGrant,
         now: Instant,
     ) -> Option<(HostName, u64)> {
         let remote = self.tickets.get_mut(&key)?;
-        remote.granted = Some((server.clone(), address));
+        remote.granted = Some(grant.clone());
         remote.last_confirmed = now;
         Some((remote.host.clone(), remote.ticket))
     }
@@ -83,8 +82,8 @@
         Some((&remote.host, remote.ticket))
     }
 
-    /// The server granted for a key, and its address.
-    pub(super) fn granted(&self, key: u64) -> Option<(ServerName, SocketAddr)> {
+    /// The slot granted for a key.
+    pub(super) fn granted(&self, key: u64) -> Option<SlotGrant> {
         self.tickets.get(&key)?.granted.clone()
     }
 
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -171,7 +171,6 @@
             return Vec::new();
         }
         self.queue.remove(key);
-        self.demand.record_unserved(now);
         let retry_after = self.retry_delay(now);
         vec![self.refuse(key, RefusalReason::DeadlineEarly, Some(retry_after), now)]
     }
--- a/crates/kws-dispatch/src/placer/pool/choice.rs
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -36,6 +36,10 @@
 /// The same time while its capacity is not needed.
 const SPARE_SUSPECT_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Share of a region's servers that may stay unused while all are needed. It is below the share
+/// that the capacity floor leaves, as servers unused at one time may all be healthy.
+const MAX_UNUSED_SHARE: f64 = 0.15;
+
 /// Cost of a fully loaded server over an idle one. This and the costs below are in shares of what a
 /// served request is worth.
 const LOAD_COST: f64 = 0.05;
@@ -81,7 +85,7 @@
     /// The server to probe: of those that are due, the one used least recently. A probe may cost
     /// the request, so repeatable requests are preferred, unless there was none for a while.
     fn probe_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
-        let needs_all = self.needs_all_servers(now);
+        let needs_all = self.leaves_servers_unused(now);
         let ejection = &self.settings.as_ref()?.ejection;
         let delay = self.probe_delay(request, needs_all, now);
         let suspect_interval = match (request.repeatable, needs_all) {
@@ -110,6 +114,18 @@
         self.demand.needs_all_servers(self.local_servers(), now)
     }
 
+    /// Whether more servers than [`MAX_UNUSED_SHARE`] got no request lately although all are needed.
+    /// Then ejected and suspect ones are probed until fewer are left.
+    fn leaves_servers_unused(&self, now: Instant) -> bool {
+        if !self.needs_all_servers(now) {
+            return false;
+        }
+        let unused = self.servers.values().filter(|server| {
+            self.is_in_region(server) && !server.was_used(SUSPECT_PROBE_INTERVAL, now)
+        });
+        unused.count() as f64 > MAX_UNUSED_SHARE * self.local_servers() as f64
+    }
+
     /// How long after the end of an ejection a probe waits for a more suitable request.
     fn probe_delay(&self, request: &PlaceRequest, needs_all: bool, now: Instant) -> Duration {
         if needs_all {
--- a/crates/kws-dispatch/src/placer/pool/demand.rs
+++ b/crates/kws-dispatch/src/placer/pool/demand.rs
@@ -12,18 +12,16 @@
 /// Share of failures on servers of unknown state that is assumed at first.
 const INITIAL_UNKNOWN_FAILURES: f64 = 0.1;
 
-/// Time over which arrivals and unserved requests are averaged.
+/// Time over which arrivals are averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
-/// Moving averages of arrivals, unserved requests and failures.
+/// Moving averages of arrivals and failures.
 #[derive(Clone, Debug)]
 pub(super) struct DemandMeter {
     /// Arrivals in about [`DEMAND_WINDOW`], decayed to `updated_at`.
     arrivals: f64,
-    /// Requests that failed or were refused early in the same time.
+    /// Sum over these arrivals of the unserved shares of their routes.
     unserved: f64,
-    /// Sum over the arrivals of the unserved shares of their routes.
-    route_unserved: f64,
     updated_at: Instant,
     /// Share of the requests sent to servers of unknown state that failed there.
     unknown_failures: f64,
@@ -34,7 +32,6 @@
         Self {
             arrivals: 0.0,
             unserved: 0.0,
-            route_unserved: 0.0,
             updated_at: now,
             unknown_failures: INITIAL_UNKNOWN_FAILURES,
         }
@@ -46,28 +43,14 @@
         (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
     }
 
-    /// Decays the averages to `now`.
-    fn update(&mut self, now: Instant) {
+    /// Records a request of a route of which the share `unserved` goes unserved.
+    pub(super) fn record_arrival(&mut self, unserved: f64, now: Instant) {
         let decay = self.decay(now);
-        self.arrivals *= decay;
-        self.unserved *= decay;
-        self.route_unserved *= decay;
+        self.arrivals = self.arrivals * decay + 1.0;
+        self.unserved = self.unserved * decay + unserved;
         self.updated_at = now;
     }
 
-    /// Records a request of a route of which the share `route_unserved` goes unserved.
-    pub(super) fn record_arrival(&mut self, route_unserved: f64, now: Instant) {
-        self.update(now);
-        self.arrivals += 1.0;
-        self.route_unserved += route_unserved;
-    }
-
-    /// Records a request that was refused early or failed.
-    pub(super) fn record_unserved(&mut self, now: Instant) {
-        self.update(now);
-        self.unserved += 1.0;
-    }
-
     /// Records whether a request failed on a server of unknown state.
     pub(super) fn record_unknown(&mut self, failed: bool) {
         let newest = f64::from(u8::from(failed));
@@ -79,12 +62,11 @@
         self.unknown_failures
     }
 
-    /// Whether the service needs all capacity that may have recovered: a considerable share of its
-    /// requests, or of all requests of the routes that lead to it, goes unserved, and there are
-    /// enough of them to use all `servers`.
+    /// Whether the service needs all capacity that may have recovered: a considerable share of the
+    /// requests of the routes that lead to it goes unserved, and enough of them come to it to use
+    /// all `servers`.
     pub(super) fn needs_all_servers(&self, servers: usize, now: Instant) -> bool {
         let uses_all = self.arrivals * self.decay(now) >= servers as f64;
-        let unserved = self.unserved.max(self.route_unserved);
-        uses_all && unserved > UNSERVED_THRESHOLD * self.arrivals
+        uses_all && self.unserved > UNSERVED_THRESHOLD * self.arrivals
     }
 }
--- a/crates/kws-dispatch/src/placer/pool/judgement.rs
+++ b/crates/kws-dispatch/src/placer/pool/judgement.rs
@@ -25,7 +25,7 @@
         now: Instant,
     ) -> Option<PlaceAction> {
         let outcome = report.outcome;
-        self.record_demand(outcome.outcome, ended, now);
+        self.record_unknown(outcome.outcome, ended);
         let path_failure = matches!(
             outcome.outcome,
             SlotOutcome::TimedOut | SlotOutcome::ConnectFailed
@@ -53,14 +53,10 @@
                 server.record_late(&settings.ejection, may_eject, now),
                 "late answer",
             ),
-            SlotOutcome::ConnectFailed => {
-                // Counts only as a late response, since the fault may be on the path from one host;
-                // that host avoids the server by itself.
-                (
-                    server.record_late(&settings.ejection, may_eject, now),
-                    "not reached",
-                )
-            }
+            SlotOutcome::ConnectFailed => (
+                server.record_unreachable(&settings.ejection, may_eject, now),
+                "not reached",
+            ),
             SlotOutcome::NotRun => {
                 server.record_overload(now);
                 (false, "turned away")
@@ -94,17 +90,11 @@
             .max(MIN_OVERDUE_TIME)
     }
 
-    /// Records how the request fared. Failed probes say nothing about the capacity in use.
-    fn record_demand(&mut self, outcome: SlotOutcome, ended: EndedRequest, now: Instant) {
-        if ended.health != ServerHealth::Healthy {
-            return;
-        }
-        let served = outcome == SlotOutcome::Succeeded;
-        if !served && outcome != SlotOutcome::Cancelled {
-            self.demand.record_unserved(now);
-        }
-        if ended.was_unknown && matches!(outcome, SlotOutcome::Failed | SlotOutcome::Succeeded) {
-            self.demand.record_unknown(!served);
+    /// Records how a request fared on a server of unknown state.
+    fn record_unknown(&mut self, outcome: SlotOutcome, ended: EndedRequest) {
+        let counts = ended.health == ServerHealth::Healthy && ended.was_unknown;
+        if counts && matches!(outcome, SlotOutcome::Failed | SlotOutcome::Succeeded) {
+            self.demand.record_unknown(outcome == SlotOutcome::Failed);
         }
     }
 
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -12,6 +12,13 @@
 /// free slots and attract all requests while the others are full.
 const FAILURE_COOLDOWN: Duration = Duration::from_millis(300);
 
+/// Cooldown after a connection could not be established. Without it, a server whose process ended
+/// refuses connections at once, and would attract all requests while the others are full.
+const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(100);
+
+/// Consecutive failed connections double the cooldown at most this many times.
+const MAX_UNREACHABLE_DOUBLINGS: u32 = 5;
+
 /// Consecutive bad responses double the cooldown at most this many times.
 const MAX_DOUBLINGS: u32 = 3;
 
@@ -57,6 +64,8 @@
     cooldown_until: Option<Instant>,
     /// Consecutive bad responses.
     consecutive_failures: u32,
+    /// Consecutive failed connections.
+    consecutive_unreachable: u32,
     /// When the last bad response arrived.
     last_bad: Option<Instant>,
     /// When the last good response arrived to a request placed after the last bad one.
@@ -78,6 +87,7 @@
             ejection: None,
             cooldown_until: None,
             consecutive_failures: 0,
+            consecutive_unreachable: 0,
             last_bad: None,
             last_good: None,
             unavailable_until: None,
@@ -210,6 +220,12 @@
         self.settings = settings.clone();
     }
 
+    /// Whether a request was placed on the server within `period`.
+    pub(crate) fn was_used(&self, period: Duration, now: Instant) -> bool {
+        self.last_used
+            .is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
     /// How little is known of the server's present state, from 0 just after a good response to 1.
     pub(crate) fn uncertainty(&self, now: Instant) -> f64 {
         self.last_good.map_or(1.0, |at| {
@@ -254,6 +270,7 @@
         if self.last_bad.is_some_and(|bad| placed < bad) {
             return self.evidence.record_in_time(now);
         }
+        self.consecutive_unreachable = 0;
         self.evidence.record_good(now);
         self.last_good = Some(now);
         self.consecutive_failures = 0;
@@ -289,6 +306,22 @@
         self.update_ejection(settings, may_eject, now)
     }
 
+    /// Records a failed connection and starts a cooldown. It counts only as a late response, since
+    /// the fault may be on the path from one host, which avoids the server by itself. Returns
+    /// whether the server was ejected.
+    pub(crate) fn record_unreachable(
+        &mut self,
+        settings: &EjectionSettings,
+        may_eject: bool,
+        now: Instant,
+    ) -> bool {
+        let doublings = self.consecutive_unreachable.min(MAX_UNREACHABLE_DOUBLINGS);
+        self.consecutive_unreachable += 1;
+        let end = now + UNREACHABLE_COOLDOWN * (1 << doublings);
+        self.cooldown_until = self.cooldown_until.max(Some(end));
+        self.record_late(settings, may_eject, now)
+    }
+
     /// The current ejection if a request was placed since it began. Results of requests that were
     /// already running then say nothing about the server's present state.
     fn probed_ejection(&self) -> Option<Ejection> {
--- a/crates/kws-forward/src/access_entry.rs
+++ b/crates/kws-forward/src/access_entry.rs
@@ -68,20 +68,18 @@
         self.write(AccessOutcome::Responded, status, refused);
     }
 
-    /// Counts the request for its route, unless its caller left or its team is over its rate.
-    fn record_outcome(&self, route: &RouteName, outcome: AccessOutcome, status: u16) {
-        let is_counted = outcome == AccessOutcome::Responded && status != TOO_MANY_REQUESTS;
-        if is_counted {
-            let served = status < FIRST_SERVER_ERROR;
-            self.worker.routes.record_outcome(route, served);
-        }
-    }
-
     fn write(&mut self, outcome: AccessOutcome, status: u16, refused: Option<RequestRefusal>) {
         self.written = true;
         let log = mem::take(&mut self.log);
         if let Some(route) = &log.route {
-            self.record_outcome(route, outcome, status);
+            let served = status < FIRST_SERVER_ERROR;
+            // A failed probe says nothing about the servers in use.
+            let is_counted = outcome == AccessOutcome::Responded
+                && status != TOO_MANY_REQUESTS
+                && (served || !log.history.probed);
+            if is_counted {
+                self.worker.routes.record_outcome(route, served);
+            }
         }
         self.worker.control.record_access(AccessRecord {
             request_id: mem::take(&mut self.request_id),
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -67,6 +67,8 @@
     pub address: SocketAddr,
     /// The identifier of the slot.
     pub ticket: GrantTicket,
+    /// Whether the request probes a server that failed lately.
+    pub probe: bool,
 }
 
 /// How a try ended.
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -32,6 +32,8 @@
     pub(crate) retried: Vec<RetryReason>,
     /// The servers of all tries; no server is tried twice.
     servers: BTreeSet<ServerName>,
+    /// Whether the last try probed a server that failed lately.
+    pub(crate) probed: bool,
     /// Whether a failed try may have run the request.
     may_have_run: bool,
 }
@@ -39,6 +41,7 @@
 impl TryHistory {
     fn record_start(&mut self, grant: &ServerGrant) {
         self.tries += 1;
+        self.probed = grant.probe;
         self.last_server = Some(grant.server.clone());
         self.servers.insert(grant.server.clone());
     }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -85,6 +85,7 @@
                 server: server.clone(),
                 address: *address,
                 ticket,
+                probe: false,
             });
         let mut open = self.grants_open.subscribe();
         let guard = AcquireGuard::new(&self.waiting_acquires);
--- a/crates/kws-protocol/src/lib.rs
+++ b/crates/kws-protocol/src/lib.rs
@@ -19,8 +19,8 @@
 pub use list::{HostList, HostState, ListedHost, ListedServer};
 pub use message::{
     ConfigMessage, HealthMessage, HealthReport, LeaseMessage, LoanId, LoanMessage, MemberReport,
-    MeshMember, MeshMessage, PeerMessage, RevisionView, ServerLoad, SlotOutcome, SlotRequest,
-    TicketMessage, ValuesDelta, ValuesView,
+    MeshMember, MeshMessage, PeerMessage, RevisionView, ServerLoad, SlotGrant, SlotOutcome,
+    SlotRequest, TicketMessage, ValuesDelta, ValuesView,
 };
 pub use name::{CenterName, HostName, RegionName, RouteName, ServerName, ServiceName, TeamName};
 pub use refusal::{RefusalReason, RetryReason, RunState};
--- a/crates/kws-protocol/src/message/ticket.rs
+++ b/crates/kws-protocol/src/message/ticket.rs
@@ -36,6 +36,17 @@
     pub retry: bool,
 }
 
+/// A slot granted to a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SlotGrant {
+    /// Server that runs the request.
+    pub server: ServerName,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Whether the request probes a server that failed lately.
+    pub probe: bool,
+}
+
 /// Outcome of a try, reported to the host that placed it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SlotOutcome {
@@ -80,10 +91,8 @@
     Grant {
         /// Identifier of the request.
         ticket: u64,
-        /// Server that runs the request.
-        server: ServerName,
-        /// Address of the server.
-        address: SocketAddr,
+        /// The granted slot.
+        grant: SlotGrant,
     },
     /// Refuses the request: no slot in time.
     Refuse {
--- a/crates/kws-protocol/src/wire/ticket.rs
+++ b/crates/kws-protocol/src/wire/ticket.rs
@@ -2,8 +2,8 @@
 
 use super::WireError;
 use crate::{
-    CenterName, RefusalReason, ServerLoad, ServerName, ServiceName, SlotOutcome, SlotRequest,
-    TeamName, TicketMessage,
+    CenterName, RefusalReason, ServerLoad, ServerName, ServiceName, SlotGrant, SlotOutcome,
+    SlotRequest, TeamName, TicketMessage,
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -63,7 +63,13 @@
     #[serde(rename = "q")]
     Queued { i: u64 },
     #[serde(rename = "g")]
-    Grant { i: u64, n: ServerName, p: String },
+    Grant {
+        i: u64,
+        n: ServerName,
+        p: String,
+        #[serde(default, skip_serializing_if = "is_unset")]
+        t: bool,
+    },
     #[serde(rename = "r")]
     Refuse {
         i: u64,
@@ -118,6 +124,14 @@
     Cancelled
 );
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature that serde asks for"
+)]
+fn is_unset(flag: &bool) -> bool {
+    !flag
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "signature that serde asks for"
@@ -181,14 +195,11 @@
         match message {
             TicketMessage::RequestSlot(request) => Self::RequestSlot(request.into()),
             TicketMessage::Queued { ticket } => Self::Queued { i: *ticket },
-            TicketMessage::Grant {
-                ticket,
-                server,
-                address,
-            } => Self::Grant {
+            TicketMessage::Grant { ticket, grant } => Self::Grant {
                 i: *ticket,
-                n: server.clone(),
-                p: address.to_string(),
+                n: grant.server.clone(),
+                p: grant.address.to_string(),
+                t: grant.probe,
             },
             TicketMessage::Refuse {
                 ticket,
@@ -242,14 +253,17 @@
         Ok(match wire {
             WireTicket::RequestSlot(request) => Self::RequestSlot(request.try_into()?),
             WireTicket::Queued { i } => Self::Queued { ticket: i },
-            WireTicket::Grant { i, n, p } => {
+            WireTicket::Grant { i, n, p, t } => {
                 let address: SocketAddr = p
                     .parse()
                     .map_err(|_| WireError::InvalidField { field: "address" })?;
                 Self::Grant {
                     ticket: i,
-                    server: n,
-                    address,
+                    grant: SlotGrant {
+                        server: n,
+                        address,
+                        probe: t,
+                    },
                 }
             }
             WireTicket::Refuse { i, y, w } => Self::Refuse {
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -3,8 +3,8 @@
 use kws_protocol::{
     ConfigMessage, HealthMessage, HealthReport, LeaseMessage, LoanId, LoanMessage, MemberReport,
     MeshMember, MeshMessage, PeerMessage, RefusalReason, RegionName, RevisionView, ServerLoad,
-    SlotOutcome, SlotRequest, TeamName, TicketMessage, TreeRevision, ValuesDelta, ValuesView,
-    decode_message, encode_message,
+    SlotGrant, SlotOutcome, SlotRequest, TeamName, TicketMessage, TreeRevision, ValuesDelta,
+    ValuesView, decode_message, encode_message,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -134,9 +134,7 @@
     retry: true,
 })))]
 #[case::grant(PeerMessage::Ticket(TicketMessage::Grant {
-    ticket: 3,
-    server: "till-2".into(),
-    address: ([10, 0, 0, 9], 80).into(),
+    ticket: 3, grant: SlotGrant { server: "till-2".into(), address: ([10, 0, 0, 9], 80).into(), probe: false },
 }))]
 #[case::refuse(PeerMessage::Ticket(TicketMessage::Refuse {
     ticket: 3,
--- a/crates/kws-protocol/tests/wire_frames.rs
+++ b/crates/kws-protocol/tests/wire_frames.rs
@@ -5,8 +5,8 @@
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use kws_protocol::{
     ConfigMessage, HealthMessage, HealthReport, LeaseMessage, LoanId, LoanMessage, MemberReport,
-    MeshMember, MeshMessage, PeerMessage, RefusalReason, RevisionView, ServerLoad, SlotOutcome,
-    SlotRequest, TicketMessage, TreeRevision, ValuesDelta, ValuesView, decode_message,
+    MeshMember, MeshMessage, PeerMessage, RefusalReason, RevisionView, ServerLoad, SlotGrant,
+    SlotOutcome, SlotRequest, TicketMessage, TreeRevision, ValuesDelta, ValuesView, decode_message,
     encode_message,
 };
 use rstest::rstest;
@@ -229,12 +229,17 @@
 )]
 #[case::ticket_grant(
     PeerMessage::Ticket(TicketMessage::Grant {
-        ticket: 3,
-        server: "till-2".into(),
-        address: ([10, 0, 0, 9], 80).into(),
+        ticket: 3, grant: SlotGrant { server: "till-2".into(), address: ([10, 0, 0, 9], 80).into(), probe: false },
     }),
     b"\xa2av\x01am\xa1fTicket\xa1ag\xa3ai\x03anftill-2apk10.0.0.9:80"
 )]
+#[case::ticket_probe(
+    PeerMessage::Ticket(TicketMessage::Grant {
+        ticket: 3,
+        grant: SlotGrant { server: "till-2".into(), address: ([10, 0, 0, 9], 80).into(), probe: true },
+    }),
+    b"\xa2av\x01am\xa1fTicket\xa1ag\xa4ai\x03anftill-2apk10.0.0.9:80at\xf5"
+)]
 #[case::ticket_refuse(
     PeerMessage::Ticket(TicketMessage::Refuse {
         ticket: 3,
