Abrupt responses eject at once, unreached servers are replaced without charge

Cause 1: of 781 first bad responses that came within 30 ms, 597 were followed by another one at the same server; of 648 that came later, 42. A single bad response made suspects of both kinds. Change: one that comes within a quarter of the usual time in service ejects; another counts little until a second one follows. Cause 2: a failed connection used up one of two tries and a part of the retry budget although no server got the request.

--- a/crates/kws-bench/src/backends/model.rs
+++ b/crates/kws-bench/src/backends/model.rs
@@ -8,7 +8,7 @@
 use kws_dispatch::{DispatchAction, DispatchRequest, ServerGrant, TicketId};
 use kws_fixture::{SampleFleet, host_name, place_of, server_name};
 use kws_health::ResponseOutcome;
-use kws_protocol::TeamName;
+use kws_protocol::{TeamName, TryKind};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -208,7 +208,7 @@
             deadline: now + DEADLINE,
             priority: 0,
             repeatable: true,
-            retry: false,
+            kind: TryKind::First,
             bytes: 2_000,
 
             unserved_share: 0.0,
--- a/crates/kws-bench/src/capacity/dispatch.rs
+++ b/crates/kws-bench/src/capacity/dispatch.rs
@@ -10,7 +10,7 @@
 };
 use kws_dispatch::{DispatchAction, DispatchRequest, Dispatcher, TicketId, TicketOutcome};
 use kws_health::HealthMonitor;
-use kws_protocol::FleetSnapshot;
+use kws_protocol::{FleetSnapshot, TryKind};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -158,7 +158,7 @@
         deadline: now + Duration::from_mins(10),
         priority: 0,
         repeatable: true,
-        retry: false,
+        kind: TryKind::First,
         bytes: 1_024,
 
         unserved_share: 0.0,
--- a/crates/kws-bench/src/placing.rs
+++ b/crates/kws-bench/src/placing.rs
@@ -1,6 +1,7 @@
 //! The table of placing: one service in two regions under the loads and failures that fleets meet,
 //! on virtual time, with one placer in each region.
 
+pub mod floor;
 pub mod load;
 pub mod run;
 pub mod scenario;
--- a/crates/kws-bench/src/placing/load.rs
+++ b/crates/kws-bench/src/placing/load.rs
@@ -63,6 +63,9 @@
     pub shedding: Vec<LoadPhase<f64>>,
     /// Times in which the rate of requests is multiplied.
     pub bursts: Vec<LoadPhase<f64>>,
+    /// Times in which this share of the requests goes unserved that the same routes send to another
+    /// service: three for each request that comes to this one.
+    pub elsewhere: Vec<LoadPhase<f64>>,
     /// Share of the servers that refuse connections from a time on; their entries are removed
     /// after [`ENTRY_LAG`].
     pub crash: Option<(Duration, f64)>,
@@ -82,6 +85,12 @@
         bursts.filter_map(|phase| phase.at(at)).product()
     }
 
+    /// The share of the routes' other requests that goes unserved at `at`.
+    pub fn elsewhere_share(&self, at: Duration) -> f64 {
+        let phases = self.elsewhere.iter();
+        phases.filter_map(|phase| phase.at(at)).fold(0.0, f64::max)
+    }
+
     /// The share of requests that servers reject at `at`.
     pub fn shed_share(&self, at: Duration) -> f64 {
         let phases = self.shedding.iter();
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -14,7 +14,7 @@
     AccessRecord, ForwardControl, GrantTicket, Refusal, RetryPermission, RoutingView, ServerGrant,
     ServerRequest, TryOutcome,
 };
-use kws_protocol::{RefusalReason, RetryReason, RouteName, ServiceName, TeamName};
+use kws_protocol::{RefusalReason, RetryReason, RouteName, ServiceName, TeamName, TryKind};
 use std::{
     collections::HashMap,
     mem,
@@ -141,7 +141,7 @@
             objective: request.objective,
             priority: request.priority,
             repeatable: request.repeatable,
-            retry: request.retry,
+            kind: request.kind,
             bytes: request.response_bytes,
             unserved_share: request.unserved_share,
             excluded: request.excluded.into_iter().collect(),
@@ -199,7 +199,7 @@
     }
 
     fn acquire(&self, request: ServerRequest) -> BoxFuture<'static, Result<ServerGrant, Refusal>> {
-        if !request.retry {
+        if request.kind == TryKind::First {
             self.with_retry_budget(&request.service, RetryBudget::record_first_try);
         }
         let queued = self.enqueue(request);
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -238,7 +238,7 @@
             expected_bytes: request.bytes,
             unserved_share: request.unserved_share,
             excluded,
-            retry: request.retry,
+            kind: request.kind,
         };
         self.place(request, reply, now);
     }
@@ -721,7 +721,7 @@
         bytes: request.expected_bytes,
         unserved_share: request.unserved_share,
         excluded: request.excluded,
-        retry: request.retry,
+        kind: request.kind,
         uncoordinated: false,
     }
 }
--- a/crates/kws-dispatch/src/action.rs
+++ b/crates/kws-dispatch/src/action.rs
@@ -1,6 +1,6 @@
 //! The requests that the dispatcher accepts and the actions that it returns.
 
-use kws_protocol::{RefusalReason, ServerName, ServiceName, TeamName};
+use kws_protocol::{RefusalReason, ServerName, ServiceName, TeamName, TryKind};
 use std::net::SocketAddr;
 use tokio::time::Instant;
 
@@ -27,8 +27,8 @@
     pub priority: u32,
     /// Whether it may be executed more than once.
     pub repeatable: bool,
-    /// Whether this is a retry.
-    pub retry: bool,
+    /// What the try is for.
+    pub kind: TryKind,
     /// Expected size of request and response together, in bytes; charged to the spill budget.
     pub bytes: u64,
     /// Share of the route's latest requests on the host that were not served, between 0 and 1.
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -12,7 +12,7 @@
 pub use evidence::ServerHealth;
 use kws_protocol::{
     CenterName, FleetSettings, HostName, RefusalReason, RegionName, ServerLoad, ServerName,
-    ServiceName, SlotOutcome, TeamName,
+    ServiceName, SlotOutcome, TeamName, TryKind,
 };
 use pool::ServicePool;
 use std::{
@@ -50,8 +50,8 @@
     pub unserved_share: f64,
     /// Servers that earlier tries used; they are not selected again.
     pub excluded: Vec<ServerName>,
-    /// Whether this is a retry, which is charged to the retry budget.
-    pub retry: bool,
+    /// What the try is for.
+    pub kind: TryKind,
     /// Whether other hosts schedule onto the same servers at the same time. A free server is then
     /// drawn at random, so that not all hosts select the one last reported as least loaded.
     pub uncoordinated: bool,
--- a/crates/kws-dispatch/src/placer/evidence.rs
+++ b/crates/kws-dispatch/src/placer/evidence.rs
@@ -7,9 +7,14 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Added for a bad response. A healthy server gives one in eighty, a failing one about two in
-/// three.
-const BAD_RESPONSE_INCREMENT: f64 = 4.0;
+/// Added for a bad response that came much sooner than the server can do its work. Nine in ten of
+/// those come from servers that fail most requests.
+const ABRUPT_INCREMENT: f64 = 6.0;
+/// Added for another bad response that follows one, with no good response in between.
+const REPEATED_INCREMENT: f64 = 5.5;
+/// Added for a single bad response after the usual time in service. A healthy server gives one in
+/// eighty, and of all of them nineteen in twenty come from healthy servers.
+const SINGLE_INCREMENT: f64 = 1.0;
 /// Subtracted for a good response. A failing server gives one in ten.
 const GOOD_RESPONSE_DECREMENT: f64 = 2.5;
 /// Added to the sum of late responses for an overdue request, and again when it ends without a
@@ -27,17 +32,28 @@
 const BAD_DECAY_PER_SECOND: f64 = 0.2;
 /// Upper bound of each sum, so that a server that recovered is brought back soon.
 const MAX_SUM: f64 = 12.0;
-/// Evidence from which a server is suspect and used only when the others are full. One bad response
-/// exceeds it.
+/// Evidence from which a server is suspect and used only when the others are full. Two bad responses
+/// in a row exceed it.
 const SUSPECT_THRESHOLD: f64 = 1.5;
-/// Evidence from which a server is ejected and gets only probes. Two consecutive bad responses
-/// exceed it.
+/// Evidence from which a server is ejected and gets only probes. One abrupt response reaches it, or
+/// two others in a row.
 const EJECTION_THRESHOLD: f64 = 6.0;
 
 /// Time within which a response counted here reaches the host that places requests on the server
 /// and returns in its next report.
 const REPORT_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How a bad response came, which tells a failing server from a failing request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BadResponse {
+    /// Much sooner than the server can do its work.
+    Abrupt,
+    /// After the usual time, and the last response was bad too.
+    Repeated,
+    /// After the usual time, and the last response was good.
+    Single,
+}
+
 /// Health of a server by the evidence of failure.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ServerHealth {
@@ -97,8 +113,13 @@
     }
 
     /// Counts a bad response.
-    pub(crate) fn record_bad(&mut self, now: Instant) {
-        self.add(BAD_RESPONSE_INCREMENT, 0.0, now);
+    pub(crate) fn record_bad(&mut self, kind: BadResponse, now: Instant) {
+        let increment = match kind {
+            BadResponse::Abrupt => ABRUPT_INCREMENT,
+            BadResponse::Repeated => REPEATED_INCREMENT,
+            BadResponse::Single => SINGLE_INCREMENT,
+        };
+        self.add(increment, 0.0, now);
         self.last_counted = Some(now);
     }
 
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -16,7 +16,7 @@
 use choice::MAX_SPILL_BYTES;
 use demand::DemandMeter;
 use kws_protocol::{
-    RefusalReason, RegionName, ServerLoad, ServerName, ServiceName, ServiceSettings,
+    RefusalReason, RegionName, ServerLoad, ServerName, ServiceName, ServiceSettings, TryKind,
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -36,7 +36,7 @@
 #[derive(Debug, Eq, PartialEq)]
 struct RequestNeeds {
     repeatable: bool,
-    retry: bool,
+    lost_try: bool,
     small: bool,
     excluded: Vec<ServerName>,
 }
@@ -45,7 +45,7 @@
     fn of(request: &PlaceRequest) -> Self {
         Self {
             repeatable: request.repeatable,
-            retry: request.retry,
+            lost_try: request.kind != TryKind::First,
             small: request.bytes <= MAX_SPILL_BYTES,
             excluded: request.excluded.clone(),
         }
@@ -146,13 +146,17 @@
         if request.repeatable {
             self.last_repeatable = Some(now);
         }
-        if request.retry {
-            if !self.retry_budget.spend() {
-                return vec![self.refuse(request.key, RefusalReason::RetryBudget, None, now)];
+        match request.kind {
+            TryKind::First => {
+                self.retry_budget.record_first_try();
+                self.demand.record_arrival(request.unserved_share, now);
+            }
+            TryKind::Replacement => {}
+            TryKind::Retry => {
+                if !self.retry_budget.spend() {
+                    return vec![self.refuse(request.key, RefusalReason::RetryBudget, None, now)];
+                }
             }
-        } else {
-            self.retry_budget.record_first_try();
-            self.demand.record_arrival(request.unserved_share, now);
         }
         let queue_limit = self
             .settings
--- a/crates/kws-dispatch/src/placer/pool/choice.rs
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -2,7 +2,7 @@
 
 use super::ServicePool;
 use crate::placer::{PlaceRequest, evidence::ServerHealth, server::PoolServer};
-use kws_protocol::{ServerName, weighted_score};
+use kws_protocol::{ServerName, TryKind, weighted_score};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -36,9 +36,14 @@
 /// The same time while its capacity is not needed.
 const SPARE_SUSPECT_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Share of a region's servers that may stay unused while all are needed. It is below the share
-/// that the capacity floor leaves, as servers unused at one time may all be healthy.
-const MAX_UNUSED_SHARE: f64 = 0.15;
+/// Share of a region's servers that may stay unused for [`SUSPECT_PROBE_INTERVAL`]. Servers that
+/// failed may have recovered since, and the capacity floor is to be in use when load or failures
+/// come all of a sudden.
+const MAX_UNUSED_SHARE: f64 = 0.25;
+
+/// The same share while many requests go unserved. Of the servers in use, many may then be out of
+/// reach for other reasons.
+const MAX_UNUSED_SHARE_UNSERVED: f64 = 0.12;
 
 /// Cost of a fully loaded server over an idle one. This and the costs below are in shares of what a
 /// served request is worth.
@@ -57,10 +62,9 @@
     /// The best server for a request. In this order: a server that is due for a probe, a healthy
     /// one of the region, a healthy one of another region, a suspect one of the region.
     pub(super) fn select_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
-        // A retry is the last try of its request, so it doesn't probe.
-        if !request.retry
-            && let Some(server) = self.probe_server(request, now)
-        {
+        // A request that lost a try already doesn't probe: it may have no other try left.
+        let lost_try = request.kind != TryKind::First;
+        if !lost_try && let Some(server) = self.probe_server(request, now) {
             return Some(server);
         }
         let healthy = self.best_server(request, ServerHealth::Healthy, true, now);
@@ -85,10 +89,10 @@
     /// The server to probe: of those that are due, the one used least recently. A probe may cost
     /// the request, so repeatable requests are preferred, unless there was none for a while.
     fn probe_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
-        let needs_all = self.leaves_servers_unused(now);
+        let leaves_unused = self.leaves_servers_unused(now);
         let ejection = &self.settings.as_ref()?.ejection;
-        let delay = self.probe_delay(request, needs_all, now);
-        let suspect_interval = match (request.repeatable, needs_all) {
+        let delay = self.probe_delay(request, leaves_unused, now);
+        let suspect_interval = match (request.repeatable, leaves_unused) {
             (true, _) => Duration::ZERO,
             (false, true) => SUSPECT_PROBE_INTERVAL,
             (false, false) => SPARE_SUSPECT_INTERVAL,
@@ -98,7 +102,7 @@
                 .last_used
                 .is_none_or(|at| now.saturating_duration_since(at) > suspect_interval);
             let verifies = server.is_verifiable(now) && rested;
-            let early = needs_all && server.is_early_probe_due(ejection, now);
+            let early = leaves_unused && server.is_early_probe_due(ejection, now);
             let is_due = server.is_probe_due(delay, now) || early || verifies;
             self.is_in_region(server) && is_due && !request.excluded.contains(name)
         };
@@ -108,27 +112,27 @@
             .map(|(name, _)| name.clone())
     }
 
-    /// Whether so many requests go unserved that every server which may serve is used, also where a
-    /// probe may cost the request.
-    fn needs_all_servers(&self, now: Instant) -> bool {
-        self.demand.needs_all_servers(self.local_servers(), now)
-    }
-
-    /// Whether more servers than [`MAX_UNUSED_SHARE`] got no request lately although all are needed.
-    /// Then ejected and suspect ones are probed until fewer are left.
+    /// Whether more servers got no request lately than the capacity floor allows, although there are
+    /// enough requests for all. Then ejected and suspect ones are probed until fewer are left.
     fn leaves_servers_unused(&self, now: Instant) -> bool {
-        if !self.needs_all_servers(now) {
+        let local = self.local_servers();
+        if !self.demand.can_use_all(local, now) {
             return false;
         }
+        let max_share = if self.demand.is_unserved() {
+            MAX_UNUSED_SHARE_UNSERVED
+        } else {
+            MAX_UNUSED_SHARE
+        };
         let unused = self.servers.values().filter(|server| {
             self.is_in_region(server) && !server.was_used(SUSPECT_PROBE_INTERVAL, now)
         });
-        unused.count() as f64 > MAX_UNUSED_SHARE * self.local_servers() as f64
+        unused.count() as f64 > max_share * local as f64
     }
 
     /// How long after the end of an ejection a probe waits for a more suitable request.
-    fn probe_delay(&self, request: &PlaceRequest, needs_all: bool, now: Instant) -> Duration {
-        if needs_all {
+    fn probe_delay(&self, request: &PlaceRequest, leaves_unused: bool, now: Instant) -> Duration {
+        if leaves_unused {
             return Duration::ZERO;
         }
         let expects_repeatable = self
@@ -182,11 +186,11 @@
             .map(|(name, _)| name.clone())
     }
 
-    /// Cost of sending the request to a server of unknown state. Where many servers fail by turns,
-    /// those that served a request lately are the safer choice; where none does, the cost vanishes
-    /// and the load decides. When all servers are needed, it must not keep any from being used.
+    /// Cost of sending the request to a server of unknown state. With few requests for many servers
+    /// that fail by turns, those that served a request lately are the safer choice. With enough
+    /// requests for all servers, the state of each is known and the load decides.
     fn failure_cost(&self, request: &PlaceRequest, now: Instant) -> f64 {
-        if self.needs_all_servers(now) {
+        if self.demand.can_use_all(self.local_servers(), now) {
             return 0.0;
         }
         let lost = if request.repeatable {
--- a/crates/kws-dispatch/src/placer/pool/demand.rs
+++ b/crates/kws-dispatch/src/placer/pool/demand.rs
@@ -4,7 +4,10 @@
 use tokio::time::Instant;
 
 /// Share of unserved requests from which the service needs all capacity that may have recovered.
-const UNSERVED_THRESHOLD: f64 = 0.08;
+const UNSERVED_THRESHOLD: f64 = 0.05;
+
+/// Time over which the share of unserved requests is averaged.
+const UNSERVED_WINDOW: Duration = Duration::from_secs(1);
 
 /// Smoothing factor of the moving average of failures on servers of unknown state.
 const UNKNOWN_SMOOTHING: f64 = 0.02;
@@ -12,17 +15,46 @@
 /// Share of failures on servers of unknown state that is assumed at first.
 const INITIAL_UNKNOWN_FAILURES: f64 = 0.1;
 
-/// Time over which arrivals are averaged.
-const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+/// Time over which arrivals are counted.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(2);
+
+/// A sum that decays exponentially.
+#[derive(Clone, Copy, Debug)]
+struct DecayingSum {
+    value: f64,
+    window: Duration,
+    updated_at: Instant,
+}
+
+impl DecayingSum {
+    fn new(window: Duration, now: Instant) -> Self {
+        Self {
+            value: 0.0,
+            window,
+            updated_at: now,
+        }
+    }
+
+    fn value(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.value * (-elapsed.as_secs_f64() / self.window.as_secs_f64()).exp()
+    }
+
+    fn add(&mut self, amount: f64, now: Instant) {
+        self.value = self.value(now) + amount;
+        self.updated_at = now;
+    }
+}
 
 /// Moving averages of arrivals and failures.
 #[derive(Clone, Debug)]
 pub(super) struct DemandMeter {
-    /// Arrivals in about [`DEMAND_WINDOW`], decayed to `updated_at`.
-    arrivals: f64,
-    /// Sum over these arrivals of the unserved shares of their routes.
-    unserved: f64,
-    updated_at: Instant,
+    /// Arrivals in about [`ARRIVAL_WINDOW`].
+    arrivals: DecayingSum,
+    /// Arrivals in about [`UNSERVED_WINDOW`].
+    recent: DecayingSum,
+    /// Sum over the recent arrivals of the unserved shares of their routes.
+    unserved: DecayingSum,
     /// Share of the requests sent to servers of unknown state that failed there.
     unknown_failures: f64,
 }
@@ -30,25 +62,18 @@
 impl DemandMeter {
     pub(super) fn new(now: Instant) -> Self {
         Self {
-            arrivals: 0.0,
-            unserved: 0.0,
-            updated_at: now,
+            arrivals: DecayingSum::new(ARRIVAL_WINDOW, now),
+            recent: DecayingSum::new(UNSERVED_WINDOW, now),
+            unserved: DecayingSum::new(UNSERVED_WINDOW, now),
             unknown_failures: INITIAL_UNKNOWN_FAILURES,
         }
     }
 
-    /// The factor by which the averages have decayed since their last update.
-    fn decay(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.updated_at);
-        (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
-    }
-
     /// Records a request of a route of which the share `unserved` goes unserved.
     pub(super) fn record_arrival(&mut self, unserved: f64, now: Instant) {
-        let decay = self.decay(now);
-        self.arrivals = self.arrivals * decay + 1.0;
-        self.unserved = self.unserved * decay + unserved;
-        self.updated_at = now;
+        self.arrivals.add(1.0, now);
+        self.recent.add(1.0, now);
+        self.unserved.add(unserved, now);
     }
 
     /// Records whether a request failed on a server of unknown state.
@@ -62,11 +87,14 @@
         self.unknown_failures
     }
 
-    /// Whether the service needs all capacity that may have recovered: a considerable share of the
-    /// requests of the routes that lead to it goes unserved, and enough of them come to it to use
-    /// all `servers`.
-    pub(super) fn needs_all_servers(&self, servers: usize, now: Instant) -> bool {
-        let uses_all = self.arrivals * self.decay(now) >= servers as f64;
-        uses_all && self.unserved > UNSERVED_THRESHOLD * self.arrivals
+    /// Whether enough requests arrive to use each of `servers` within [`ARRIVAL_WINDOW`].
+    pub(super) fn can_use_all(&self, servers: usize, now: Instant) -> bool {
+        self.arrivals.value(now) >= servers as f64
+    }
+
+    /// Whether a considerable share of the requests of the routes that lead to the service goes
+    /// unserved.
+    pub(super) fn is_unserved(&self) -> bool {
+        self.unserved.value > UNSERVED_THRESHOLD * self.recent.value
     }
 }
--- a/crates/kws-dispatch/src/placer/pool/judgement.rs
+++ b/crates/kws-dispatch/src/placer/pool/judgement.rs
@@ -9,6 +9,9 @@
 /// Smoothing factor of the moving average of the service time, between 0 and 1.
 const SERVICE_TIME_SMOOTHING: f64 = 0.05;
 
+/// A bad response is abrupt if it came within this share of the average service time.
+const ABRUPT_SHARE: f64 = 0.25;
+
 /// A request is overdue after this many average service times, and counts as a failure.
 const OVERDUE_FACTOR: f64 = 4.0;
 
@@ -35,6 +38,7 @@
         }
         let may_eject = self.may_eject(name, now);
         let limit = self.overdue_limit();
+        let abrupt = outcome.latency < self.service_time.mul_f64(ABRUPT_SHARE);
         let settings = self.settings.as_ref()?;
         let server = self.servers.get_mut(name)?;
         let was_unhealthy = server.health(now) == ServerHealth::Unhealthy;
@@ -44,7 +48,7 @@
                 (false, "good answer")
             }
             SlotOutcome::Failed => (
-                server.record_bad(&settings.ejection, may_eject, now),
+                server.record_bad(abrupt, &settings.ejection, may_eject, now),
                 "bad answer",
             ),
             // The request had little time left, so its timeout says nothing about the server.
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -1,6 +1,6 @@
 //! State of one backend server on the host that schedules its service.
 
-use super::evidence::{Ejection, FailureEvidence, ServerHealth};
+use super::evidence::{BadResponse, Ejection, FailureEvidence, ServerHealth};
 use kws_protocol::{EjectionSettings, ServerSettings};
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
@@ -280,18 +280,28 @@
         }
     }
 
-    /// Records a bad response and starts a cooldown. Returns whether the server was ejected.
+    /// Records a bad response, and starts a cooldown unless it may be the request's own. `abrupt`
+    /// means that it came much sooner than the server can do its work. Returns whether the server
+    /// was ejected.
     pub(crate) fn record_bad(
         &mut self,
+        abrupt: bool,
         settings: &EjectionSettings,
         may_eject: bool,
         now: Instant,
     ) -> bool {
-        self.evidence.record_bad(now);
+        let kind = match self.consecutive_failures {
+            _ if abrupt => BadResponse::Abrupt,
+            0 => BadResponse::Single,
+            _ => BadResponse::Repeated,
+        };
+        self.evidence.record_bad(kind, now);
         self.last_bad = Some(now);
-        let cooldown = FAILURE_COOLDOWN * (1 << self.consecutive_failures.min(MAX_DOUBLINGS));
+        if kind != BadResponse::Single {
+            let cooldown = FAILURE_COOLDOWN * (1 << self.consecutive_failures.min(MAX_DOUBLINGS));
+            self.cooldown_until = self.cooldown_until.max(Some(now + cooldown));
+        }
         self.consecutive_failures += 1;
-        self.cooldown_until = self.cooldown_until.max(Some(now + cooldown));
         self.update_ejection(settings, may_eject, now)
     }
 
--- a/crates/kws-dispatch/src/retry.rs
+++ b/crates/kws-dispatch/src/retry.rs
@@ -13,6 +13,10 @@
 /// With less time than this left before the deadline, a retry is not worth its load.
 const MIN_TRY_TIME: Duration = Duration::from_millis(2);
 
+/// Tries of one request that are replaced because they reached no server. Each may take a connect
+/// timeout.
+const MAX_REPLACEMENTS: u32 = 3;
+
 /// How a try failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TryFailure {
@@ -61,8 +65,10 @@
 pub struct FailedTry {
     /// How it failed.
     pub failure: TryFailure,
-    /// Tries so far, including this one.
+    /// Tries so far, including this one, without those in [`Self::unreached`].
     pub tries: u32,
+    /// Tries so far that reached no server, including this one.
+    pub unreached: u32,
     /// Whether an earlier try or a hedge may have been executed.
     pub may_have_run: bool,
     /// Whether the complete body can be sent again.
@@ -196,16 +202,31 @@
         source: &mut dyn RetrySource,
         now: Instant,
     ) -> RetryDecision {
-        if self.allows_retry(failed, now) && source.spend() {
+        if self.replaces(failed, now) || self.allows_retry(failed, now) && source.spend() {
             return RetryDecision::Retry(failed.failure.retry_reason());
         }
         let (reason, state) = failed.refusal(now);
         RetryDecision::Stop(reason, state)
     }
 
+    /// Whether another server replaces the one that was not reached. No server got the request, so
+    /// this counts neither as a try of the route nor against the retry budget.
+    fn replaces(&self, failed: &FailedTry, now: Instant) -> bool {
+        let safe = self.repeatable || !failed.may_have_run;
+        failed.failure == TryFailure::ConnectFailed
+            && safe
+            && failed.unreached <= MAX_REPLACEMENTS
+            && failed.tries < self.tries
+            && failed.body_resendable
+            && now + MIN_TRY_TIME <= failed.deadline
+    }
+
     fn allows_retry(&self, failed: &FailedTry, now: Instant) -> bool {
+        let unreached = failed.failure == TryFailure::ConnectFailed;
         let safe = self.repeatable || (failed.failure.proves_not_run() && !failed.may_have_run);
-        safe && failed.body_resendable
+        !unreached
+            && safe
+            && failed.body_resendable
             && failed.tries < self.tries
             && now + MIN_TRY_TIME <= failed.deadline
     }
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -4,7 +4,7 @@
 use futures_util::future::BoxFuture;
 use kws_protocol::{
     RefusalReason, RetryReason, RouteName, RunState, ServerName, ServiceName, TeamName,
-    TreeRevision,
+    TreeRevision, TryKind,
 };
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -44,8 +44,8 @@
     pub priority: u32,
     /// Whether the request may be executed more than once.
     pub repeatable: bool,
-    /// Whether this is a retry.
-    pub retry: bool,
+    /// What the try is for.
+    pub kind: TryKind,
     /// Expected size of the response, in bytes.
     pub response_bytes: u64,
     /// Share of the route's latest requests on this host that were not served, between 0 and 1.
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -13,7 +13,7 @@
 use kws_dispatch::{FailedTry, RetryDecision, RetryPolicy, RetrySource, TryFailure};
 use kws_protocol::{
     FleetSettings, RefusalReason, RetryReason, RouteSettings, RunState, ServerName, ServiceName,
-    TeamName,
+    TeamName, TryKind,
 };
 use ntex::{http::Response, io::IoRef};
 use std::{collections::BTreeSet, future::Future, pin::pin, sync::Arc, time::Duration};
@@ -24,6 +24,10 @@
 pub(crate) struct TryHistory {
     /// The number of tries.
     pub(crate) tries: u32,
+    /// The number of tries that reached no server.
+    unreached: u32,
+    /// Whether the last try reached no server.
+    last_unreached: bool,
     /// The server of the last try.
     pub(crate) last_server: Option<ServerName>,
     /// The total time spent waiting for a token and for slots.
@@ -42,10 +46,25 @@
     fn record_start(&mut self, grant: &ServerGrant) {
         self.tries += 1;
         self.probed = grant.probe;
+        self.last_unreached = false;
         self.last_server = Some(grant.server.clone());
         self.servers.insert(grant.server.clone());
     }
 
+    /// The number of tries of which a server may have got the request.
+    fn sent(&self) -> u32 {
+        self.tries - self.unreached
+    }
+
+    /// What the next try is for.
+    fn next_kind(&self) -> TryKind {
+        match self.tries {
+            0 => TryKind::First,
+            _ if self.last_unreached => TryKind::Replacement,
+            _ => TryKind::Retry,
+        }
+    }
+
     /// Corrects the run state of a refusal: "not run" holds only if no earlier try may have run.
     fn with_run_state(&self, refusal: RequestRefusal) -> RequestRefusal {
         if self.may_have_run {
@@ -122,7 +141,8 @@
         }
         let failed = FailedTry {
             failure: TryFailure::ServerError,
-            tries: history.tries,
+            tries: history.sent(),
+            unreached: history.unreached,
             may_have_run: true,
             body_resendable: self.body.is_resendable(),
             deadline: self.deadline,
@@ -159,9 +179,12 @@
                 may_have_run,
             } => (failure, may_have_run),
         };
+        history.last_unreached = failure == TryFailure::ConnectFailed;
+        history.unreached += u32::from(history.last_unreached);
         let failed = FailedTry {
             failure,
-            tries: history.tries,
+            tries: history.sent(),
+            unreached: history.unreached,
             may_have_run: history.may_have_run || hedge_may_have_run,
             body_resendable: self.body.is_resendable(),
             deadline: self.deadline,
@@ -198,7 +221,7 @@
             objective: self.objective,
             priority: priority.unwrap_or(self.route.priority),
             repeatable: self.is_repeatable(),
-            retry: history.tries > 0,
+            kind: history.next_kind(),
             response_bytes: worker.routes.response_bytes(&self.route.name),
             unserved_share: worker.routes.unserved_share(&self.route.name),
             excluded: history.servers.clone(),
@@ -257,7 +280,7 @@
             result = &mut first => return result,
             () = sleep(delay) => {}
         }
-        if !self.policy().hedge(history.tries, &mut self.budget()) {
+        if !self.policy().hedge(history.sent(), &mut self.budget()) {
             return first.await;
         }
         self.record_retry(RetryReason::Hedge, history);
--- a/crates/kws-protocol/src/lib.rs
+++ b/crates/kws-protocol/src/lib.rs
@@ -20,7 +20,7 @@
 pub use message::{
     ConfigMessage, HealthMessage, HealthReport, LeaseMessage, LoanId, LoanMessage, MemberReport,
     MeshMember, MeshMessage, PeerMessage, RevisionView, ServerLoad, SlotGrant, SlotOutcome,
-    SlotRequest, TicketMessage, ValuesDelta, ValuesView,
+    SlotRequest, TicketMessage, TryKind, ValuesDelta, ValuesView,
 };
 pub use name::{CenterName, HostName, RegionName, RouteName, ServerName, ServiceName, TeamName};
 pub use refusal::{RefusalReason, RetryReason, RunState};
--- a/crates/kws-protocol/src/message.rs
+++ b/crates/kws-protocol/src/message.rs
@@ -12,7 +12,7 @@
 pub use lease::{LeaseMessage, RevisionView};
 pub use loan::{LoanId, LoanMessage};
 pub use mesh::{MemberReport, MeshMember, MeshMessage, ValuesDelta, ValuesView};
-pub use ticket::{ServerLoad, SlotGrant, SlotOutcome, SlotRequest, TicketMessage};
+pub use ticket::{ServerLoad, SlotGrant, SlotOutcome, SlotRequest, TicketMessage, TryKind};
 
 /// A message exchanged between two daemons.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/kws-protocol/src/message/ticket.rs
+++ b/crates/kws-protocol/src/message/ticket.rs
@@ -4,6 +4,17 @@
 use crate::{CenterName, RefusalReason, ServerName, ServiceName, TeamName};
 use std::{net::SocketAddr, time::Duration};
 
+/// What a try of a request is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TryKind {
+    /// The first try.
+    First,
+    /// Replaces a try that reached no server; charged to no budget.
+    Replacement,
+    /// Follows a try that a server got; charged to the retry budget.
+    Retry,
+}
+
 /// A request for a slot, sent to the host that places requests for the service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlotRequest {
@@ -32,8 +43,8 @@
     pub unserved_share: f64,
     /// Servers used by earlier tries of the request.
     pub excluded: Vec<ServerName>,
-    /// Whether this is a retry.
-    pub retry: bool,
+    /// What the try is for.
+    pub kind: TryKind,
 }
 
 /// A slot granted to a request.
--- a/crates/kws-protocol/src/wire/ticket.rs
+++ b/crates/kws-protocol/src/wire/ticket.rs
@@ -3,7 +3,7 @@
 use super::WireError;
 use crate::{
     CenterName, RefusalReason, ServerLoad, ServerName, ServiceName, SlotGrant, SlotOutcome,
-    SlotRequest, TeamName, TicketMessage,
+    SlotRequest, TeamName, TicketMessage, TryKind,
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -36,6 +36,8 @@
     excluded: Vec<ServerName>,
     #[serde(rename = "a")]
     retry: bool,
+    #[serde(default, rename = "f", skip_serializing_if = "is_unset")]
+    replacement: bool,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -160,7 +162,8 @@
             expected_bytes: request.expected_bytes,
             unserved_percent: (request.unserved_share.clamp(0.0, 1.0) * 100.0).round() as u8,
             excluded: request.excluded.clone(),
-            retry: request.retry,
+            retry: request.kind == TryKind::Retry,
+            replacement: request.kind == TryKind::Replacement,
         }
     }
 }
@@ -185,7 +188,11 @@
             expected_bytes: wire.expected_bytes,
             unserved_share: f64::from(wire.unserved_percent.min(100)) / 100.0,
             excluded: wire.excluded,
-            retry: wire.retry,
+            kind: match (wire.retry, wire.replacement) {
+                (_, true) => TryKind::Replacement,
+                (true, false) => TryKind::Retry,
+                (false, false) => TryKind::First,
+            },
         })
     }
 }
--- a/crates/kws-replay/src/backends/fleet.rs
+++ b/crates/kws-replay/src/backends/fleet.rs
@@ -13,7 +13,7 @@
 use kws_health::{AvailabilitySource, HealthMonitor, ResponseOutcome, UnavailableReason};
 use kws_protocol::{
     CenterName, FleetSnapshot, HealthMessage, HostName, RegionName, ServerName, ServiceName,
-    TeamName,
+    TeamName, TryKind,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -160,7 +160,7 @@
                 deadline: now + DEADLINE,
                 priority: 0,
                 repeatable: true,
-                retry: false,
+                kind: TryKind::First,
                 bytes: 0,
 
                 unserved_share: 0.0,
