Healthy servers left unused come before probes

Cause: a server in another data centre counts as unused too, and brought probes of servers that failed.

--- a/crates/kws-dispatch/src/placer/pool/choice.rs
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -87,7 +87,8 @@
     }
 
     /// The server to probe: of those that are due, the one used least recently. A probe may cost
-    /// the request, so repeatable requests are preferred, unless there was none for a while.
+    /// the request, so repeatable requests are preferred, unless there was none for a while. If too
+    /// many servers are left unused, healthy ones among them come first.
     fn probe_server(&self, request: &PlaceRequest, now: Instant) -> Option<ServerName> {
         let leaves_unused = self.leaves_servers_unused(now);
         let ejection = &self.settings.as_ref()?.ejection;
@@ -104,11 +105,16 @@
             let verifies = server.is_verifiable(now) && rested;
             let early = leaves_unused && server.is_early_probe_due(ejection, now);
             let is_due = server.is_probe_due(delay, now) || early || verifies;
-            self.is_in_region(server) && is_due && !request.excluded.contains(name)
+            let is_left = leaves_unused && self.is_left_unused(server, request, now);
+            self.is_in_region(server) && (is_due || is_left) && !request.excluded.contains(name)
         };
         let candidates = self.servers.iter().filter(is_candidate);
+        let order = |server: &PoolServer| {
+            let is_left = leaves_unused && self.is_left_unused(server, request, now);
+            (!is_left, server.last_used)
+        };
         candidates
-            .min_by_key(|(_, server)| server.last_used)
+            .min_by_key(|(_, server)| order(server))
             .map(|(name, _)| name.clone())
     }
 
@@ -130,6 +136,18 @@
         unused.count() as f64 > max_share * local as f64
     }
 
+    /// Whether a healthy server got no request lately although it has a free slot, so that it is
+    /// used before any server that failed. Large responses stay in their data centre.
+    fn is_left_unused(&self, server: &PoolServer, request: &PlaceRequest, now: Instant) -> bool {
+        let is_near = request.bytes <= MAX_SPILL_BYTES || server.settings.center == request.center;
+        is_near
+            && server.health(now) == ServerHealth::Healthy
+            && server.is_available(now)
+            && !server.in_cooldown(now)
+            && server.free_slots(self.slow_start(), now) > 0
+            && !server.was_used(SUSPECT_PROBE_INTERVAL, now)
+    }
+
     /// How long after the end of an ejection a probe waits for a more suitable request.
     fn probe_delay(&self, request: &PlaceRequest, leaves_unused: bool, now: Instant) -> Duration {
         if leaves_unused {
