--- a/crates/kws-dispatch/src/placer/pool/choice.rs
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -36,14 +36,17 @@
 /// The same time while its capacity is not needed.
 const SPARE_SUSPECT_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Share of a region's servers that may stay unused for [`SUSPECT_PROBE_INTERVAL`]. Servers that
+/// Time without a request after which a server counts as unused.
+const UNUSED_PERIOD: Duration = Duration::from_millis(1_800);
+
+/// Share of a region's servers that may stay unused for [`UNUSED_PERIOD`]. Servers that
 /// failed may have recovered since, and the capacity floor is to be in use when load or failures
 /// come all of a sudden.
-const MAX_UNUSED_SHARE: f64 = 0.25;
+const MAX_UNUSED_SHARE: f64 = 0.28;
 
 /// The same share while many requests go unserved. Of the servers in use, many may then be out of
 /// reach for other reasons.
-const MAX_UNUSED_SHARE_UNSERVED: f64 = 0.12;
+const MAX_UNUSED_SHARE_UNSERVED: f64 = 0.15;
 
 /// Cost of a fully loaded server over an idle one. This and the costs below are in shares of what a
 /// served request is worth.
@@ -130,9 +133,10 @@
         } else {
             MAX_UNUSED_SHARE
         };
-        let unused = self.servers.values().filter(|server| {
-            self.is_in_region(server) && !server.was_used(SUSPECT_PROBE_INTERVAL, now)
-        });
+        let unused = self
+            .servers
+            .values()
+            .filter(|server| self.is_in_region(server) && !server.was_used(UNUSED_PERIOD, now));
         unused.count() as f64 > max_share * local as f64
     }
 
@@ -145,7 +149,7 @@
             && server.is_available(now)
             && !server.in_cooldown(now)
             && server.free_slots(self.slow_start(), now) > 0
-            && !server.was_used(SUSPECT_PROBE_INTERVAL, now)
+            && !server.was_used(UNUSED_PERIOD, now)
     }
 
     /// How long after the end of an ejection a probe waits for a more suitable request.
