A third of the servers may be unused in calm, rejections are noticed in 0.3 s

The capacity floor is judged over 2 s. With a third of the servers unused, a few probes within half a second of the first rejections keep it.

--- a/crates/kws-bench/src/placing/run.rs
+++ b/crates/kws-bench/src/placing/run.rs
@@ -31,7 +31,7 @@
 /// Time after which a running request is first confirmed.
 const CONFIRM_DELAY: Duration = Duration::from_millis(500);
 /// Time over which hosts count their requests.
-const OUTCOME_WINDOW: Duration = Duration::from_millis(1_500);
+const OUTCOME_WINDOW: Duration = Duration::from_secs(1);
 /// Tries of a request.
 const MAX_TRIES: u32 = 2;
 /// Tries of a request that reach no server and are replaced.
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -175,6 +175,7 @@
             return Vec::new();
         }
         self.queue.remove(key);
+        self.demand.record_rejection(now);
         let retry_after = self.retry_delay(now);
         vec![self.refuse(key, RefusalReason::DeadlineEarly, Some(retry_after), now)]
     }
--- a/crates/kws-dispatch/src/placer/pool/choice.rs
+++ b/crates/kws-dispatch/src/placer/pool/choice.rs
@@ -42,7 +42,7 @@
 /// Share of a region's servers that may stay unused for [`UNUSED_PERIOD`]. Servers that
 /// failed may have recovered since, and the capacity floor is to be in use when load or failures
 /// come all of a sudden.
-const MAX_UNUSED_SHARE: f64 = 0.28;
+const MAX_UNUSED_SHARE: f64 = 0.33;
 
 /// The same share while many requests go unserved. Of the servers in use, many may then be out of
 /// reach for other reasons.
@@ -128,7 +128,7 @@
         if !self.demand.can_use_all(local, now) {
             return false;
         }
-        let max_share = if self.demand.is_unserved() {
+        let max_share = if self.demand.is_unserved(now) {
             MAX_UNUSED_SHARE_UNSERVED
         } else {
             MAX_UNUSED_SHARE
--- a/crates/kws-dispatch/src/placer/pool/demand.rs
+++ b/crates/kws-dispatch/src/placer/pool/demand.rs
@@ -7,7 +7,11 @@
 const UNSERVED_THRESHOLD: f64 = 0.05;
 
 /// Time over which the share of unserved requests is averaged.
-const UNSERVED_WINDOW: Duration = Duration::from_secs(1);
+const UNSERVED_WINDOW: Duration = Duration::from_millis(500);
+
+/// Time over which rejections are counted. A whole service may begin to reject at once, and the
+/// capacity floor must be in use before two seconds of that have passed.
+const REJECTION_WINDOW: Duration = Duration::from_millis(300);
 
 /// Smoothing factor of the moving average of failures on servers of unknown state.
 const UNKNOWN_SMOOTHING: f64 = 0.02;
@@ -55,6 +59,10 @@
     recent: DecayingSum,
     /// Sum over the recent arrivals of the unserved shares of their routes.
     unserved: DecayingSum,
+    /// Arrivals in about [`REJECTION_WINDOW`].
+    latest: DecayingSum,
+    /// Requests that were refused early or rejected by their servers in the same time.
+    rejected: DecayingSum,
     /// Share of the requests sent to servers of unknown state that failed there.
     unknown_failures: f64,
 }
@@ -65,6 +73,8 @@
             arrivals: DecayingSum::new(ARRIVAL_WINDOW, now),
             recent: DecayingSum::new(UNSERVED_WINDOW, now),
             unserved: DecayingSum::new(UNSERVED_WINDOW, now),
+            latest: DecayingSum::new(REJECTION_WINDOW, now),
+            rejected: DecayingSum::new(REJECTION_WINDOW, now),
             unknown_failures: INITIAL_UNKNOWN_FAILURES,
         }
     }
@@ -73,9 +83,15 @@
     pub(super) fn record_arrival(&mut self, unserved: f64, now: Instant) {
         self.arrivals.add(1.0, now);
         self.recent.add(1.0, now);
+        self.latest.add(1.0, now);
         self.unserved.add(unserved, now);
     }
 
+    /// Records a request that was refused early or rejected by its server.
+    pub(super) fn record_rejection(&mut self, now: Instant) {
+        self.rejected.add(1.0, now);
+    }
+
     /// Records whether a request failed on a server of unknown state.
     pub(super) fn record_unknown(&mut self, failed: bool) {
         let newest = f64::from(u8::from(failed));
@@ -92,9 +108,10 @@
         self.arrivals.value(now) >= servers as f64
     }
 
-    /// Whether a considerable share of the requests of the routes that lead to the service goes
-    /// unserved.
-    pub(super) fn is_unserved(&self) -> bool {
-        self.unserved.value > UNSERVED_THRESHOLD * self.recent.value
+    /// Whether a considerable share of the service's requests is rejected, or of all requests of
+    /// the routes that lead to it goes unserved.
+    pub(super) fn is_unserved(&self, now: Instant) -> bool {
+        let rejected = self.rejected.value(now) > UNSERVED_THRESHOLD * self.latest.value(now);
+        rejected || self.unserved.value(now) > UNSERVED_THRESHOLD * self.recent.value(now)
     }
 }
--- a/crates/kws-dispatch/src/placer/pool/judgement.rs
+++ b/crates/kws-dispatch/src/placer/pool/judgement.rs
@@ -63,6 +63,7 @@
             ),
             SlotOutcome::NotRun => {
                 server.record_overload(now);
+                self.demand.record_rejection(now);
                 (false, "turned away")
             }
             SlotOutcome::Misdirected => {
--- a/crates/kws-forward/src/route_history.rs
+++ b/crates/kws-forward/src/route_history.rs
@@ -12,7 +12,7 @@
 const SIZE_SMOOTHING: f64 = 0.2;
 
 /// Time over which requests are counted.
-const OUTCOME_WINDOW: Duration = Duration::from_millis(1_500);
+const OUTCOME_WINDOW: Duration = Duration::from_secs(1);
 
 /// Number of routes above which the history is cleared. Routes that were removed are never looked
 /// up again, so their entries would stay.
