--- a/crates/kws-dispatch/src/placer/pool/demand.rs
+++ b/crates/kws-dispatch/src/placer/pool/demand.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 /// Share of unserved requests from which the service needs all capacity that may have recovered.
-const UNSERVED_THRESHOLD: f64 = 0.05;
+const UNSERVED_THRESHOLD: f64 = 0.08;
 
 /// Time over which the share of unserved requests is averaged.
 const UNSERVED_WINDOW: Duration = Duration::from_millis(500);
