Placing looks at an index of servers, not at all of them

Cause: each request scanned all servers of its service several times, for probes, for the best server, for the estimate of its wait, for the floor, and each event scanned the queue as well. Change: a table keeps healthy servers with free slots in groups of equal load and data centre, ordered by last use, suspect and ejected ones by last use, counters of slots, and timers for what changes with time; each change of a server updates its place. The queue is a sorted list of keys beside a map. The earliest probe is kept until a suspect or ejected server changes.

--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -8,6 +8,7 @@
 mod queue_estimate;
 mod server;
 mod slot_queue;
+mod table;
 
 pub use evidence::ServerHealth;
 use kws_protocol::{
@@ -294,6 +295,7 @@
         for pool in self.pools.values_mut() {
             actions.extend(pool.tick(now));
             actions.extend(pool.place_queued(now));
+            actions.extend(pool.refuse_late(now));
         }
         self.remove_refused(&actions);
         actions
--- a/crates/kws-dispatch/src/placer/evidence.rs
+++ b/crates/kws-dispatch/src/placer/evidence.rs
@@ -156,6 +156,16 @@
         *self = Self::new(now);
     }
 
+    /// When the evidence stops making the server suspect, if it does.
+    pub(crate) fn suspect_until(&self, now: Instant) -> Option<Instant> {
+        let (bad, late) = self.sums(now);
+        let bad_time = (bad - SUSPECT_THRESHOLD) / BAD_DECAY_PER_SECOND;
+        let late_time = (late - LATE_THRESHOLD) / LATE_DECAY_PER_SECOND;
+        let time = bad_time.max(late_time);
+        let until = now + Duration::from_secs_f64(time.max(0.0)) + Duration::from_millis(1);
+        (time >= 0.0).then_some(until)
+    }
+
     /// The health that the evidence implies at `now`.
     pub(crate) fn health(&self, now: Instant) -> ServerHealth {
         match self.score(now) {
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod demand;
 mod judgement;
+mod probes;
 mod waiting;
 
 use super::{
@@ -11,6 +12,7 @@
     failure_reports::FailureReports,
     server::{EndedRequest, PoolServer},
     slot_queue::SlotQueue,
+    table::ServerTable,
 };
 use crate::{RetryBudget, RetrySource};
 use choice::MAX_SPILL_BYTES;
@@ -18,10 +20,8 @@
 use kws_protocol::{
     RefusalReason, RegionName, ServerLoad, ServerName, ServiceName, ServiceSettings, TryKind,
 };
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use probes::{ProbeCache, UNUSED_PERIOD};
+use std::{cell::RefCell, collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
 /// Service time assumed until the first good response.
@@ -59,7 +59,9 @@
     region: RegionName,
     seed: u64,
     settings: Option<ServiceSettings>,
-    servers: BTreeMap<ServerName, PoolServer>,
+    servers: ServerTable,
+    probe_cache: RefCell<ProbeCache>,
+    next_floor_check: Option<Instant>,
     queue: SlotQueue,
     placements: HashMap<u64, ServerName>,
     service_time: Duration,
@@ -75,10 +77,12 @@
     pub(crate) fn new(name: &ServiceName, region: RegionName, seed: u64, now: Instant) -> Self {
         Self {
             name: name.clone(),
+            servers: ServerTable::new(region.clone(), UNUSED_PERIOD),
+            probe_cache: RefCell::default(),
+            next_floor_check: None,
             region,
             seed,
             settings: None,
-            servers: BTreeMap::new(),
             queue: SlotQueue::default(),
             placements: HashMap::new(),
             service_time: INITIAL_SERVICE_TIME,
@@ -97,14 +101,7 @@
             self.retry_budget = RetryBudget::with_burst(settings.retry_budget, RETRY_BURST);
         }
         self.retry_budget.set_ratio(settings.retry_budget);
-        self.servers
-            .retain(|name, _| settings.servers.contains_key(name));
-        for (name, server) in &settings.servers {
-            self.servers
-                .entry(name.clone())
-                .or_insert_with(|| PoolServer::new(server, !first, now))
-                .apply_settings(server, now);
-        }
+        self.servers.apply_settings(settings, first, now);
         self.settings = Some(settings.clone());
     }
 
@@ -115,12 +112,12 @@
 
     /// Whether the request is queued.
     pub(crate) fn is_queued(&self, key: u64) -> bool {
-        self.queue.iter().any(|request| request.key == key)
+        self.queue.find(key).is_some()
     }
 
     /// Names of the servers.
     pub(crate) fn server_names(&self) -> impl Iterator<Item = &ServerName> {
-        self.servers.keys()
+        self.servers.iter().map(|(name, _)| name)
     }
 
     /// Current health of each server.
@@ -183,14 +180,15 @@
     /// Places the queued requests that find a free slot, and refuses those that can't meet their
     /// deadline.
     pub(crate) fn place_queued(&mut self, now: Instant) -> Vec<PlaceAction> {
-        if self.queue.is_empty() {
-            return Vec::new();
-        }
-        let mut actions = self.refuse_expired(now);
+        self.servers.refresh(now);
+        let mut actions = Vec::new();
         // A placement only takes slots, so needs that found none find none later in this pass.
         let mut unplaceable: Vec<RequestNeeds> = Vec::new();
         let mut index = 0;
         while let Some(request) = self.queue.get(index) {
+            if index == 0 && !self.may_place_any(now) {
+                break;
+            }
             let needs = RequestNeeds::of(request);
             if unplaceable.contains(&needs) {
                 index += 1;
@@ -198,19 +196,29 @@
             }
             if let Some(server) = self.select_server(request, now) {
                 let request = self.queue.take(index);
-                actions.extend(self.place(&request, &server, now));
+                let action = request.and_then(|request| self.place(&request, &server, now));
+                actions.extend(action);
             } else {
                 unplaceable.push(needs);
                 index += 1;
             }
         }
+        actions
+    }
+
+    /// Refuses the queued requests that can't be served in time any more.
+    pub(crate) fn refuse_late(&mut self, now: Instant) -> Vec<PlaceAction> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut actions = self.refuse_expired(now);
         actions.extend(self.refuse_unservable(now));
         actions
     }
 
     /// Whether a queued request finds a free slot now, regardless of its position.
     fn finds_server(&self, key: u64, now: Instant) -> bool {
-        let request = self.queue.iter().find(|request| request.key == key);
+        let request = self.queue.find(key);
         request.is_some_and(|request| self.select_server(request, now).is_some())
     }
 
@@ -220,10 +228,11 @@
         server: &ServerName,
         now: Instant,
     ) -> Option<PlaceAction> {
-        let entry = self.servers.get_mut(server)?;
-        let health = entry.health(now);
-        entry.start_request(request.key, now);
-        let address = entry.settings.address;
+        let (health, address) = self.servers.update(server, now, |entry| {
+            let health = entry.health(now);
+            entry.start_request(request.key, now);
+            (health, entry.settings.address)
+        })?;
         self.placements.insert(request.key, server.clone());
         Some(PlaceAction::Grant {
             key: request.key,
@@ -246,10 +255,11 @@
         let sent = report.and_then(|report| Some((report, report.server?)));
         let mut ended = None;
         if let Some(placed) = self.placements.remove(&key) {
-            let entry = self.servers.get_mut(&placed);
-            ended = entry.and_then(|entry| entry.finish_request(key));
-        } else if let Some(entry) = sent.and_then(|(_, name)| self.servers.get_mut(name)) {
-            entry.finish_reported_request();
+            let finish = |entry: &mut PoolServer| entry.finish_request(key);
+            ended = self.servers.update(&placed, now, finish).flatten();
+        } else if let Some((_, name)) = sent {
+            let finish = PoolServer::finish_reported_request;
+            self.servers.update(name, now, finish);
         }
         let change = sent.and_then(|(report, name)| {
             // Another host placed the request when it began, or later if the body took long.
@@ -263,35 +273,23 @@
         change.into_iter().collect()
     }
 
-    fn slow_start(&self) -> Duration {
-        self.settings
-            .as_ref()
-            .map_or(Duration::ZERO, |settings| settings.slow_start)
-    }
-
-    fn is_in_region(&self, server: &PoolServer) -> bool {
-        server.settings.region == self.region
-    }
-
-    /// Number of servers in the region.
-    fn local_servers(&self) -> usize {
-        let servers = self.servers.values();
-        servers.filter(|server| self.is_in_region(server)).count()
-    }
-
     /// Applies the server loads that a host of the region `sender` reports. Each region judges its
     /// own servers: what another one knows of them comes from few requests, and returning evidence
     /// that this region has cleared would keep recovered servers suspect.
     pub(crate) fn apply_loads(&mut self, loads: &[ServerLoad], sender: &RegionName, now: Instant) {
         let reports: HashMap<&ServerName, &ServerLoad> =
             loads.iter().map(|load| (&load.server, load)).collect();
-        for (name, server) in &mut self.servers {
+        let names: Vec<ServerName> = self.server_names().cloned().collect();
+        for name in names {
             // Servers that are not reported are idle and without evidence.
             let (placed, evidence) = reports
-                .get(name)
+                .get(&name)
                 .map_or((0, 0.0), |load| (load.placed, load.evidence));
-            let judges = *sender == self.region || *sender == server.settings.region;
-            server.apply_report(placed, judges.then_some(evidence), now);
+            let region = &self.region;
+            self.servers.update(&name, now, |server| {
+                let judges = sender == region || *sender == server.settings.region;
+                server.apply_report(placed, judges.then_some(evidence), now);
+            });
         }
     }
 
--- a/crates/kws-dispatch/src/placer/pool/judgement.rs
+++ b/crates/kws-dispatch/src/placer/pool/judgement.rs
@@ -1,8 +1,12 @@
 //! Judges servers by the reported results of tries, and keeps the capacity floor in use.
 
 use super::ServicePool;
-use crate::placer::{PlaceAction, PlaceReport, evidence::ServerHealth, server::EndedRequest};
-use kws_protocol::{ServerName, SlotOutcome};
+use crate::placer::{
+    PlaceAction, PlaceOutcome, PlaceReport,
+    evidence::ServerHealth,
+    server::{EndedRequest, PoolServer},
+};
+use kws_protocol::{EjectionSettings, ServerName, SlotOutcome};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -18,6 +22,9 @@
 /// A request is not overdue before this time.
 const MIN_OVERDUE_TIME: Duration = Duration::from_millis(800);
 
+/// Interval between checks of the capacity floor.
+const FLOOR_PERIOD: Duration = Duration::from_millis(100);
+
 impl ServicePool {
     /// Applies the reported result of a try to its server.
     pub(super) fn apply_report(
@@ -36,54 +43,25 @@
         if path_failure && !self.failure_reports.record(report.reporter, name, now) {
             return None;
         }
-        let may_eject = self.may_eject(name, now);
-        let limit = self.overdue_limit();
-        let abrupt = outcome.latency < self.service_time.mul_f64(ABRUPT_SHARE);
-        let settings = self.settings.as_ref()?;
-        let server = self.servers.get_mut(name)?;
-        let was_unhealthy = server.health(now) == ServerHealth::Unhealthy;
-        let (ejected, cause) = match outcome.outcome {
-            SlotOutcome::Succeeded => {
-                server.record_good(ended.placed_at, now);
-                (false, "good answer")
-            }
-            SlotOutcome::Failed => (
-                server.record_bad(abrupt, &settings.ejection, may_eject, now),
-                "bad answer",
-            ),
-            // The request had little time left, so its timeout says nothing about the server.
-            SlotOutcome::TimedOut if outcome.latency < limit => (false, "late answer"),
-            SlotOutcome::TimedOut => (
-                server.record_late(&settings.ejection, may_eject, now),
-                "late answer",
-            ),
-            SlotOutcome::ConnectFailed => (
-                server.record_unreachable(&settings.ejection, may_eject, now),
-                "not reached",
-            ),
-            SlotOutcome::NotRun => {
-                server.record_overload(now);
-                self.demand.record_rejection(now);
-                (false, "turned away")
-            }
-            SlotOutcome::Misdirected => {
-                server.record_departure(now);
-                (true, "another server has the address")
-            }
-            SlotOutcome::Cancelled => (false, "cancelled"),
+        let judgement = Judgement {
+            outcome,
+            ended,
+            limit: self.overdue_limit(),
+            abrupt: outcome.latency < self.service_time.mul_f64(ABRUPT_SHARE),
+            may_eject: self.may_eject(name),
         };
-        if outcome.draining {
-            server.record_departure(now);
-        }
-        let is_unhealthy = server.health(now) == ServerHealth::Unhealthy;
-        if outcome.outcome == SlotOutcome::Succeeded {
-            self.update_service_time(outcome.latency);
+        let ejection = self.settings.as_ref()?.ejection.clone();
+        let apply = |server: &mut PoolServer| judgement.apply(server, &ejection, now);
+        let (change, cause) = self.servers.update(name, now, apply)?;
+        match outcome.outcome {
+            SlotOutcome::Succeeded => self.update_service_time(outcome.latency),
+            SlotOutcome::NotRun => self.demand.record_rejection(now),
+            _ => {}
         }
-        let changed = ejected || was_unhealthy != is_unhealthy;
-        changed.then(|| PlaceAction::HealthChanged {
+        change.map(|ejected| PlaceAction::HealthChanged {
             service: self.name.clone(),
             server: name.clone(),
-            ejected: ejected || is_unhealthy,
+            ejected,
             cause,
         })
     }
@@ -109,25 +87,12 @@
     }
 
     /// Whether the region's remaining capacity stays at or above the floor if `name` is ejected.
-    fn may_eject(&self, name: &ServerName, now: Instant) -> bool {
+    fn may_eject(&self, name: &ServerName) -> bool {
         let floor = self
             .settings
             .as_ref()
             .map_or(1.0, |settings| settings.floor);
-        let servers = || {
-            self.servers
-                .iter()
-                .filter(|(_, server)| self.is_in_region(server))
-        };
-        let total: u32 = servers().map(|(_, server)| server.settings.slots).sum();
-        let remaining: u32 = servers()
-            .filter(|(other, server)| {
-                *other != name
-                    && server.is_available(now)
-                    && server.health(now) < ServerHealth::Unhealthy
-            })
-            .map(|(_, server)| server.settings.slots)
-            .sum();
+        let (total, remaining) = self.servers.slots_without(name);
         f64::from(remaining) >= floor * f64::from(total)
     }
 
@@ -138,10 +103,11 @@
         if !self.servers.get(&name)?.is_overdue(key, limit, now) {
             return None;
         }
-        let may_eject = self.may_eject(&name, now);
-        let ejection = &self.settings.as_ref()?.ejection;
-        let server = self.servers.get_mut(&name)?;
-        let ejected = server.record_overdue(key, ejection, may_eject, now);
+        let may_eject = self.may_eject(&name);
+        let ejection = self.settings.as_ref()?.ejection.clone();
+        let ejected = self.servers.update(&name, now, |server| {
+            server.record_overdue(key, &ejection, may_eject, now)
+        })?;
         ejected.then(|| PlaceAction::HealthChanged {
             service: self.name.clone(),
             server: name,
@@ -150,8 +116,12 @@
         })
     }
 
-    /// Handles timeouts: maintains the capacity floor.
+    /// Handles timeouts: maintains the capacity floor, every [`FLOOR_PERIOD`].
     pub(crate) fn tick(&mut self, now: Instant) -> Vec<PlaceAction> {
+        if self.next_floor_check.is_some_and(|at| now < at) {
+            return Vec::new();
+        }
+        self.next_floor_check = Some(now + FLOOR_PERIOD);
         self.maintain_floor(now)
     }
 
@@ -162,18 +132,21 @@
             .settings
             .as_ref()
             .map_or(0.0, |settings| settings.floor);
-        let servers = || {
-            self.servers
-                .iter()
-                .filter(|(_, server)| self.is_in_region(server))
-        };
-        let total: u32 = servers().map(|(_, server)| server.settings.slots).sum();
-        let in_use = self.slots_in_use(now);
+        let (mut total, mut in_use) = (0, 0);
+        let mut ejected: Vec<(f64, ServerName, u32)> = Vec::new();
+        for (name, server) in self.servers.local() {
+            let slots = server.settings.slots;
+            total += slots;
+            if !server.is_available(now) {
+                continue;
+            }
+            if server.is_ejected(now) {
+                ejected.push((server.evidence(now), name.clone(), slots));
+            } else {
+                in_use += slots;
+            }
+        }
         let mut missing = floor * f64::from(total) - f64::from(in_use);
-        let mut ejected: Vec<(f64, ServerName, u32)> = servers()
-            .filter(|(_, server)| server.is_available(now) && server.is_ejected(now))
-            .map(|(name, server)| (server.evidence(now), name.clone(), server.settings.slots))
-            .collect();
         ejected.sort_by(|left, right| left.0.total_cmp(&right.0));
         let mut actions = Vec::new();
         for (_, name, slots) in ejected {
@@ -181,9 +154,7 @@
                 break;
             }
             missing -= f64::from(slots);
-            if let Some(server) = self.servers.get_mut(&name) {
-                server.end_ejection();
-            }
+            self.servers.update(&name, now, PoolServer::end_ejection);
             actions.push(PlaceAction::HealthChanged {
                 service: self.name.clone(),
                 server: name,
@@ -193,15 +164,71 @@
         }
         actions
     }
+}
 
-    fn slots_in_use(&self, now: Instant) -> u32 {
-        let servers = self
-            .servers
-            .values()
-            .filter(|server| self.is_in_region(server));
-        servers
-            .filter(|server| server.is_available(now) && !server.is_ejected(now))
-            .map(|server| server.settings.slots)
-            .sum()
+/// A reported result with what its effect on the server depends on.
+struct Judgement {
+    outcome: PlaceOutcome,
+    ended: EndedRequest,
+    /// Time from which a missing response counts as late.
+    limit: Duration,
+    /// Whether the response came much sooner than the server can do its work.
+    abrupt: bool,
+    /// Whether the capacity floor allows to eject the server.
+    may_eject: bool,
+}
+
+impl Judgement {
+    /// Applies the result to its server. Returns whether the server is ejected now if that changed
+    /// or it was ejected again, and the cause.
+    fn apply(
+        &self,
+        server: &mut PoolServer,
+        ejection: &EjectionSettings,
+        now: Instant,
+    ) -> (Option<bool>, &'static str) {
+        let was_unhealthy = server.health(now) == ServerHealth::Unhealthy;
+        let (ejected, cause) = self.record(server, ejection, now);
+        if self.outcome.draining {
+            server.record_departure(now);
+        }
+        let is_unhealthy = server.health(now) == ServerHealth::Unhealthy;
+        let changed = ejected || was_unhealthy != is_unhealthy;
+        (changed.then_some(ejected || is_unhealthy), cause)
+    }
+
+    fn record(
+        &self,
+        server: &mut PoolServer,
+        ejection: &EjectionSettings,
+        now: Instant,
+    ) -> (bool, &'static str) {
+        let may_eject = self.may_eject;
+        match self.outcome.outcome {
+            SlotOutcome::Succeeded => {
+                server.record_good(self.ended.placed_at, now);
+                (false, "good answer")
+            }
+            SlotOutcome::Failed => (
+                server.record_bad(self.abrupt, ejection, may_eject, now),
+                "bad answer",
+            ),
+            // The request had little time left, so its timeout says nothing about the server.
+            SlotOutcome::TimedOut if self.outcome.latency < self.limit => (false, "late answer"),
+            SlotOutcome::TimedOut => (server.record_late(ejection, may_eject, now), "late answer"),
+            SlotOutcome::ConnectFailed => (
+                server.record_unreachable(ejection, may_eject, now),
+                "not reached",
+            ),
+            SlotOutcome::NotRun => {
+                server.record_overload(now);
+                (false, "turned away")
+            }
+            SlotOutcome::Misdirected => {
+                server.record_departure(now);
+                (true, "another server has the address")
+            }
+            SlotOutcome::Cancelled => (false, "cancelled"),
+        }
     }
 }
--- a/crates/kws-dispatch/src/placer/pool/waiting.rs
+++ b/crates/kws-dispatch/src/placer/pool/waiting.rs
@@ -63,30 +63,10 @@
         }
     }
 
-    /// The region's present servers whose health is `worst` or better.
-    pub(super) fn region_servers(
-        &self,
-        now: Instant,
-        worst: ServerHealth,
-    ) -> impl Iterator<Item = &PoolServer> {
-        let servers = self
-            .servers
-            .values()
-            .filter(|server| self.is_in_region(server));
-        servers.filter(move |server| server.is_available(now) && server.health(now) <= worst)
-    }
-
-    /// Usable slots of the region's healthy servers.
-    pub(super) fn healthy_slots(&self, now: Instant) -> u32 {
-        self.region_servers(now, ServerHealth::Healthy)
-            .map(|server| server.usable_slots(self.slow_start(), now))
-            .sum()
-    }
-
     /// The slots of a server that requests may use: one of a suspect server, and none of it during
     /// its cooldown.
     fn available_slots(&self, server: &PoolServer, now: Instant) -> u32 {
-        let usable = server.usable_slots(self.slow_start(), now);
+        let usable = server.usable_slots(self.servers.slow_start(), now);
         match server.health(now) {
             ServerHealth::Healthy => usable,
             ServerHealth::Suspect if !server.in_cooldown(now) => usable.min(1),
@@ -98,21 +78,24 @@
     /// else by the next probes.
     fn queue_estimate(&self, now: Instant) -> QueueEstimate {
         let mut estimate = QueueEstimate {
+            slots: self.servers.healthy_slots(),
+            free_slots: self.servers.healthy_free(),
             service_time: self.service_time,
             ..QueueEstimate::default()
         };
-        for worst in [ServerHealth::Healthy, ServerHealth::Suspect] {
-            for server in self.region_servers(now, worst) {
-                estimate.slots += self.available_slots(server, now);
-                estimate.free_slots += server.free_slots(self.slow_start(), now);
-            }
-            if estimate.slots > 0 {
-                return estimate;
-            }
+        if estimate.slots > 0 {
+            return estimate;
+        }
+        for (_, server) in self.servers.present(ServerHealth::Suspect, now) {
+            estimate.slots += self.available_slots(server, now);
+            estimate.free_slots += server.free_slots(self.servers.slow_start(), now);
+        }
+        if estimate.slots > 0 {
+            return estimate;
         }
-        let servers = self.region_servers(now, ServerHealth::Unhealthy);
+        let servers = self.servers.present(ServerHealth::Unhealthy, now);
         estimate.probe_delays = servers
-            .filter_map(|server| server.time_to_next_request(now))
+            .filter_map(|(_, server)| server.time_to_next_request(now))
             .collect();
         estimate.probe_delays.sort();
         estimate
@@ -156,8 +139,8 @@
             queued: self.queue.len(),
             free_slots: estimate.free_slots,
             slots: estimate.slots,
-            available_servers: self.region_servers(now, ServerHealth::Suspect).count(),
-            servers: self.local_servers(),
+            available_servers: self.servers.available_count(),
+            servers: self.servers.local_count(),
             service_time: self.service_time,
         }
     }
--- a/crates/kws-dispatch/src/placer/server.rs
+++ b/crates/kws-dispatch/src/placer/server.rs
@@ -32,6 +32,17 @@
 /// Time after a good response in which a server's state becomes unknown.
 const KNOWN_PERIOD: Duration = Duration::from_secs(5);
 
+/// When suspect and ejected servers are probed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct ProbeRules {
+    /// Delay after the end of an ejection; `None` if ejected servers aren't probed.
+    pub(crate) delay: Option<Duration>,
+    /// Time after which an ejection is probed whatever its length and the delay.
+    pub(crate) early_base: Option<Duration>,
+    /// Time without a request after which a suspect server is probed.
+    pub(crate) suspect_interval: Duration,
+}
+
 /// A request that is running on the server.
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
@@ -156,21 +167,6 @@
         self.evidence.health(now).min(ServerHealth::Suspect)
     }
 
-    /// Whether the ejection ended at least `delay` ago, so that a request may probe the server.
-    pub(crate) fn is_probe_due(&self, delay: Duration, now: Instant) -> bool {
-        self.is_idle(now)
-            && self
-                .ejection
-                .is_some_and(|ejection| now >= ejection.until + delay)
-    }
-
-    /// Like [`Self::is_probe_due`], but counts every ejection as no longer than the base time. Used
-    /// when the service lacks capacity.
-    pub(crate) fn is_early_probe_due(&self, settings: &EjectionSettings, now: Instant) -> bool {
-        let passed = |ejection: Ejection| now + ejection.duration >= ejection.until + settings.base;
-        self.is_idle(now) && self.ejection.is_some_and(passed)
-    }
-
     /// Whether a request would verify a suspect server: no request placed since its last bad
     /// response is running.
     pub(crate) fn is_verifiable(&self, now: Instant) -> bool {
@@ -203,8 +199,42 @@
         }
     }
 
-    fn is_idle(&self, now: Instant) -> bool {
-        self.running.is_empty() && self.is_available(now) && !self.in_cooldown(now)
+    /// When a request may probe the server by these rules; `None` while a running one decides.
+    pub(crate) fn probe_due(
+        &self,
+        rules: &ProbeRules,
+        slow_start: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
+        let ready = self
+            .cooldown_until
+            .max(self.unavailable_until)
+            .unwrap_or(now);
+        if let Some(ejection) = self.ejection {
+            let due = ejection.until + rules.delay.filter(|_| self.running.is_empty())?;
+            let began = ejection.until - ejection.duration;
+            let early = rules.early_base.map(|base| began + base);
+            return Some(early.map_or(due, |early| early.min(due)).max(ready));
+        }
+        let is_full = self.usable_slots(slow_start, now) <= self.load(now);
+        if is_full || self.is_being_verified() {
+            return None;
+        }
+        let rested = self.last_used.map_or(now, |at| at + rules.suspect_interval);
+        Some(rested.max(ready))
+    }
+
+    /// When the server's health or its slots change next without an event.
+    pub(crate) fn next_change(&self, slow_start: Duration, now: Instant) -> Option<Instant> {
+        let report = self.reported_load.filter(|(load, _)| *load > 0);
+        let changes = [
+            self.cooldown_until,
+            self.unavailable_until,
+            self.slow_start_since.map(|since| since + slow_start),
+            report.map(|(_, at)| at + MAX_REPORT_AGE),
+            self.evidence.suspect_until(now),
+        ];
+        changes.into_iter().flatten().filter(|at| *at > now).min()
     }
 
     /// Whether the server is ejected and its ejection has not ended.
@@ -273,6 +303,7 @@
         self.consecutive_unreachable = 0;
         self.evidence.record_good(now);
         self.last_good = Some(now);
+        self.cooldown_until = None;
         self.consecutive_failures = 0;
         if self.probed_ejection().is_some() {
             self.ejection = None;
