Tests: stand-ins of the platform's servers echo the request id

The platform promises the echo, and an answer without it is none since responses are followed; log_lines, store_fleet and two_builds had servers that echo under another header.

--- a/tests/builds/fleet.rs
+++ b/tests/builds/fleet.rs
@@ -65,6 +65,14 @@
     }
 }
 
+/// A script whose answers echo the id of the request, as those of the platform's servers do.
+pub fn answering() -> BackendScript {
+    BackendScript {
+        id_header: "request-id".to_owned(),
+        ..BackendScript::default()
+    }
+}
+
 /// The initial state of a pair.
 pub struct PairPlan {
     pub configuration: Vec<u8>,
@@ -79,7 +87,7 @@
     fn default() -> Self {
         Self {
             configuration: configuration(1, 1_000),
-            scripts: vec![BackendScript::default()],
+            scripts: vec![answering()],
             slots: 3,
             cut_off: false,
         }
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -74,6 +74,9 @@
     ("server judged", "cause event level out server service time"),
 ];
 
+/// The header under which the platform's servers echo the id of a request.
+const ID_HEADER: &str = "request-id";
+
 type LogLine = Map<String, Value>;
 
 struct LogHost {
@@ -104,7 +107,11 @@
         store.put("op/config", &configuration(1, rate));
         let mut servers = Vec::new();
         for (number, script) in scripts.iter().enumerate() {
-            let server = BackendServer::start(script.clone()).await.expect("starts");
+            let script = BackendScript {
+                id_header: ID_HEADER.to_owned(),
+                ..script.clone()
+            };
+            let server = BackendServer::start(script).await.expect("starts");
             let value = entry("till", server.address(), "ready", 1);
             store.put(&format!("servers/i-{number}"), &value);
             servers.push(server);
--- a/tests/two_builds.rs
+++ b/tests/two_builds.rs
@@ -15,7 +15,7 @@
 
 use fleet::{
     BuildOrder::{self, SecondAsks, ThisAsks},
-    BuildPair, PairPlan, ask,
+    BuildPair, PairPlan, answering, ask,
 };
 use kws_standin::backend::{BackendFault, BackendScript};
 use rstest::rstest;
@@ -34,13 +34,13 @@
     BackendScript {
         status: 500,
         body_bytes: 0,
-        ..BackendScript::default()
+        ..answering()
     }
 }
 
 /// One failing server and three good ones.
 fn one_failing() -> PairPlan {
-    let mut scripts = vec![BackendScript::default(); 4];
+    let mut scripts = vec![answering(); 4];
     scripts[0] = failing();
     PairPlan {
         scripts,
@@ -88,7 +88,7 @@
     let pair = BuildPair::start(order, PairPlan::default()).await;
     let (asker, granter, server) = (&pair.asker, &pair.granter, &pair.servers[0]);
     pair.until("no retry waited at the other host", async || {
-        server.set_script(BackendScript::default());
+        server.set_script(answering());
         if ask(asker.listen, "orchard-key", SHORT_LIMIT_MS).await.1 != 200 {
             return false;
         }
