Token owners by partitions, chosen among hosts that can bear it

Ruled out: a longer time-out (the callers' budget pays for it); the owner's bucket (it had tokens).

Change: teams lie in 32 partitions; a partition's owner is chosen by the same rule as a service's placer, with 200 millicores as its need. Owners are kept until hosts change or stop replying (OwnerTable). On a time-out the next owner is asked once before the host decides without one. Replies that wait in the thread's own queue are read before requests count as timed out.

Found by the tests: a host that lost a partition kept its bucket and used it, full, when asked again: twice the rate. Buckets of teams that a host does not own start empty and hold one token; an owner's start empty when it becomes one.

--- a/crates/kws-daemon/src/lib.rs
+++ b/crates/kws-daemon/src/lib.rs
@@ -20,7 +20,6 @@
 mod threads;
 mod tokens;
 mod try_log;
-mod unresponsive;
 
 pub use daemon::{RunningDaemon, start_daemon};
 pub use logging::start_logging;
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -9,7 +9,6 @@
     shared::{DaemonShared, PeerSender},
     threads::start_async_thread,
     try_log::{self, EndedTry, PlacedTry, TryLog},
-    unresponsive::UnresponsiveHosts,
 };
 use eyre::Result;
 use kws_dispatch::{
@@ -17,9 +16,10 @@
     ServerGrant, ServerHealth, TicketId,
 };
 use kws_forward::{Refusal, TryClass, TryOutcome};
+use kws_membership::{OwnerTable, SharedTask};
 use kws_protocol::{
-    FleetSnapshot, HostName, PeerMessage, RegionName, ServerName, ServerStatus, ServiceName,
-    SlotGrant, SlotOutcome, SlotRequest, TicketMessage,
+    FleetSettings, FleetSnapshot, HostName, PeerMessage, RegionName, ServerName, ServerStatus,
+    ServiceName, SlotGrant, SlotOutcome, SlotRequest, TicketMessage,
 };
 use pending::{PendingSlot, PendingSlots};
 use remote::RemoteTickets;
@@ -78,7 +78,10 @@
     granted: HashMap<TicketId, GrantedTicket>,
     remote: RemoteTickets,
     try_log: TryLog,
-    unresponsive: UnresponsiveHosts,
+    owners: OwnerTable,
+    /// Processor share that the owner of each service in each region needs, in thousandths of a
+    /// processor.
+    needed: HashMap<ServiceName, HashMap<RegionName, u32>>,
     /// Servers that this host could not connect to, with the end of their exclusion.
     unreachable: HashMap<ServerName, Instant>,
     /// Services with loads in the last load message.
@@ -101,7 +104,8 @@
         granted: HashMap::new(),
         remote: RemoteTickets::default(),
         try_log: TryLog::default(),
-        unresponsive: UnresponsiveHosts::default(),
+        owners: OwnerTable::default(),
+        needed: HashMap::new(),
         unreachable: HashMap::new(),
         loaded: BTreeSet::new(),
     };
@@ -164,8 +168,10 @@
         let actions = if is_same {
             Vec::new()
         } else {
+            self.needed = owner_millicores(&snapshot.settings);
             self.placer.apply_settings(&snapshot.settings, now)
         };
+        self.owners.set_hosts(&snapshot.hosts);
         let is_listed = |host: &HostName| snapshot.hosts.host(host).is_some();
         let removed = self.remote.remove_unlisted(is_listed);
         let unlisted = self.pending.take_unlisted(is_listed);
@@ -181,35 +187,31 @@
     }
 
     /// Owner of `service` in this region; this host if no other is known.
-    fn owner(&self, service: &ServiceName, now: Instant) -> HostName {
-        let identity = &self.shared.identity;
-        let owner = self.owner_in(&identity.region, service, now);
-        owner.unwrap_or_else(|| identity.host.clone())
+    fn owner(&mut self, service: &ServiceName, now: Instant) -> HostName {
+        let region = self.shared.identity.region.clone();
+        let owner = self.owner_in(&region, service, now);
+        owner.unwrap_or_else(|| self.shared.identity.host.clone())
     }
 
-    /// Owner of `service` in `region`. A service with many slots there needs a host with many
-    /// processors.
+    /// Owner of `service` in `region`.
     fn owner_in(
-        &self,
+        &mut self,
         region: &RegionName,
         service: &ServiceName,
         now: Instant,
     ) -> Option<HostName> {
-        let snapshot = self.snapshot.as_ref()?;
-        let settings = snapshot.settings.services.get(service);
-        let servers = settings
-            .into_iter()
-            .flat_map(|service| service.servers.values());
-        let local = servers.filter(|server| server.region == *region);
-        let needed = local.map(|server| server.slots).sum::<u32>() * SLOT_MILLICORES;
-        let hosts = snapshot.hosts.in_region(region);
-        self.unresponsive
-            .first_responsive((service.as_str(), needed), hosts, now)
+        let needed = self.needed.get(service);
+        let needed = needed.and_then(|regions| regions.get(region)).copied();
+        let task = SharedTask {
+            name: service.as_str(),
+            millicores: needed.unwrap_or_default(),
+        };
+        self.owners.owner(region, task, now)
     }
 
     /// Owner of `service` in the region of `server`, if that is another region.
     fn remote_owner(
-        &self,
+        &mut self,
         service: &ServiceName,
         server: &ServerName,
         now: Instant,
@@ -221,10 +223,11 @@
             .get(service)?
             .servers
             .get(server)?;
-        let is_remote = server.region != self.shared.identity.region;
-        is_remote
-            .then(|| self.owner_in(&server.region, service, now))
-            .flatten()
+        let region = server.region.clone();
+        if region == self.shared.identity.region {
+            return None;
+        }
+        self.owner_in(&region, service, now)
     }
 
     fn enqueue(&mut self, request: DispatchRequest, reply: GrantReply, now: Instant) {
@@ -410,7 +413,7 @@
     }
 
     fn handle_message(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
-        self.unresponsive.record_message(from);
+        self.owners.record_message(from);
         match message {
             TicketMessage::RequestSlot(request) => self.handle_slot_request(from, request, now),
             TicketMessage::Queued { ticket } => self.pending.record_queued(ticket, now),
@@ -634,7 +637,7 @@
                 "no answer on a slot, placed alone"
             );
             self.shared.metrics.record_peer_dropped("ticket_unanswered");
-            self.unresponsive.record_timeout(&pending.owner, now);
+            self.owners.record_timeout(&pending.owner, now);
             self.place_locally(pending.request, pending.reply, true, now);
         }
         for (owner, request) in self.pending.resend_due(now) {
@@ -715,6 +718,20 @@
     }
 }
 
+/// Processor share that the owner of each service in each region needs, in thousandths of a
+/// processor: a service with many slots needs a host with many processors.
+fn owner_millicores(settings: &FleetSettings) -> HashMap<ServiceName, HashMap<RegionName, u32>> {
+    let services = settings.services.iter();
+    let needs = services.map(|(name, service)| {
+        let mut needed: HashMap<RegionName, u32> = HashMap::new();
+        for server in service.servers.values() {
+            *needed.entry(server.region.clone()).or_default() += server.slots * SLOT_MILLICORES;
+        }
+        (name.clone(), needed)
+    });
+    needs.collect()
+}
+
 fn place_request(request: SlotRequest, key: u64, now: Instant) -> PlaceRequest {
     PlaceRequest {
         key,
--- a/crates/kws-daemon/src/tokens.rs
+++ b/crates/kws-daemon/src/tokens.rs
@@ -5,12 +5,14 @@
     ledger::{AdmitReply, LedgerEvent},
     shared::{DaemonShared, PeerSender},
     threads::start_async_thread,
-    unresponsive::UnresponsiveHosts,
 };
 use eyre::Result;
 use kws_forward::Refusal;
-use kws_limits::{TokenDecision, TokenOwner};
-use kws_protocol::{FleetSnapshot, HostName, PeerMessage, RefusalReason, TeamName, TicketMessage};
+use kws_limits::{TokenDecision, TokenOwner, TokenPartition};
+use kws_membership::{OwnerTable, SharedTask};
+use kws_protocol::{
+    FleetSnapshot, HostName, PeerMessage, RefusalReason, RegionName, TeamName, TicketMessage,
+};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::Receiver,
@@ -23,6 +25,9 @@
 /// which an owner delays a grant, plus the round trip.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Processor share that the owner of a partition of the teams needs, in thousandths of a processor.
+const OWNER_MILLICORES: u32 = 200;
+
 /// Value of the log key `decider` when the owner did not reply.
 const UNCOORDINATED: &str = "alone";
 
@@ -57,6 +62,8 @@
     waiter: TokenWaiter,
     owner: HostName,
     sent: Instant,
+    /// Whether another owner did not reply before.
+    is_second: bool,
     /// Decision to use if the other region lends no token; `None` for a request within the region.
     refusal: Option<TokenDecision>,
 }
@@ -65,13 +72,12 @@
     shared: Arc<DaemonShared>,
     peers: PeerSender,
     snapshot: Option<Arc<FleetSnapshot>>,
-    hosts: Vec<HostName>,
+    owners: OwnerTable,
     owned: TokenOwner,
     /// Buckets that this host uses while an owner does not reply.
     uncoordinated: TokenOwner,
     pending: HashMap<u64, PendingToken>,
     next_id: u64,
-    unresponsive: UnresponsiveHosts,
     /// Teams for which another region had no token to lend, with the end of their cooldown.
     loan_cooldowns: HashMap<TeamName, Instant>,
 }
@@ -84,7 +90,7 @@
     let now = Instant::now();
     let region = shared.identity.region.clone();
     let mut thread = TokenThread {
-        hosts: Vec::new(),
+        owners: OwnerTable::default(),
         shared,
         peers,
         snapshot: None,
@@ -92,7 +98,6 @@
         uncoordinated: TokenOwner::new(region, now),
         pending: HashMap::new(),
         next_id: 0,
-        unresponsive: UnresponsiveHosts::default(),
         loan_cooldowns: HashMap::new(),
     };
     let mut ticks = interval(PENDING_TICK);
@@ -103,7 +108,15 @@
                 Some(event) => thread.handle_event(event, Instant::now()),
                 None => return,
             },
-            _ = ticks.tick(), if !thread.pending.is_empty() => thread.handle_tick(Instant::now()),
+            _ = ticks.tick(), if !thread.pending.is_empty() => {
+                // Replies that arrived while this thread had no processor are not late.
+                for _ in 0..events.len() {
+                    if let Ok(event) = events.try_recv() {
+                        thread.handle_event(event, Instant::now());
+                    }
+                }
+                thread.handle_tick(Instant::now());
+            }
         }
     }
 }
@@ -134,15 +147,26 @@
     }
 
     fn apply_settings(&mut self, snapshot: Arc<FleetSnapshot>, now: Instant) {
-        let local = snapshot.hosts.in_region(&self.shared.identity.region);
-        let hosts: Vec<HostName> = local.map(|host| host.name.clone()).collect();
-        if hosts != self.hosts {
-            self.hosts = hosts;
-            self.owned.record_host_change(now);
+        if self.owners.set_hosts(&snapshot.hosts) {
+            self.update_owned(now);
         }
         self.snapshot = Some(snapshot);
     }
 
+    /// Updates the partitions that this host owns.
+    fn update_owned(&mut self, now: Instant) {
+        let identity = &self.shared.identity;
+        let owners = &mut self.owners;
+        let owned: Vec<bool> = TokenPartition::all()
+            .map(|partition| {
+                let owner = partition_owner(owners, &identity.region, partition, now);
+                owner.is_none_or(|owner| owner == identity.host)
+            })
+            .collect();
+        self.owned
+            .set_owned(|partition| owned[partition.index()], now);
+    }
+
     fn admit(&mut self, team: TeamName, waiter: OwnWaiter, now: Instant) {
         let Some(snapshot) = self.snapshot.clone() else {
             let _ = waiter.reply.send(Err(RefusalReason::NotCurrent.into()));
@@ -152,36 +176,30 @@
             let _ = waiter.reply.send(Ok(()));
             return;
         }
-        let owner = self.owner_of(&team, now);
-        if owner == self.shared.identity.host {
+        let waiter = TokenWaiter::Own(waiter);
+        let Some(owner) = self.other_owner(&team, now) else {
             let decision = self.owned.take(&snapshot.settings, &team, 1.0, now);
-            return self.handle_decision(decision, &team, TokenWaiter::Own(waiter), now);
-        }
-        self.send_request(team, TokenWaiter::Own(waiter), owner, None, now);
-    }
-
-    fn send_request(
-        &mut self,
-        team: TeamName,
-        waiter: TokenWaiter,
-        owner: HostName,
-        refusal: Option<TokenDecision>,
-        now: Instant,
-    ) {
-        self.next_id += 1;
-        let message = TicketMessage::RequestToken {
-            id: self.next_id,
-            team: team.clone(),
-            loan: refusal.is_some(),
+            return self.handle_decision(decision, &team, waiter, now);
         };
-        self.peers.send(&owner, PeerMessage::Ticket(message));
-        let pending = PendingToken {
+        self.send_request(PendingToken {
             team,
             waiter,
             owner,
             sent: now,
-            refusal,
+            is_second: false,
+            refusal: None,
+        });
+    }
+
+    fn send_request(&mut self, pending: PendingToken) {
+        self.next_id += 1;
+        let message = TicketMessage::RequestToken {
+            id: self.next_id,
+            team: pending.team.clone(),
+            loan: pending.refusal.is_some(),
         };
+        self.peers
+            .send(&pending.owner, PeerMessage::Ticket(message));
         self.pending.insert(self.next_id, pending);
     }
 
@@ -201,21 +219,26 @@
             .is_some_and(|until| now < *until);
         let remote_owner = (refused && !in_cooldown).then(|| self.remote_owner(team, now));
         match remote_owner.flatten() {
-            Some(owner) => self.send_request(team.clone(), waiter, owner, Some(decision), now),
+            Some(owner) => self.send_request(PendingToken {
+                team: team.clone(),
+                waiter,
+                owner,
+                sent: now,
+                is_second: false,
+                refusal: Some(decision),
+            }),
             None => self.deliver(decision, team, waiter, self.shared.identity.host.as_str()),
         }
     }
 
     /// Owner of the team's tokens in another region, which is chosen at random.
-    fn remote_owner(&self, team: &TeamName, now: Instant) -> Option<HostName> {
+    fn remote_owner(&mut self, team: &TeamName, now: Instant) -> Option<HostName> {
         let snapshot = self.snapshot.as_ref()?;
         let own = &self.shared.identity.region;
         let others = snapshot.settings.regions.keys().filter(|name| *name != own);
         let regions: Vec<_> = others.collect();
         let region = regions.get(rand::random_range(0..regions.len().max(1)))?;
-        let hosts = snapshot.hosts.in_region(region);
-        self.unresponsive
-            .first_responsive((team.as_str(), 0), hosts, now)
+        partition_owner(&mut self.owners, region, TokenPartition::of(team), now)
     }
 
     /// Delivers the decision of `decider`, which is a host or [`UNCOORDINATED`].
@@ -256,19 +279,16 @@
         });
     }
 
-    /// Owner of the team's tokens in this region; this host if no other is known.
-    fn owner_of(&self, team: &TeamName, now: Instant) -> HostName {
+    /// Owner of the team's tokens in this region, unless this host is the owner.
+    fn other_owner(&mut self, team: &TeamName, now: Instant) -> Option<HostName> {
         let identity = &self.shared.identity;
-        let hosts = self.snapshot.iter();
-        let hosts = hosts.flat_map(|snapshot| snapshot.hosts.in_region(&identity.region));
-        let owner = self
-            .unresponsive
-            .first_responsive((team.as_str(), 0), hosts, now);
-        owner.unwrap_or_else(|| identity.host.clone())
+        let partition = TokenPartition::of(team);
+        let owner = partition_owner(&mut self.owners, &identity.region, partition, now);
+        owner.filter(|owner| *owner != identity.host)
     }
 
     fn handle_message(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
-        self.unresponsive.record_message(from);
+        self.owners.record_message(from);
         match message {
             TicketMessage::RequestToken { id, team, loan } => {
                 self.handle_token_request(from, id, &team, loan, now);
@@ -320,27 +340,38 @@
             .collect();
         for id in timed_out {
             if let Some(pending) = self.pending.remove(&id) {
-                self.decide_uncoordinated(pending, now);
+                self.handle_timeout(pending, now);
             }
         }
     }
 
-    /// Decides without the owner: while it does not reply, each host may use an equal part of the
-    /// region's share.
-    fn decide_uncoordinated(&mut self, pending: PendingToken, now: Instant) {
+    /// Asks the next owner if the first one did not reply; decides without one otherwise. While no
+    /// owner replies, each host may use an equal part of the region's share.
+    fn handle_timeout(&mut self, mut pending: PendingToken, now: Instant) {
+        self.owners.record_timeout(&pending.owner, now);
         log::warn!(
             team = pending.team.as_str(),
-            keeper = pending.owner.as_str();
-            "no answer on a token, decided alone"
+            keeper = pending.owner.as_str(),
+            second = pending.is_second;
+            "no answer on a token"
         );
-        self.unresponsive.record_timeout(&pending.owner, now);
         if let Some(refusal) = pending.refusal {
             return self.deliver(refusal, &pending.team, pending.waiter, UNCOORDINATED);
         }
-        let Some(snapshot) = &self.snapshot else {
+        let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        let share = 1.0 / self.hosts.len().max(1) as f64;
+        if !pending.is_second {
+            if let Some(owner) = self.other_owner(&pending.team, now) {
+                pending.owner = owner;
+                pending.sent = now;
+                pending.is_second = true;
+                return self.send_request(pending);
+            }
+            let decision = self.owned.take(&snapshot.settings, &pending.team, 1.0, now);
+            return self.handle_decision(decision, &pending.team, pending.waiter, now);
+        }
+        let share = 1.0 / self.owners.host_count(&self.shared.identity.region).max(1) as f64;
         let decision = self
             .uncoordinated
             .take(&snapshot.settings, &pending.team, share, now);
@@ -348,6 +379,21 @@
     }
 }
 
+/// Owner of a partition's tokens in `region`; `None` if no host is known there.
+fn partition_owner(
+    owners: &mut OwnerTable,
+    region: &RegionName,
+    partition: TokenPartition,
+    now: Instant,
+) -> Option<HostName> {
+    let name = partition.task_name();
+    let task = SharedTask {
+        name: &name,
+        millicores: OWNER_MILLICORES,
+    };
+    owners.owner(region, task, now)
+}
+
 /// Logs a refused token with the host that decided and the time that the decision took.
 fn log_refused(decision: TokenDecision, team: &TeamName, waiter: &OwnWaiter, decider: &str) {
     let retry_after = match decision {
--- a/crates/kws-limits/src/owner.rs
+++ b/crates/kws-limits/src/owner.rs
@@ -1,6 +1,7 @@
 //! Tokens of teams when the platform lists no hosts: in each region, one host owns the region's
-//! share of a team. `docs/LIMITS.md` states the guarantees of this mode.
+//! share of a team. `docs/PLATFORM.md` states the guarantees of this mode.
 
+use crate::partition::{PARTITION_COUNT, TokenPartition};
 use kws_protocol::{FleetSettings, RegionName, TeamName, TeamSettings};
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
@@ -59,26 +60,36 @@
 pub struct TokenOwner {
     region: RegionName,
     buckets: HashMap<TeamName, TokenBucket>,
-    /// New buckets fill from this instant; before it, another host may have owned them.
-    owner_since: Instant,
+    /// By partition, the instant since which it is owned; `None` if another host owns it. New
+    /// buckets fill from this instant; before it, another host may have owned them.
+    owned_since: [Option<Instant>; PARTITION_COUNT as usize],
     next_sweep: Instant,
 }
 
 impl TokenOwner {
-    /// Empty buckets for `region`.
+    /// Empty buckets for `region`, with all partitions owned since `now`.
     pub fn new(region: RegionName, now: Instant) -> Self {
         Self {
             region,
             buckets: HashMap::new(),
-            owner_since: now,
+            owned_since: [Some(now); PARTITION_COUNT as usize],
             next_sweep: now + SWEEP_PERIOD,
         }
     }
 
-    /// Records a change of the region's hosts. The previous owner of a team may just have spent its
-    /// burst, so new buckets fill from `now` on.
-    pub fn record_host_change(&mut self, now: Instant) {
-        self.owner_since = now;
+    /// Applies a change of owners. Buckets of partitions that are gained or lost are dropped: the
+    /// other owner may just have granted, or may grant from now on, all that they hold.
+    pub fn set_owned(&mut self, is_owned: impl Fn(TokenPartition) -> bool, now: Instant) {
+        for partition in TokenPartition::all() {
+            let since = &mut self.owned_since[partition.index()];
+            let owned = is_owned(partition);
+            if owned == since.is_some() {
+                continue;
+            }
+            *since = owned.then_some(now);
+            self.buckets
+                .retain(|team, _| TokenPartition::of(team) != partition);
+        }
     }
 
     /// Whether the team's rate counts as unlimited.
@@ -135,17 +146,22 @@
         }
     }
 
-    /// The team's bucket with `fraction` of its rate and burst, filled up to `now`.
+    /// The team's bucket with `fraction` of its rate and burst, filled up to `now`. The bucket of a
+    /// team that another host owns starts empty and holds one token at most, since the owner may
+    /// grant the burst.
     fn fill(&mut self, team: &TeamSettings, fraction: f64, now: Instant) -> &mut TokenBucket {
-        let owner_since = self.owner_since;
-        let burst = (team.burst * fraction).max(1.0);
+        let owned_since = self.owned_since[TokenPartition::of(&team.name).index()];
+        let burst = match owned_since {
+            Some(_) => (team.burst * fraction).max(1.0),
+            None => 1.0,
+        };
         let bucket = self
             .buckets
             .entry(team.name.clone())
             .or_insert_with(|| TokenBucket {
                 level: 0.0,
                 rate: 0.0,
-                filled: owner_since,
+                filled: owned_since.unwrap_or(now),
             });
         bucket.rate = (team.rate * fraction).max(f64::MIN_POSITIVE);
         let time = now.saturating_duration_since(bucket.filled).as_secs_f64();
--- a/crates/kws-limits/tests/common/fleet.rs
+++ b/crates/kws-limits/tests/common/fleet.rs
@@ -36,7 +36,7 @@
 ) -> Arc<FleetSnapshot> {
     Arc::new(FleetSnapshot {
         revision: TreeRevision(revision),
-        settings: FleetSettings {
+        settings: Arc::new(FleetSettings {
             freshness: FreshnessSettings {
                 lease: LEASE,
                 list_lag: LIST_LAG,
@@ -47,7 +47,7 @@
             services: BTreeMap::new(),
             routes: BTreeMap::new(),
             teams: teams.iter().map(|entry| team(*entry)).collect(),
-        },
+        }),
         hosts: HostList {
             hosts: hosts.iter().map(|entry| host(*entry)).collect(),
             servers: Vec::new(),
--- a/crates/kws-limits/tests/token_keeper.rs
+++ b/crates/kws-limits/tests/token_keeper.rs
@@ -5,7 +5,7 @@
 }
 
 use common::fleet::snapshot;
-use kws_limits::{TokenDecision, TokenOwner};
+use kws_limits::{PARTITION_COUNT, TokenDecision, TokenOwner, TokenPartition};
 use kws_protocol::{FleetSettings, TeamName};
 use std::time::Duration;
 use tokio::time::{Instant, advance};
@@ -15,7 +15,7 @@
 fn settings() -> FleetSettings {
     let teams = [("orchard", 20.0, 20.0), ("open", 1e9, 1e9)];
     let weights = [("vidzemes", 0.5), ("zemgales", 0.5)];
-    snapshot(1, &[], &teams, &weights).settings.clone()
+    snapshot(1, &[], &teams, &weights).settings.as_ref().clone()
 }
 
 fn owner() -> TokenOwner {
@@ -119,3 +119,49 @@
         TokenDecision::UnknownTeam
     );
 }
+
+/// Neither owner of a team grants a burst when the team moves from one to the other and back.
+#[tokio::test(start_paused = true)]
+async fn regained_team() {
+    let mut owner = owner();
+    advance(Duration::from_secs(5)).await;
+    owner.set_owned(|_| true, Instant::now());
+    let burst = admitted(&mut owner, Duration::from_millis(5)).await;
+    assert_eq!(burst, 1, "one request within 5 ms");
+    owner.set_owned(|_| false, Instant::now());
+    advance(Duration::from_secs(5)).await;
+    owner.set_owned(|_| true, Instant::now());
+    let after = admitted(&mut owner, Duration::from_secs(1)).await;
+    assert!(
+        after <= 12,
+        "{after} in 1 s at 10 per second, from an empty bucket"
+    );
+}
+
+/// A host that is asked for a team that another host owns grants the rate but no burst.
+#[tokio::test(start_paused = true)]
+async fn team_of_others() {
+    let mut owner = owner();
+    let partition = TokenPartition::of(&orchard());
+    owner.set_owned(|other| other != partition, Instant::now());
+    let first = owner.take(&settings(), &orchard(), 1.0, Instant::now());
+    assert_eq!(
+        first,
+        TokenDecision::GrantedAfter(Duration::from_millis(100))
+    );
+    advance(Duration::from_secs(5)).await;
+    let after = admitted(&mut owner, Duration::from_secs(1)).await;
+    assert!(after <= 12, "{after} in 1 s at 10 per second and 1 at once");
+}
+
+#[test]
+fn even_partitions() {
+    let mut counts = vec![0; usize::from(PARTITION_COUNT)];
+    for number in 0..32_000 {
+        let team = TeamName::new(&format!("team-{number}"));
+        counts[TokenPartition::of(&team).index()] += 1;
+    }
+    for count in counts {
+        assert!((850..1_150).contains(&count), "{count} of about 1,000");
+    }
+}
