A new host becomes current only through a current host or the store

Cause: a host that is started while it reaches only a host that is cut off took that host's values and counted two of two known hosts as a majority of the region: both served for up to `stale_region` with values of before the cut, so that a key that was withdrawn or a server that left was in use again. The test stale_partner failed for the started host.

Ruled out: longer memory of members at the host that is cut off (it keeps them, but passes only those that were heard within 15 s).

Change: a host says in its view of the values whether it is current by its own lease. The majority of the known hosts extends a lease only once the store or a current host has confirmed the values since the start. Hosts of earlier versions count as current, as they did.

--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -116,6 +116,8 @@
     /// When the latest read was sent in which the platform confirmed the active values, to this
     /// host or to a peer.
     confirmed: Option<Instant>,
+    /// When the platform or a host that was current first confirmed the values.
+    first_current: Option<Instant>,
     platform_sent: Option<Instant>,
     /// Whether the last read of the platform failed.
     platform_unreachable: bool,
@@ -167,6 +169,7 @@
             values: MeshValues::new(checker),
             platform_values: None,
             confirmed: None,
+            first_current: None,
             platform_sent: None,
             platform_unreachable: false,
             failed_at: now,
@@ -213,9 +216,14 @@
             digest: self.values.digest(),
             confirmed_age: self.confirmed.map(|at| now.saturating_duration_since(at)),
             platform_unreachable: self.platform_unreachable,
+            current: self.is_current(now),
         }
     }
 
+    fn is_current(&self, now: Instant) -> bool {
+        self.compute_lease_end().is_some_and(|end| now < end)
+    }
+
     /// The time since which a majority of the region's known hosts, this one included, has been
     /// heard: the oldest last-heard time within it. None while no other host of the region is
     /// known.
@@ -240,10 +248,17 @@
     }
 
     /// The end of the lease by the current state; none before the first confirmation.
+    ///
+    /// The majority of the known hosts counts only once a current host has confirmed the values:
+    /// a host that was started beside hosts that are cut off knows no others, and theirs is not the
+    /// majority of the region.
     fn compute_lease_end(&self) -> Option<Instant> {
         let confirmed = self.confirmed?;
         let lease = self.lease();
         let by_platform = confirmed + lease;
+        if self.first_current.is_none() {
+            return Some(by_platform);
+        }
         let by_majority = match self.majority_heard() {
             Some(heard) => (heard + lease).min(confirmed + self.stale_region()),
             // No other host is known, so none can hold newer values.
@@ -433,6 +448,8 @@
                 .zip(view.confirmed_age)
                 .and_then(|(asked, age)| asked.checked_sub(age));
             self.confirmed = self.confirmed.max(heard);
+            let current = heard.filter(|_| view.current);
+            self.first_current = self.first_current.or(current);
             return;
         }
         if self.values.accepts(view.revision, view.digest) {
@@ -556,7 +573,7 @@
     fn drive(&mut self, now: Instant, mut actions: Vec<FleetAction>) -> Vec<FleetAction> {
         self.publish_members(now, &mut actions);
         self.send_due_heartbeat(now, &mut actions);
-        let current = self.compute_lease_end().is_some_and(|end| now < end);
+        let current = self.is_current(now);
         self.joined |= current && self.behind_since.is_none();
         let readiness = match (self.values.settings(), self.joined) {
             (None, _) => Readiness::Unready(UnreadyReason::NoTree),
@@ -708,6 +725,7 @@
         }
         if digest == self.values.digest() {
             self.confirmed = self.confirmed.max(Some(sent));
+            self.first_current.get_or_insert(sent);
         }
         self.drive(now, actions)
     }
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -71,6 +71,8 @@
     failing_reads: BTreeSet<usize>,
     /// Hosts that neither receive nor send messages.
     isolated: BTreeSet<usize>,
+    /// Hosts that exchange messages with each other only, and can't read.
+    cut_off: BTreeSet<usize>,
     in_flight: Vec<(usize, HostName, PeerMessage)>,
     reads: usize,
     /// Hosts that have read the store.
@@ -86,6 +88,7 @@
             values: [("a".to_owned(), Arc::from("1"))].into(),
             failing_reads: BTreeSet::new(),
             isolated: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
             in_flight: Vec::new(),
             reads: 0,
             read_by: BTreeSet::new(),
@@ -130,7 +133,8 @@
     }
 
     fn read(&mut self, number: usize, now: Instant) {
-        let readable = !self.failing_reads.contains(&number) && !self.isolated.contains(&number);
+        let unreadable = [&self.failing_reads, &self.isolated, &self.cut_off];
+        let readable = !unreadable.iter().any(|hosts| hosts.contains(&number));
         let values = PublishedValues {
             revision: TreeRevision(self.revision),
             values: self.values.clone(),
@@ -186,6 +190,9 @@
             if self.isolated.contains(&sender) || self.isolated.contains(&target) {
                 continue;
             }
+            if self.cut_off.contains(&sender) != self.cut_off.contains(&target) {
+                continue;
+            }
             let host = self.hosts.get_mut(&target).expect("a host");
             let actions = host.view.receive(&from, message, now);
             self.carry_out(target, actions);
@@ -423,3 +430,35 @@
         assert!(host.adopted.is_sorted(), "{:?}", host.adopted);
     }
 }
+
+/// A host that is started while it reaches only a host that is cut off doesn't become current by
+/// that one's values: what was withdrawn since the cut would be in use again.
+#[tokio::test(start_paused = true)]
+async fn stale_partner() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.cut_off = [0, 5].into();
+    mesh.publish("a", None);
+    mesh.run(Duration::from_secs(20)).await;
+    assert!(!mesh.current(0), "the cut-off host is current");
+    mesh.start(5);
+    for _ in 0..120 {
+        mesh.run(Duration::from_millis(250)).await;
+        assert!(!mesh.current(5) && !mesh.current(0));
+    }
+    mesh.cut_off.clear();
+    mesh.run(Duration::from_secs(5)).await;
+    assert!(mesh.current(5) && mesh.all_hold_newest());
+}
+
+/// A host that is started while the store is away becomes current through hosts that are.
+#[tokio::test(start_paused = true)]
+async fn started_in_outage() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.failing_reads = (0..12).collect();
+    mesh.run(Duration::from_secs(30)).await;
+    mesh.start(5);
+    mesh.run(Duration::from_secs(3)).await;
+    assert!(mesh.current(5));
+}
--- a/crates/kws-protocol/src/message/mesh.rs
+++ b/crates/kws-protocol/src/message/mesh.rs
@@ -34,6 +34,8 @@
     pub confirmed_age: Option<Duration>,
     /// Whether this host's own reads from the platform are failing.
     pub platform_unreachable: bool,
+    /// Whether this host's values count as current by its own lease.
+    pub current: bool,
 }
 
 /// A member and the time since any host last heard from it.
--- a/crates/kws-protocol/src/wire/mesh.rs
+++ b/crates/kws-protocol/src/wire/mesh.rs
@@ -38,6 +38,9 @@
     confirmed_age_ms: Option<u64>,
     #[serde(default, rename = "c", skip_serializing_if = "is_false")]
     platform_unreachable: bool,
+    // Hosts of earlier versions don't send it; theirs counts as current, as it did then.
+    #[serde(default, rename = "o", skip_serializing_if = "is_false")]
+    outdated: bool,
 }
 
 // serde passes a reference to the field to this function.
@@ -144,6 +147,7 @@
                 .confirmed_age
                 .map(|age| age.as_micros().div_ceil(1_000) as u64),
             platform_unreachable: view.platform_unreachable,
+            outdated: !view.current,
         },
         members_digest,
         ages: ages.iter().copied().map(age_units).collect(),
@@ -157,6 +161,7 @@
             digest: wire.digest,
             confirmed_age: wire.confirmed_age_ms.map(Duration::from_millis),
             platform_unreachable: wire.platform_unreachable,
+            current: !wire.outdated,
         }
     }
 }
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -83,6 +83,7 @@
         digest: 5,
         confirmed_age: Some(Duration::from_millis(6)),
         platform_unreachable: true,
+        current: true,
     },
     members_digest: 8,
 }))]
--- a/crates/kws-protocol/tests/wire_frames.rs
+++ b/crates/kws-protocol/tests/wire_frames.rs
@@ -30,6 +30,7 @@
         digest: 5,
         confirmed_age: Some(Duration::from_millis(6)),
         platform_unreachable: true,
+        current: true,
     }
 }
 
@@ -144,7 +145,7 @@
         view: ValuesView::default(),
         members_digest: 0,
     }),
-    b"\xa2av\x01am\xa1dMesh\xa1ab\xa3an\x00av\xa2ar\x00ad\x00am\x00"
+    b"\xa2av\x01am\xa1dMesh\xa1ab\xa3an\x00av\xa3ar\x00ad\x00ao\xf5am\x00"
 )]
 #[case::mesh_reply(
     PeerMessage::Mesh(MeshMessage::Reply {
