--- a/crates/kws-forward/tests/common/raw_server.rs
+++ b/crates/kws-forward/tests/common/raw_server.rs
@@ -21,6 +21,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 /// Sends this text.
@@ -93,6 +95,10 @@
                 }
                 RawStep::Wait(time) => sleep(*time).await,
                 RawStep::Close => return None,
+                RawStep::Reset => {
+                    stream.set_zero_linger().ok()?;
+                    return None;
+                }
             }
         }
     }
