A stop lets handshakes in progress end before it closes the socket

Cause: a stop drops new SYN segments and closes the socket once its backlog is empty. A handshake whose last segment is still on its way isn't in the backlog; when it arrives after the close, the caller's connection, open on its side, is reset, with the request that it sent. Within a data centre the gap is under a millisecond, between regions tens of them.

Ruled out: a wait of a second or more, which would also cover a lost segment: callers whose SYN was dropped come back after one second, and then shall be refused rather than wait three more.

Change: 250 ms pass after new connections are blocked, before the backlog counts as empty.

--- a/crates/kws-forward/src/listen_socket.rs
+++ b/crates/kws-forward/src/listen_socket.rs
@@ -16,6 +16,11 @@
 /// Time limit for the accept loop to empty the backlog. It normally takes milliseconds, and longer
 /// only on a stalled machine.
 const BACKLOG_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for handshakes that are in progress when new connections are blocked: their callers have
+/// been told that the connection is open, or will be, while the backlog doesn't show them yet. Longer
+/// than a round trip between any caller and a host; shorter than the second after which a blocked
+/// caller tries again and is refused.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(250);
 /// Interval between checks of the backlog.
 const BACKLOG_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -41,12 +46,14 @@
         listener.try_clone().map(Self)
     }
 
-    /// Blocks new connections and waits until the backlog has been accepted, at most
-    /// `BACKLOG_TIMEOUT`.
+    /// Blocks new connections, and waits until handshakes in progress have ended and the backlog has
+    /// been accepted, at most `HANDSHAKE_TIME` and `BACKLOG_TIMEOUT`.
     pub(crate) async fn drain_backlog(&self) {
-        let attached = SockRef::from(&self.0).attach_filter(&syn_drop_filter());
-        if let Err(error) = attached {
-            log::warn!("cannot block new connections; callers may be reset: {error}");
+        match SockRef::from(&self.0).attach_filter(&syn_drop_filter()) {
+            Ok(()) => sleep(HANDSHAKE_TIME).await,
+            Err(error) => {
+                log::warn!("cannot block new connections; callers may be reset: {error}");
+            }
         }
         let deadline = Instant::now() + BACKLOG_TIMEOUT;
         while self.has_pending() && Instant::now() < deadline {
--- a/crates/kws-forward/tests/graceful_stop.rs
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -10,7 +10,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 fn slow() -> BackendScript {
@@ -138,6 +138,24 @@
     assert_eq!(reset, 0);
 }
 
+/// A stop lets the handshakes that are in progress end before it closes the socket, as long as a
+/// round trip to a distant caller may take: callers that connect meanwhile are neither accepted nor
+/// reset.
+#[tokio::test]
+async fn open_handshakes() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let address = fleet.listener.address();
+    let started = Instant::now();
+    let connect = async {
+        sleep(Duration::from_millis(50)).await;
+        timeout(Duration::from_millis(100), TcpStream::connect(address)).await
+    };
+    let (stopped, connected) = tokio::join!(timeout(TEST_TIMEOUT, fleet.listener.stop()), connect);
+    stopped.expect("stops");
+    assert!(started.elapsed() >= Duration::from_millis(200));
+    assert!(connected.is_err(), "{connected:?}");
+}
+
 async fn send_get(address: SocketAddr) -> io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(get("/listing").as_bytes()).await?;
