Loads of all servers go to the next owners only

Cause: each second the owner of a service sent the loads of all servers in use to every host of its region: with 146 hosts and three services some 0.6 MB/s from one host, against a budget of 23 KB/s. Hosts that place only while an owner is silent can't use loads that are a second old, as a request takes half of one; the hosts that take over can, and so can the other regions' owners.

Ruled out: loads on change only (with requests of half a second all change).

Change: the two next owners and the other regions' owners get the loads of all servers, every other host only the servers that are suspected of failing, and nothing in calm. An owner that another host follows sends it the loads once.

--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement thread: obtains a slot for each request. The slot is requested from the host that owns
 //! the service; the own placer assigns it if this host is the owner or if the owner does not reply.
 
+mod loads;
 mod pending;
 mod remote;
 
@@ -21,6 +22,7 @@
     FleetSettings, FleetSnapshot, HostName, PeerMessage, RegionName, ServerName, ServerStatus,
     ServiceName, SlotGrant, SlotOutcome, SlotRequest, TicketMessage,
 };
+use loads::LoadsSent;
 use pending::{PendingSlot, PendingSlots};
 use remote::RemoteTickets;
 use std::{
@@ -84,8 +86,8 @@
     needed: HashMap<ServiceName, HashMap<RegionName, u32>>,
     /// Servers that this host could not connect to, with the end of their exclusion.
     unreachable: HashMap<ServerName, Instant>,
-    /// Services with loads in the last load message.
-    loaded: BTreeSet<ServiceName>,
+    /// What the last load messages held.
+    loads_sent: LoadsSent,
 }
 
 async fn run_placement(
@@ -107,7 +109,7 @@
         owners: OwnerTable::default(),
         needed: HashMap::new(),
         unreachable: HashMap::new(),
-        loaded: BTreeSet::new(),
+        loads_sent: LoadsSent::default(),
     };
     let timer = |period| {
         let mut timer = interval(period);
@@ -200,15 +202,20 @@
         service: &ServiceName,
         now: Instant,
     ) -> Option<HostName> {
-        let needed = self.needed.get(service);
-        let needed = needed.and_then(|regions| regions.get(region)).copied();
         let task = SharedTask {
             name: service.as_str(),
-            millicores: needed.unwrap_or_default(),
+            millicores: self.needed_millicores(region, service),
         };
         self.owners.owner(region, task, now)
     }
 
+    /// Processor share that the owner of `service` in `region` needs, in thousandths of a processor.
+    fn needed_millicores(&self, region: &RegionName, service: &ServiceName) -> u32 {
+        let needed = self.needed.get(service);
+        let needed = needed.and_then(|regions| regions.get(region));
+        needed.copied().unwrap_or_default()
+    }
+
     /// Owner of `service` in the region of `server`, if that is another region.
     fn remote_owner(
         &mut self,
@@ -652,41 +659,6 @@
         self.run_actions(actions, now);
     }
 
-    /// Sends the loads of the services that this host owns to the hosts of the region and to the
-    /// owner of the service in each other region.
-    fn send_loads(&mut self, now: Instant) {
-        let Some(snapshot) = self.snapshot.clone() else {
-            return;
-        };
-        let identity = self.shared.identity.clone();
-        for service in snapshot.settings.services.keys() {
-            if self.owner(service, now) != identity.host {
-                continue;
-            }
-            let loads = self.placer.loads(service, now);
-            let has_loads = !loads.is_empty();
-            if !has_loads && !self.loaded.remove(service) {
-                continue;
-            }
-            if has_loads {
-                self.loaded.insert(service.clone());
-            }
-            let message = PeerMessage::Ticket(TicketMessage::Loads {
-                service: service.clone(),
-                loads,
-            });
-            for region in snapshot.settings.regions.keys() {
-                if region == &identity.region {
-                    let names = snapshot.hosts.in_region(region).map(|host| &host.name);
-                    let others = names.filter(|name| **name != identity.host);
-                    others.for_each(|name| self.peers.send(name, message.clone()));
-                } else if let Some(owner) = self.owner_in(region, service, now) {
-                    self.peers.send(&owner, message.clone());
-                }
-            }
-        }
-    }
-
     /// Publishes the state of each server and the queue lengths for the admin address.
     fn publish_status(&self, now: Instant) {
         let mut statuses = Vec::new();
--- a/crates/kws-dispatch/src/placer.rs
+++ b/crates/kws-dispatch/src/placer.rs
@@ -288,6 +288,12 @@
         pool.map_or(Vec::new(), |pool| pool.loads(now))
     }
 
+    /// The servers of `service` that this host suspects of failing.
+    pub fn suspects(&self, service: &ServiceName, now: Instant) -> Vec<ServerLoad> {
+        let pool = self.pools.get(service);
+        pool.map_or(Vec::new(), |pool| pool.suspects(now))
+    }
+
     /// Handles timeouts. Call it about every 10 ms while requests are queued, and every 100 ms
     /// otherwise.
     pub fn tick(&mut self, now: Instant) -> Vec<PlaceAction> {
--- a/crates/kws-dispatch/src/placer/evidence.rs
+++ b/crates/kws-dispatch/src/placer/evidence.rs
@@ -34,7 +34,7 @@
 const MAX_SUM: f64 = 12.0;
 /// Evidence from which a server is suspect and used only when the others are full. Two bad responses
 /// in a row exceed it.
-const SUSPECT_THRESHOLD: f64 = 1.5;
+pub(super) const SUSPECT_THRESHOLD: f64 = 1.5;
 /// Evidence from which a server is ejected and gets only probes. One abrupt response reaches it, or
 /// two others in a row.
 const EJECTION_THRESHOLD: f64 = 6.0;
--- a/crates/kws-dispatch/src/placer/pool.rs
+++ b/crates/kws-dispatch/src/placer/pool.rs
@@ -8,7 +8,7 @@
 
 use super::{
     PlaceAction, PlaceReport, PlaceRequest,
-    evidence::ServerHealth,
+    evidence::{SUSPECT_THRESHOLD, ServerHealth},
     failure_reports::FailureReports,
     server::{EndedRequest, PoolServer},
     slot_queue::SlotQueue,
@@ -295,14 +295,25 @@
 
     /// The loads that this host reports to others: servers with requests or with evidence.
     pub(crate) fn loads(&self, now: Instant) -> Vec<ServerLoad> {
+        let mut loads = self.all_loads(now);
+        loads.retain(|load| load.placed > 0 || load.evidence > 0.0);
+        loads
+    }
+
+    /// The loads of the servers whose evidence makes them suspect.
+    pub(crate) fn suspects(&self, now: Instant) -> Vec<ServerLoad> {
+        let mut loads = self.all_loads(now);
+        loads.retain(|load| load.evidence >= SUSPECT_THRESHOLD);
+        loads
+    }
+
+    fn all_loads(&self, now: Instant) -> Vec<ServerLoad> {
         let servers = self.servers.iter();
-        servers
-            .map(|(name, server)| ServerLoad {
-                server: name.clone(),
-                placed: server.own_requests(),
-                evidence: server.evidence(now),
-            })
-            .filter(|load| load.placed > 0 || load.evidence > 0.0)
-            .collect()
+        let loads = servers.map(|(name, server)| ServerLoad {
+            server: name.clone(),
+            placed: server.own_requests(),
+            evidence: server.evidence(now),
+        });
+        loads.collect()
     }
 }
--- a/crates/kws-dispatch/tests/placed_together.rs
+++ b/crates/kws-dispatch/tests/placed_together.rs
@@ -577,6 +577,29 @@
     assert!(pool.granted(false).is_some());
 }
 
+/// Hosts that place only while no other host replies are told of the servers that are suspected, not
+/// of those in use.
+#[tokio::test(start_paused = true)]
+async fn suspects_reported() {
+    let mut pool = TestPool::new(4);
+    let service = pool.service.clone();
+    let used = pool.granted(false).expect("a slot").1;
+    assert_eq!(pool.placer.loads(&service, Instant::now()).len(), 1);
+    assert_eq!(pool.placer.suspects(&service, Instant::now()), []);
+    let names: Vec<ServerName> = pool.placer.servers(&service).into_iter().cloned().collect();
+    let sick = names.iter().find(|name| **name != used).expect("another");
+    let load = ServerLoad {
+        server: sick.clone(),
+        placed: 0,
+        evidence: 9.0,
+    };
+    pool.apply_loads(&[load], "vidzemes");
+    let suspects = pool.placer.suspects(&service, Instant::now());
+    let suspects: Vec<&ServerName> = suspects.iter().map(|load| &load.server).collect();
+    assert_eq!(suspects, [sick]);
+    assert_eq!(pool.placer.loads(&service, Instant::now()).len(), 2);
+}
+
 /// Each region judges its own servers: evidence that another region still holds doesn't make a
 /// recovered server suspect again, and a region's word on its own servers replaces older evidence.
 #[rstest]
--- a/crates/kws-membership/src/owner_table.rs
+++ b/crates/kws-membership/src/owner_table.rs
@@ -83,15 +83,31 @@
         owner
     }
 
+    /// The hosts that become owners of a task in `region` when its owner stops to reply, the next one
+    /// first, at most `count`.
+    pub fn successors(
+        &self,
+        region: &RegionName,
+        task: SharedTask<'_>,
+        count: usize,
+    ) -> Vec<HostName> {
+        let order = self.rank(region, task).into_iter();
+        order.skip(1).take(count).cloned().collect()
+    }
+
     fn find_owner(&self, region: &RegionName, task: SharedTask<'_>) -> Option<HostName> {
-        let hosts = self.hosts.get(region)?.iter();
+        self.rank(region, task).first().copied().cloned()
+    }
+
+    /// The hosts of `region` that reply, the owner of the task first.
+    fn rank(&self, region: &RegionName, task: SharedTask<'_>) -> Vec<&HostName> {
+        let hosts = self.hosts.get(region).into_iter().flatten();
         let responsive = hosts.filter(|host| !self.unresponsive.contains_key(&host.name));
         let candidates = responsive.map(|host| HostCandidate {
             name: &host.name,
             millicores: host.millicores,
         });
-        let order = rank_hosts(task.name, task.millicores, candidates);
-        order.first().copied().cloned()
+        rank_hosts(task.name, task.millicores, candidates)
     }
 
     fn end_cooldowns(&mut self, now: Instant) {
--- a/crates/kws-membership/tests/owner_table.rs
+++ b/crates/kws-membership/tests/owner_table.rs
@@ -91,3 +91,18 @@
     assert!(moved.iter().all(|owner| *owner == newcomer));
     assert!((10..=40).contains(&moved.len()), "{}", moved.len());
 }
+
+/// The next owners are those that the table names once the owners before them don't reply.
+#[tokio::test(start_paused = true)]
+async fn next_owners() {
+    let mut table = table(&[500, 100, 500, 500, 500]);
+    let region = RegionName::new("vidzemes");
+    let named = table.successors(&region, TASK, 2);
+    let mut found = Vec::new();
+    for _ in 0..2 {
+        let silent = owner(&mut table).expect("an owner");
+        table.record_timeout(&silent, Instant::now());
+        found.extend(owner(&mut table));
+    }
+    assert_eq!(named, found);
+}
