--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -1,35 +1,33 @@
 //! Placement thread: obtains a slot for each request. The slot is requested from the host that owns
 //! the service; the own placer assigns it if this host is the owner or if the owner does not reply.
 
+mod ended_tries;
+mod grants;
 mod loads;
+mod owners;
 mod pending;
 mod remote;
+mod status;
 
 use crate::{
     dispatch::{DispatchEvent, GrantReply},
     shared::{DaemonShared, PeerSender},
     threads::start_async_thread,
-    try_log::{self, EndedTry, PlacedTry, TryLog},
+    try_log::TryLog,
 };
 use eyre::Result;
-use kws_dispatch::{
-    DispatchRequest, PlaceAction, PlaceOutcome, PlaceReport, PlaceRequest, Placer, RefusalContext,
-    ServerGrant, ServerHealth, TicketId,
-};
-use kws_forward::{Refusal, TryClass, TryOutcome};
-use kws_membership::{OwnerTable, SharedTask};
+use kws_dispatch::{DispatchRequest, PlaceOutcome, PlaceReport, PlaceRequest, Placer, TicketId};
+use kws_forward::{Refusal, TryOutcome};
+use kws_membership::OwnerTable;
 use kws_protocol::{
-    FleetSettings, FleetSnapshot, HostName, PeerMessage, RegionName, ServerName, ServerStatus,
-    ServiceName, SlotGrant, SlotOutcome, SlotRequest, TicketMessage,
+    FleetSnapshot, HostName, PeerMessage, RegionName, ServerName, ServiceName, SlotOutcome,
+    SlotRequest, TicketMessage,
 };
 use loads::LoadsSent;
+use owners::owner_millicores;
 use pending::{PendingSlot, PendingSlots};
 use remote::RemoteTickets;
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::Receiver,
     time::{Instant, MissedTickBehavior, interval},
@@ -39,15 +37,8 @@
 const QUEUE_TICK: Duration = Duration::from_millis(10);
 /// Interval between reports of running requests.
 const RUNNING_REPORT_PERIOD: Duration = Duration::from_millis(300);
-/// Run time after which a request is reported to the host that placed it. Most requests end before.
-const RUNNING_REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Interval between load messages to other hosts.
 const LOADS_PERIOD: Duration = Duration::from_secs(1);
-/// Processor time that placement takes per slot in use, in millicores: three requests per second at
-/// 0.5 ms each (`docs/CAPACITY.md`), doubled to leave the same for the host's own callers.
-const SLOT_MILLICORES: u32 = 3;
-/// Time for which a server is excluded after this host failed to connect to it.
-const UNREACHABLE_COOLDOWN: Duration = Duration::from_secs(4);
 /// Interval between updates of the server states shown at the admin address.
 const STATUS_PERIOD: Duration = Duration::from_secs(5);
 
@@ -188,55 +179,6 @@
         }
     }
 
-    /// Owner of `service` in this region; this host if no other is known.
-    fn owner(&mut self, service: &ServiceName, now: Instant) -> HostName {
-        let region = self.shared.identity.region.clone();
-        let owner = self.owner_in(&region, service, now);
-        owner.unwrap_or_else(|| self.shared.identity.host.clone())
-    }
-
-    /// Owner of `service` in `region`.
-    fn owner_in(
-        &mut self,
-        region: &RegionName,
-        service: &ServiceName,
-        now: Instant,
-    ) -> Option<HostName> {
-        let task = SharedTask {
-            name: service.as_str(),
-            millicores: self.needed_millicores(region, service),
-        };
-        self.owners.owner(region, task, now)
-    }
-
-    /// Processor share that the owner of `service` in `region` needs, in thousandths of a processor.
-    fn needed_millicores(&self, region: &RegionName, service: &ServiceName) -> u32 {
-        let needed = self.needed.get(service);
-        let needed = needed.and_then(|regions| regions.get(region));
-        needed.copied().unwrap_or_default()
-    }
-
-    /// Owner of `service` in the region of `server`, if that is another region.
-    fn remote_owner(
-        &mut self,
-        service: &ServiceName,
-        server: &ServerName,
-        now: Instant,
-    ) -> Option<HostName> {
-        let snapshot = self.snapshot.as_ref()?;
-        let server = snapshot
-            .settings
-            .services
-            .get(service)?
-            .servers
-            .get(server)?;
-        let region = server.region.clone();
-        if region == self.shared.identity.region {
-            return None;
-        }
-        self.owner_in(&region, service, now)
-    }
-
     fn enqueue(&mut self, request: DispatchRequest, reply: GrantReply, now: Instant) {
         self.unreachable.retain(|_, until| now < *until);
         let mut excluded = request.excluded;
@@ -314,111 +256,6 @@
         }
     }
 
-    fn finish(&mut self, ticket: TicketId, outcome: TryOutcome, now: Instant) {
-        if let Some(granted) = self.granted.remove(&ticket) {
-            self.finish_granted(ticket, granted, outcome, now);
-        }
-    }
-
-    /// Reports the outcome of a try to the host that placed it, to the current owner of the service
-    /// and to the owner in the server's region. The owners get the outcomes of uncoordinated
-    /// placements and of other regions' requests as evidence too.
-    fn finish_granted(
-        &mut self,
-        ticket: TicketId,
-        granted: GrantedTicket,
-        outcome: TryOutcome,
-        now: Instant,
-    ) {
-        let GrantedTicket {
-            placed_by,
-            service,
-            server,
-            since,
-        } = granted;
-        let own = self.shared.identity.host.clone();
-        let ended = EndedTry {
-            server: &server,
-            placed_by: placed_by.as_ref().unwrap_or(&own),
-            since,
-            outcome,
-        };
-        self.try_log.log_ended(ticket.0, &ended);
-        let slot_outcome = slot_outcome(outcome.class);
-        if slot_outcome == SlotOutcome::ConnectFailed {
-            log::info!(server = server.as_str(); "no way to a server");
-            self.unreachable
-                .insert(server.clone(), now + UNREACHABLE_COOLDOWN);
-        }
-        if placed_by.is_none() {
-            let place_outcome = PlaceOutcome {
-                outcome: slot_outcome,
-                latency: outcome.latency,
-                draining: outcome.draining,
-            };
-            let report = PlaceReport {
-                reporter: &own,
-                server: Some(&server),
-                outcome: place_outcome,
-            };
-            let actions = self.placer.complete(ticket.0, &service, report, now);
-            self.run_actions(actions, now);
-        }
-        // The host that placed the request releases the slot; the owners rate the server.
-        let owners = [
-            Some(self.owner(&service, now)),
-            self.remote_owner(&service, &server, now),
-        ];
-        let recipients: BTreeSet<HostName> = placed_by
-            .into_iter()
-            .chain(owners.into_iter().flatten())
-            .collect();
-        let message = TicketMessage::Finished {
-            ticket: ticket.0,
-            service,
-            server: Some(server),
-            outcome: slot_outcome,
-            latency: outcome.latency,
-            draining: outcome.draining,
-        };
-        for to in recipients.iter().filter(|to| **to != own) {
-            self.peers.send(to, PeerMessage::Ticket(message.clone()));
-        }
-    }
-
-    /// Reports long-running requests to the hosts that placed them, which release a slot after a
-    /// time-out if its request is not reported.
-    fn report_running(&mut self, now: Instant) {
-        let mut reports: BTreeMap<&HostName, Vec<u64>> = BTreeMap::new();
-        let mut own = Vec::new();
-        for (ticket, granted) in &self.granted {
-            if now.saturating_duration_since(granted.since) < RUNNING_REPORT_DELAY {
-                continue;
-            }
-            match &granted.placed_by {
-                Some(host) => reports.entry(host).or_default().push(ticket.0),
-                None => own.push(ticket.0),
-            }
-        }
-        for (host, tickets) in reports {
-            let message = TicketMessage::Running { tickets };
-            self.peers.send(host, PeerMessage::Ticket(message));
-        }
-        for key in own {
-            let actions = self.placer.confirm_running(key, now);
-            self.run_actions(actions, now);
-        }
-    }
-
-    fn handle_running(&mut self, from: &HostName, tickets: &[u64], now: Instant) {
-        for ticket in tickets {
-            if let Some(key) = self.remote.confirm(from, *ticket, now) {
-                let actions = self.placer.confirm_running(key, now);
-                self.run_actions(actions, now);
-            }
-        }
-    }
-
     fn handle_message(&mut self, from: &HostName, message: TicketMessage, now: Instant) {
         self.owners.record_message(from);
         match message {
@@ -474,166 +311,6 @@
         }
     }
 
-    fn handle_slot_request(&mut self, from: &HostName, request: SlotRequest, now: Instant) {
-        let ticket = request.ticket;
-        let (key, known) = self.remote.key_for(from, ticket, now);
-        if !known {
-            let actions = self
-                .placer
-                .request_slot(place_request(request, key, now), now);
-            self.run_actions(actions, now);
-        } else if let Some(grant) = self.remote.granted(key) {
-            let message = TicketMessage::Grant { ticket, grant };
-            self.peers.send(from, PeerMessage::Ticket(message));
-        }
-        if self.placer.is_queued(key) {
-            let message = TicketMessage::Queued { ticket };
-            self.peers.send(from, PeerMessage::Ticket(message));
-        }
-    }
-
-    fn handle_grant(&mut self, from: &HostName, ticket: u64, grant: SlotGrant, now: Instant) {
-        let id = TicketId(ticket);
-        let Some(pending) = self.pending.remove(ticket) else {
-            // The request was placed elsewhere or cancelled in the meantime: release the slot.
-            if !self.granted.contains_key(&id) {
-                let service = ServiceName::new("");
-                let message = finished_message(id, service, None, SlotOutcome::Cancelled);
-                self.peers.send(from, message);
-            }
-            return;
-        };
-        let granted = GrantedTicket {
-            placed_by: Some(from.clone()),
-            service: pending.request.service,
-            server: grant.server.clone(),
-            since: now,
-        };
-        self.deliver_grant(id, granted, grant, pending.reply, now);
-    }
-
-    fn deliver_grant(
-        &mut self,
-        ticket: TicketId,
-        granted: GrantedTicket,
-        slot: SlotGrant,
-        reply: GrantReply,
-        now: Instant,
-    ) {
-        let grant = ServerGrant {
-            ticket,
-            server: slot.server,
-            address: slot.address,
-            probe: slot.probe,
-            spill: false,
-        };
-        self.granted.insert(ticket, granted);
-        if reply.send(Ok(grant)).is_err() {
-            self.cancel(ticket, now);
-        }
-    }
-
-    fn run_actions(&mut self, actions: Vec<PlaceAction>, now: Instant) {
-        for action in actions {
-            match action {
-                PlaceAction::Grant {
-                    key,
-                    server,
-                    address,
-                    health,
-                } => {
-                    self.log_placed(key, &server, health);
-                    let grant = SlotGrant {
-                        server,
-                        address,
-                        probe: health != ServerHealth::Healthy,
-                    };
-                    self.send_grant(key, grant, now);
-                }
-                PlaceAction::Refuse {
-                    key,
-                    reason,
-                    retry_after,
-                    context,
-                } => {
-                    let refusal = Refusal {
-                        reason,
-                        retry_after,
-                    };
-                    self.send_refusal(key, refusal, &context);
-                }
-                PlaceAction::HealthChanged {
-                    service,
-                    server,
-                    ejected,
-                    cause,
-                } => log::info!(
-                    service = service.as_str(),
-                    server = server.as_str(),
-                    out = ejected,
-                    cause = cause;
-                    "server judged"
-                ),
-            }
-        }
-    }
-
-    /// Logs grants to other hosts, and grants to this host on servers that are not healthy.
-    fn log_placed(&self, key: u64, server: &ServerName, health: ServerHealth) {
-        let own = &self.shared.identity.host;
-        let asker = self.remote.asker(key);
-        if asker.is_none() && health == ServerHealth::Healthy {
-            return;
-        }
-        let (asker, ticket) = asker.unwrap_or((own, key));
-        let placed = PlacedTry {
-            server,
-            health: health_state(health),
-            queue_length: self.placer.queue_length(),
-        };
-        try_log::log_placed(asker, ticket, &placed);
-    }
-
-    fn send_grant(&mut self, key: u64, grant: SlotGrant, now: Instant) {
-        if let Some((host, ticket)) = self.remote.record_grant(key, &grant, now) {
-            let message = TicketMessage::Grant { ticket, grant };
-            self.peers.send(&host, PeerMessage::Ticket(message));
-            return;
-        }
-        let Some((reply, service)) = self
-            .queued
-            .remove(&key)
-            .zip(self.placer.service_of(key).cloned())
-        else {
-            let actions = self.placer.cancel(key, now);
-            return self.run_actions(actions, now);
-        };
-        let granted = GrantedTicket {
-            placed_by: None,
-            service,
-            server: grant.server.clone(),
-            since: now,
-        };
-        self.deliver_grant(TicketId(key), granted, grant, reply, now);
-    }
-
-    fn send_refusal(&mut self, key: u64, refusal: Refusal, context: &RefusalContext) {
-        if let Some((host, ticket)) = self.remote.remove_key(key) {
-            try_log::log_refused(&host, ticket, refusal, context);
-            let message = TicketMessage::Refuse {
-                ticket,
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            };
-            self.peers.send(&host, PeerMessage::Ticket(message));
-        } else if let Some(reply) = self.queued.remove(&key) {
-            let own = &self.shared.identity.host;
-            try_log::log_refused(own, key, refusal, context);
-            self.try_log.log_refused(key, own, refusal);
-            let _ = reply.send(Err(refusal));
-        }
-    }
-
     fn handle_tick(&mut self, now: Instant) {
         for pending in self.pending.take_timed_out(now) {
             log::warn!(
@@ -658,50 +335,6 @@
         let actions = self.placer.tick(now);
         self.run_actions(actions, now);
     }
-
-    /// Publishes the state of each server and the queue lengths for the admin address.
-    fn publish_status(&self, now: Instant) {
-        let mut statuses = Vec::new();
-        let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
-        for (service, server, health) in self.placer.server_health(now) {
-            let state = health_state(health);
-            for name in ["serving", "suspect", "ejected"] {
-                let count = counts.entry((service.as_str(), name)).or_default();
-                *count += usize::from(name == state);
-            }
-            statuses.push(ServerStatus {
-                service: service.clone(),
-                server: server.clone(),
-                weight: if health == ServerHealth::Unhealthy {
-                    0.0
-                } else {
-                    1.0
-                },
-                state: state.to_owned(),
-            });
-        }
-        for ((service, state), count) in counts {
-            self.shared.metrics.set_servers(service, state, count);
-        }
-        for (service, length) in self.placer.queue_lengths() {
-            self.shared.metrics.set_queue(service.as_str(), length);
-        }
-        self.shared.set_servers(statuses);
-    }
-}
-
-/// Processor share that the owner of each service in each region needs, in thousandths of a
-/// processor: a service with many slots needs a host with many processors.
-fn owner_millicores(settings: &FleetSettings) -> HashMap<ServiceName, HashMap<RegionName, u32>> {
-    let services = settings.services.iter();
-    let needs = services.map(|(name, service)| {
-        let mut needed: HashMap<RegionName, u32> = HashMap::new();
-        for server in service.servers.values() {
-            *needed.entry(server.region.clone()).or_default() += server.slots * SLOT_MILLICORES;
-        }
-        (name.clone(), needed)
-    });
-    needs.collect()
 }
 
 fn place_request(request: SlotRequest, key: u64, now: Instant) -> PlaceRequest {
@@ -723,14 +356,6 @@
     }
 }
 
-fn health_state(health: ServerHealth) -> &'static str {
-    match health {
-        ServerHealth::Healthy => "serving",
-        ServerHealth::Suspect => "suspect",
-        ServerHealth::Unhealthy => "ejected",
-    }
-}
-
 fn finished_message(
     ticket: TicketId,
     service: ServiceName,
@@ -746,15 +371,3 @@
         draining: false,
     })
 }
-
-fn slot_outcome(class: TryClass) -> SlotOutcome {
-    match class {
-        TryClass::Succeeded => SlotOutcome::Succeeded,
-        TryClass::Failed => SlotOutcome::Failed,
-        TryClass::TimedOut => SlotOutcome::TimedOut,
-        TryClass::ConnectFailed => SlotOutcome::ConnectFailed,
-        TryClass::NotRun => SlotOutcome::NotRun,
-        TryClass::Misdirected => SlotOutcome::Misdirected,
-        TryClass::Cancelled => SlotOutcome::Cancelled,
-    }
-}
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -2,20 +2,26 @@
 //! discover each other through seed addresses only. `docs/PLATFORM.md` gives the rules and their
 //! rationale.
 
+mod freshness;
+mod heartbeats;
 mod lists;
+mod members;
+mod platform;
+mod readers;
 mod table;
 mod values;
 
 use crate::{
-    FleetAction, FleetCounters, FleetProtocol, HostCandidate, Readiness, TreeChecker,
-    UnreadyReason, queries::QueryRounds, rank_hosts,
+    FleetAction, FleetCounters, FleetProtocol, Readiness, TreeChecker, UnreadyReason,
+    queries::QueryRounds,
 };
 use kws_protocol::{
-    FleetSnapshot, HostList, HostName, HostState, ListedHost, MemberReport, MeshMember,
-    MeshMessage, PeerMessage, PublishedValues, TreeRevision, ValuesView,
+    FleetSnapshot, HostName, MeshMember, MeshMessage, PeerMessage, PublishedValues, TreeRevision,
+    ValuesView,
 };
-use lists::{ListSchedule, ListScope};
+use lists::ListSchedule;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use readers::FIRST_READ_DELAY;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use table::MemberTable;
 use tokio::time::Instant;
@@ -24,66 +30,13 @@
 /// The lease used until the first settings are adopted.
 const FIRST_LEASE: Duration = Duration::from_secs(3);
 
-/// The interval between heartbeats of a host that knows peers: three heartbeats fit into a lease of
-/// 3 s.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The heartbeat interval during discovery.
-const DISCOVERY_INTERVAL: Duration = Duration::from_millis(250);
-
-/// The heartbeat interval of a host that has just started and knows no peer: its seeds may start
-/// slightly later.
-const FIRST_DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
-
-/// How long after its start a host uses the short heartbeat intervals.
-const DISCOVERY_TIME: Duration = Duration::from_secs(4);
-
-/// Every n-th heartbeat also goes to a seed, so that a partitioned fleet merges again.
-const SEED_ROUNDS: u64 = 10;
-
-/// Hosts of each region that read the platform on behalf of the others. Two, because the failure of
-/// one may go undetected for a while.
-const READERS_PER_REGION: usize = 2;
-
-/// The processor share that reading the platform for a region takes at the design size, in
-/// thousandths of a processor. `docs/CAPACITY.md` gives the scaling.
-const READER_MILLICORES: u32 = 200;
-
-/// A host without a confirmation for this long reads the platform itself, whichever hosts are the
-/// readers.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(3_500);
-
-/// The delay between the starts of two hosts that read the platform themselves, in reader order:
-/// full copies for all hosts of a region at once would saturate the link between regions.
-const READ_STAGGER: Duration = Duration::from_millis(400);
-
-/// How long a host looks for peers after its start before it reads the platform: a peer may already
-/// hold the current values, and a few readers suffice.
-const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
-
 /// A host that found no peer starts to read at a random time within this period after
 /// [`FIRST_READ_DELAY`].
 const FIRST_READ_JITTER: Duration = Duration::from_millis(500);
 
-/// The shortest delay before a host retries a failed read, unless it is one of the first in reader
-/// order: those retry without delay and detect early enough that the platform has recovered.
-const READ_RETRY_DELAY: Duration = Duration::from_secs(2);
-
 /// The delay before a missing change is requested again.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Without a confirmed read for this long, the platform counts as having had an outage, and entries
-/// in it may have expired meanwhile.
-const OUTAGE_THRESHOLD: Duration = Duration::from_secs(4);
-
-/// How long missing values are kept after an outage: entries that expired during it are restored
-/// within 2 s of the recovery, or are gone for good.
-const OUTAGE_GRACE: Duration = Duration::from_secs(2);
-
-/// The shortest interval between two publications of the members. While a large fleet starts, they
-/// change with nearly every message.
-const PUBLICATION_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The interval between calls of [`MeshView::tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -224,119 +177,6 @@
         }
     }
 
-    fn is_current(&self, now: Instant) -> bool {
-        self.compute_lease_end().is_some_and(|end| now < end)
-    }
-
-    /// The time since which a majority of the region's known hosts, this one included, has been
-    /// heard: the oldest last-heard time within it. None while no other host of the region is
-    /// known.
-    fn majority_heard(&self) -> Option<Instant> {
-        let region = &self.table.own().region;
-        let mut heard: Vec<Instant> = self.table.heard_in(region).collect();
-        let needed = heard.len().div_ceil(2);
-        if needed == 0 {
-            return None;
-        }
-        heard.sort_unstable_by(|left, right| right.cmp(left));
-        heard.get(needed - 1).copied()
-    }
-
-    fn is_connected(&self, now: Instant) -> bool {
-        let lease = self.lease();
-        let by_platform = self.confirmed.is_some_and(|at| now < at + lease);
-        by_platform
-            || self
-                .majority_heard()
-                .is_some_and(|at| now < at + table::LIVE_TIMEOUT)
-    }
-
-    /// The end of the lease by the current state; none before the first confirmation.
-    ///
-    /// The majority of the known hosts counts only once a current host has confirmed the values:
-    /// a host that was started beside hosts that are cut off knows no others, and theirs is not the
-    /// majority of the region.
-    fn compute_lease_end(&self) -> Option<Instant> {
-        let confirmed = self.confirmed?;
-        let lease = self.lease();
-        let by_platform = confirmed + lease;
-        if self.first_current.is_none() {
-            return Some(by_platform);
-        }
-        let by_majority = match self.majority_heard() {
-            Some(heard) => (heard + lease).min(confirmed + self.stale_region()),
-            // No other host is known, so none can hold newer values.
-            None if self.table.is_alone() => confirmed + self.stale_region(),
-            None => by_platform,
-        };
-        let end = by_platform.max(by_majority);
-        Some(
-            self.behind_since
-                .map_or(end, |since| end.min(since + lease)),
-        )
-    }
-
-    fn is_reader(&self, now: Instant) -> bool {
-        let own = self.table.own();
-        self.readers(now).contains(&own.name)
-    }
-
-    /// The hosts of the region that read the platform for the others. While all reads fail, the
-    /// first ones keep retrying and still receive heartbeats from all hosts: without a common
-    /// target the ages reported by other hosts would be too old.
-    fn readers(&self, now: Instant) -> Vec<HostName> {
-        self.reader_order(now).take(READERS_PER_REGION).collect()
-    }
-
-    /// The region's hosts in reader order; those whose reads fail come last.
-    fn reader_order(&self, now: Instant) -> impl Iterator<Item = HostName> {
-        let readable = self.reader_group(now, false);
-        readable.chain(self.reader_group(now, true))
-    }
-
-    /// The hosts whose reads fail, if `unreachable` is set, or the others; in reader order.
-    fn reader_group(&self, now: Instant, unreachable: bool) -> impl Iterator<Item = HostName> {
-        let own = self.table.own();
-        let local = self
-            .table
-            .live(now)
-            .filter(|member| member.region == own.region);
-        let others =
-            local.filter(|member| self.table.platform_unreachable(&member.name) == unreachable);
-        let candidates = others.chain((self.platform_unreachable == unreachable).then_some(own));
-        let candidates = candidates.map(|member| HostCandidate {
-            name: &member.name,
-            millicores: member.millicores,
-        });
-        let order = rank_hosts("reader", READER_MILLICORES, candidates);
-        let order: Vec<HostName> = order.into_iter().cloned().collect();
-        order.into_iter()
-    }
-
-    /// The number of hosts of the region that precede this one in reader order.
-    fn reader_rank(&self, now: Instant) -> usize {
-        let own = &self.table.own().name;
-        self.reader_order(now)
-            .position(|name| name == *own)
-            .unwrap_or_default()
-    }
-
-    /// Whether this host reads the platform because no confirmation from the readers arrives.
-    fn reads_unconfirmed(&self, now: Instant) -> bool {
-        let since = self
-            .confirmed
-            .map_or(self.started_at + FIRST_READ_DELAY, |at| {
-                at + CONFIRMATION_TIMEOUT
-            });
-        if now < since {
-            return false;
-        }
-        let rank = self.reader_rank(now);
-        let begins = since + READ_STAGGER * rank as u32;
-        let delays_retry = self.platform_unreachable && rank >= READERS_PER_REGION;
-        now >= begins && !(delays_retry && now < self.failed_at + READ_RETRY_DELAY)
-    }
-
     fn send(to: &HostName, message: MeshMessage) -> FleetAction {
         FleetAction::Send {
             to: to.clone(),
@@ -344,110 +184,6 @@
         }
     }
 
-    /// The targets of this round of heartbeats: a reader, which has the most recent data, and a
-    /// random host of the region. Readers also contact a random host of another region.
-    fn heartbeat_targets(&mut self, now: Instant) -> Vec<HostName> {
-        let own = self.table.own().clone();
-        let live: Vec<MeshMember> = self.table.live(now).cloned().collect();
-        let (local, remote): (Vec<&MeshMember>, Vec<&MeshMember>) =
-            live.iter().partition(|member| member.region == own.region);
-        let readers = self.readers(now);
-        let others = readers.iter().filter(|name| **name != own.name);
-        let mut targets: Vec<HostName> = others.take(1).cloned().collect();
-        targets.extend(self.pick_random(&local));
-        if readers.contains(&own.name) {
-            targets.extend(self.pick_random(&remote));
-        }
-        let contacts_seed =
-            live.len() < READERS_PER_REGION || self.round.is_multiple_of(SEED_ROUNDS);
-        if contacts_seed && !self.seeds.is_empty() {
-            let index = self.rng.random_range(0..self.seeds.len());
-            let known = |address| live.iter().find(|member| member.address == address);
-            let seed = self.seeds[index];
-            targets.push(known(seed).map_or(seed_name(seed), |member| member.name.clone()));
-        }
-        targets.sort();
-        targets.dedup();
-        targets
-    }
-
-    fn pick_random(&mut self, members: &[&MeshMember]) -> Option<HostName> {
-        if members.is_empty() {
-            return None;
-        }
-        let index = self.rng.random_range(0..members.len());
-        Some(members[index].name.clone())
-    }
-
-    fn send_due_heartbeat(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        if now < self.next_heartbeat {
-            return;
-        }
-        let is_starting = now < self.started_at + DISCOVERY_TIME;
-        let period = match self.table.is_alone() {
-            true if is_starting => FIRST_DISCOVERY_INTERVAL,
-            alone if alone || is_starting => DISCOVERY_INTERVAL,
-            _ => HEARTBEAT_INTERVAL,
-        };
-        self.next_heartbeat = now + period;
-        self.round += 1;
-        let targets = self.heartbeat_targets(now);
-        self.send_heartbeat(&targets, now, actions);
-    }
-
-    /// Sends one heartbeat, with a common nonce, to all `targets`.
-    fn send_heartbeat(
-        &mut self,
-        targets: &[HostName],
-        now: Instant,
-        actions: &mut Vec<FleetAction>,
-    ) {
-        if targets.is_empty() {
-            return;
-        }
-        let nonce = self.queries.open(now, self.lease());
-        let message = MeshMessage::Heartbeat {
-            nonce,
-            view: self.view(now),
-            members_digest: self.table.digest(),
-            member_count: self.table.count() as u32,
-        };
-        let sent = targets.iter().map(|to| Self::send(to, message.clone()));
-        actions.extend(sent);
-    }
-
-    /// Compares a peer's set of members, by its digest and count, with this host's. Returns whether
-    /// they are the same.
-    fn reconcile_members(
-        &mut self,
-        from: &HostName,
-        (digest, count): (u64, u32),
-        now: Instant,
-        actions: &mut Vec<FleetAction>,
-    ) -> bool {
-        self.table.mark_heard(from, now);
-        if digest == self.table.digest() {
-            return true;
-        }
-        let own_count = self.table.count();
-        let since = match self.lists.choose(from, count as usize, own_count, now) {
-            ListScope::All => None,
-            ListScope::Since(since) => Some(since),
-        };
-        let entries = self.table.entries(since, now);
-        actions.push(Self::send(from, MeshMessage::Members(entries)));
-        false
-    }
-
-    fn merge_members(&mut self, from: &HostName, entries: &[MemberReport], now: Instant) {
-        for entry in entries {
-            if let Some(heard) = now.checked_sub(entry.age) {
-                self.table.upsert(&entry.member, heard, now);
-            }
-        }
-        self.table.mark_heard(from, now);
-    }
-
     /// Handles what a peer reports to hold. `asked` is when the heartbeat was sent that it replies
     /// to; none if the report is not a reply.
     fn handle_view(
@@ -532,48 +268,6 @@
         actions.push(FleetAction::Publish(Arc::new(snapshot)));
     }
 
-    fn host_list(&self, now: Instant) -> HostList {
-        let own = self.table.own();
-        let members = self.table.live(now).chain([own]);
-        HostList {
-            hosts: members.map(to_listed_host).collect(),
-            servers: Vec::new(),
-        }
-    }
-
-    /// Passes contacts and a snapshot to the daemon when the set of live members has changed, at
-    /// most once in [`PUBLICATION_INTERVAL`].
-    fn publish_members(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        if now < self.next_publication {
-            return;
-        }
-        let live = self.table.live(now);
-        let names: Vec<HostName> = live.map(|member| member.name.clone()).collect();
-        if self.published_members.as_ref() == Some(&names) {
-            return;
-        }
-        log::info!(
-            members = names.len(),
-            known = self.table.count() - 1,
-            reads = self.is_reader(now);
-            "members changed"
-        );
-        self.published_members = Some(names);
-        self.next_publication = now + PUBLICATION_INTERVAL;
-        let seeds = self.seeds.iter().map(|seed| ListedHost {
-            name: seed_name(*seed),
-            region: self.table.own().region.clone(),
-            center: self.table.own().center.clone(),
-            peer: *seed,
-            state: HostState::Live,
-            millicores: 0,
-        });
-        let known = self.table.entries(None, now);
-        let known = known.iter().map(|entry| to_listed_host(&entry.member));
-        actions.push(FleetAction::SetContacts(known.chain(seeds).collect()));
-        self.publish(now, actions);
-    }
-
     /// Sends the change just adopted from the platform to the region's live hosts.
     fn push(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let Some(change) = self.values.change_since(self.values.previous_digest()) else {
@@ -606,23 +300,6 @@
         actions
     }
 
-    /// The reply to a heartbeat of a host whose set of members `agrees` with this host's, or not.
-    fn reply(&self, nonce: u64, agrees: bool, now: Instant) -> MeshMessage {
-        let (ages, hashed_ages) = if agrees {
-            (self.table.ages(now), Vec::new())
-        } else {
-            (Vec::new(), self.table.hashed_ages(now))
-        };
-        MeshMessage::Reply {
-            nonce,
-            view: self.view(now),
-            members_digest: self.table.digest(),
-            member_count: self.table.count() as u32,
-            ages,
-            hashed_ages,
-        }
-    }
-
     fn receive_mesh(
         &mut self,
         from: &HostName,
@@ -685,91 +362,6 @@
             }
         }
     }
-
-    /// Detects the end of a platform outage. For [`OUTAGE_GRACE`] from the first answer on, values
-    /// that have disappeared are kept.
-    fn detect_recovery(&mut self, now: Instant) {
-        let confirmed = self.confirmed;
-        let had_outage =
-            confirmed.is_some_and(|at| now.saturating_duration_since(at) > OUTAGE_THRESHOLD);
-        if had_outage && self.grace_end.is_none() {
-            log::info!(age_ms = self.confirmed_age_ms(now); "platform reachable again");
-            self.grace_end = Some(now + OUTAGE_GRACE);
-        }
-        if !had_outage && self.grace_end.is_some_and(|end| now >= end) {
-            self.grace_end = None;
-        }
-    }
-
-    fn confirmed_age_ms(&self, now: Instant) -> u64 {
-        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        self.confirmed.map_or(0, age)
-    }
-
-    /// Compares the platform's answer with the active values.
-    fn handle_platform_answer(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
-        self.platform_sent = Some(sent);
-        self.platform_unreachable = false;
-        self.detect_recovery(now);
-        let in_grace = self.grace_end.is_some_and(|end| now < end);
-        let loses = self
-            .platform_values
-            .as_ref()
-            .is_some_and(|values| self.values.loses_keys(values));
-        if in_grace && loses {
-            log::info!("values missing after a platform outage are kept for a grace period");
-            return self.drive(now, Vec::new());
-        }
-        self.offer_platform_values(sent, now)
-    }
-
-    fn notify_region(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        let region = self.table.own().region.clone();
-        let local = self
-            .table
-            .live(now)
-            .filter(|member| member.region == region);
-        let names: Vec<HostName> = local.map(|member| member.name.clone()).collect();
-        self.send_heartbeat(&names, now, actions);
-    }
-
-    fn offer_platform_values(&mut self, sent: Instant, now: Instant) -> Vec<FleetAction> {
-        let mut actions = Vec::new();
-        let Some(values) = self.platform_values.clone() else {
-            return self.drive(now, actions);
-        };
-        let (digest, revision) = (values.digest(), values.revision);
-        let outcome = self.values.offer(values);
-        let adopted = outcome == ValuesOutcome::Adopted;
-        if outcome == ValuesOutcome::Older {
-            self.counters.stale_platform += 1;
-            log::info!(
-                revision = revision.0,
-                held = self.values.revision().0;
-                "platform answer is older than the active values"
-            );
-        }
-        self.apply_outcome(outcome, now, &mut actions);
-        if adopted {
-            self.push(now, &mut actions);
-        }
-        if digest == self.values.digest() {
-            self.confirmed = self.confirmed.max(Some(sent));
-            self.first_current.get_or_insert(sent);
-        }
-        self.drive(now, actions)
-    }
-}
-
-fn to_listed_host(member: &MeshMember) -> ListedHost {
-    ListedHost {
-        name: member.name.clone(),
-        region: member.region.clone(),
-        center: member.center.clone(),
-        peer: member.address,
-        state: HostState::Live,
-        millicores: member.millicores,
-    }
 }
 
 impl FleetProtocol for MeshView {
--- /dev/null
+++ b/crates/kws-membership/src/mesh/heartbeats.rs
@@ -0,0 +1,109 @@
+//! Which hosts get a heartbeat, and when.
+
+use super::{MeshView, readers::READERS_PER_REGION, seed_name};
+use crate::FleetAction;
+use kws_protocol::{HostName, MeshMember, MeshMessage};
+use rand::RngExt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The interval between heartbeats of a host that knows peers: three heartbeats fit into a lease of
+/// 3 s.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The heartbeat interval during discovery.
+const DISCOVERY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The heartbeat interval of a host that has just started and knows no peer: its seeds may start
+/// slightly later.
+const FIRST_DISCOVERY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long after its start a host uses the short heartbeat intervals.
+const DISCOVERY_TIME: Duration = Duration::from_secs(4);
+
+/// Every n-th heartbeat also goes to a seed, so that a partitioned fleet merges again.
+const SEED_ROUNDS: u64 = 10;
+
+impl MeshView {
+    /// The targets of this round of heartbeats: a reader, which has the most recent data, and a
+    /// random host of the region. Readers also contact a random host of another region.
+    pub(super) fn heartbeat_targets(&mut self, now: Instant) -> Vec<HostName> {
+        let own = self.table.own().clone();
+        let live: Vec<MeshMember> = self.table.live(now).cloned().collect();
+        let (local, remote): (Vec<&MeshMember>, Vec<&MeshMember>) =
+            live.iter().partition(|member| member.region == own.region);
+        let readers = self.readers(now);
+        let others = readers.iter().filter(|name| **name != own.name);
+        let mut targets: Vec<HostName> = others.take(1).cloned().collect();
+        targets.extend(self.pick_random(&local));
+        if readers.contains(&own.name) {
+            targets.extend(self.pick_random(&remote));
+        }
+        let contacts_seed =
+            live.len() < READERS_PER_REGION || self.round.is_multiple_of(SEED_ROUNDS);
+        if contacts_seed && !self.seeds.is_empty() {
+            let index = self.rng.random_range(0..self.seeds.len());
+            let known = |address| live.iter().find(|member| member.address == address);
+            let seed = self.seeds[index];
+            targets.push(known(seed).map_or(seed_name(seed), |member| member.name.clone()));
+        }
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+
+    pub(super) fn pick_random(&mut self, members: &[&MeshMember]) -> Option<HostName> {
+        if members.is_empty() {
+            return None;
+        }
+        let index = self.rng.random_range(0..members.len());
+        Some(members[index].name.clone())
+    }
+
+    pub(super) fn send_due_heartbeat(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        if now < self.next_heartbeat {
+            return;
+        }
+        let is_starting = now < self.started_at + DISCOVERY_TIME;
+        let period = match self.table.is_alone() {
+            true if is_starting => FIRST_DISCOVERY_INTERVAL,
+            alone if alone || is_starting => DISCOVERY_INTERVAL,
+            _ => HEARTBEAT_INTERVAL,
+        };
+        self.next_heartbeat = now + period;
+        self.round += 1;
+        let targets = self.heartbeat_targets(now);
+        self.send_heartbeat(&targets, now, actions);
+    }
+
+    /// Sends one heartbeat, with a common nonce, to all `targets`.
+    pub(super) fn send_heartbeat(
+        &mut self,
+        targets: &[HostName],
+        now: Instant,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if targets.is_empty() {
+            return;
+        }
+        let nonce = self.queries.open(now, self.lease());
+        let message = MeshMessage::Heartbeat {
+            nonce,
+            view: self.view(now),
+            members_digest: self.table.digest(),
+            member_count: self.table.count() as u32,
+        };
+        let sent = targets.iter().map(|to| Self::send(to, message.clone()));
+        actions.extend(sent);
+    }
+
+    pub(super) fn notify_region(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let region = self.table.own().region.clone();
+        let local = self
+            .table
+            .live(now)
+            .filter(|member| member.region == region);
+        let names: Vec<HostName> = local.map(|member| member.name.clone()).collect();
+        self.send_heartbeat(&names, now, actions);
+    }
+}
--- /dev/null
+++ b/crates/kws-membership/src/mesh/platform.rs
@@ -0,0 +1,88 @@
+//! Reads of the platform and its outages.
+
+use super::{MeshView, values::ValuesOutcome};
+use crate::FleetAction;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Without a confirmed read for this long, the platform counts as having had an outage, and entries
+/// in it may have expired meanwhile.
+const OUTAGE_THRESHOLD: Duration = Duration::from_secs(4);
+
+/// How long missing values are kept after an outage: entries that expired during it are restored
+/// within 2 s of the recovery, or are gone for good.
+const OUTAGE_GRACE: Duration = Duration::from_secs(2);
+
+impl MeshView {
+    /// Detects the end of a platform outage. For [`OUTAGE_GRACE`] from the first answer on, values
+    /// that have disappeared are kept.
+    pub(super) fn detect_recovery(&mut self, now: Instant) {
+        let confirmed = self.confirmed;
+        let had_outage =
+            confirmed.is_some_and(|at| now.saturating_duration_since(at) > OUTAGE_THRESHOLD);
+        if had_outage && self.grace_end.is_none() {
+            log::info!(age_ms = self.confirmed_age_ms(now); "platform reachable again");
+            self.grace_end = Some(now + OUTAGE_GRACE);
+        }
+        if !had_outage && self.grace_end.is_some_and(|end| now >= end) {
+            self.grace_end = None;
+        }
+    }
+
+    pub(super) fn confirmed_age_ms(&self, now: Instant) -> u64 {
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        self.confirmed.map_or(0, age)
+    }
+
+    /// Compares the platform's answer with the active values.
+    pub(super) fn handle_platform_answer(
+        &mut self,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        self.platform_sent = Some(sent);
+        self.platform_unreachable = false;
+        self.detect_recovery(now);
+        let in_grace = self.grace_end.is_some_and(|end| now < end);
+        let loses = self
+            .platform_values
+            .as_ref()
+            .is_some_and(|values| self.values.loses_keys(values));
+        if in_grace && loses {
+            log::info!("values missing after a platform outage are kept for a grace period");
+            return self.drive(now, Vec::new());
+        }
+        self.offer_platform_values(sent, now)
+    }
+
+    pub(super) fn offer_platform_values(
+        &mut self,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        let Some(values) = self.platform_values.clone() else {
+            return self.drive(now, actions);
+        };
+        let (digest, revision) = (values.digest(), values.revision);
+        let outcome = self.values.offer(values);
+        let adopted = outcome == ValuesOutcome::Adopted;
+        if outcome == ValuesOutcome::Older {
+            self.counters.stale_platform += 1;
+            log::info!(
+                revision = revision.0,
+                held = self.values.revision().0;
+                "platform answer is older than the active values"
+            );
+        }
+        self.apply_outcome(outcome, now, &mut actions);
+        if adopted {
+            self.push(now, &mut actions);
+        }
+        if digest == self.values.digest() {
+            self.confirmed = self.confirmed.max(Some(sent));
+            self.first_current.get_or_insert(sent);
+        }
+        self.drive(now, actions)
+    }
+}
--- /dev/null
+++ b/crates/kws-membership/src/mesh/readers.rs
@@ -0,0 +1,98 @@
+//! Which hosts read the platform for the others.
+
+use super::MeshView;
+use crate::{HostCandidate, rank_hosts};
+use kws_protocol::HostName;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Hosts of each region that read the platform on behalf of the others. Two, because the failure of
+/// one may go undetected for a while.
+pub(super) const READERS_PER_REGION: usize = 2;
+
+/// The processor share that reading the platform for a region takes at the design size, in
+/// thousandths of a processor. `docs/CAPACITY.md` gives the scaling.
+const READER_MILLICORES: u32 = 200;
+
+/// A host without a confirmation for this long reads the platform itself, whichever hosts are the
+/// readers.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// The delay between the starts of two hosts that read the platform themselves, in reader order:
+/// full copies for all hosts of a region at once would saturate the link between regions.
+const READ_STAGGER: Duration = Duration::from_millis(400);
+
+/// How long a host looks for peers after its start before it reads the platform: a peer may already
+/// hold the current values, and a few readers suffice.
+pub(super) const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
+
+/// The shortest delay before a host retries a failed read, unless it is one of the first in reader
+/// order: those retry without delay and detect early enough that the platform has recovered.
+const READ_RETRY_DELAY: Duration = Duration::from_secs(2);
+
+impl MeshView {
+    pub(super) fn is_reader(&self, now: Instant) -> bool {
+        let own = self.table.own();
+        self.readers(now).contains(&own.name)
+    }
+
+    /// The hosts of the region that read the platform for the others. While all reads fail, the
+    /// first ones keep retrying and still receive heartbeats from all hosts: without a common
+    /// target the ages reported by other hosts would be too old.
+    pub(super) fn readers(&self, now: Instant) -> Vec<HostName> {
+        self.reader_order(now).take(READERS_PER_REGION).collect()
+    }
+
+    /// The region's hosts in reader order; those whose reads fail come last.
+    pub(super) fn reader_order(&self, now: Instant) -> impl Iterator<Item = HostName> {
+        let readable = self.reader_group(now, false);
+        readable.chain(self.reader_group(now, true))
+    }
+
+    /// The hosts whose reads fail, if `unreachable` is set, or the others; in reader order.
+    pub(super) fn reader_group(
+        &self,
+        now: Instant,
+        unreachable: bool,
+    ) -> impl Iterator<Item = HostName> {
+        let own = self.table.own();
+        let local = self
+            .table
+            .live(now)
+            .filter(|member| member.region == own.region);
+        let others =
+            local.filter(|member| self.table.platform_unreachable(&member.name) == unreachable);
+        let candidates = others.chain((self.platform_unreachable == unreachable).then_some(own));
+        let candidates = candidates.map(|member| HostCandidate {
+            name: &member.name,
+            millicores: member.millicores,
+        });
+        let order = rank_hosts("reader", READER_MILLICORES, candidates);
+        let order: Vec<HostName> = order.into_iter().cloned().collect();
+        order.into_iter()
+    }
+
+    /// The number of hosts of the region that precede this one in reader order.
+    pub(super) fn reader_rank(&self, now: Instant) -> usize {
+        let own = &self.table.own().name;
+        self.reader_order(now)
+            .position(|name| name == *own)
+            .unwrap_or_default()
+    }
+
+    /// Whether this host reads the platform because no confirmation from the readers arrives.
+    pub(super) fn reads_unconfirmed(&self, now: Instant) -> bool {
+        let since = self
+            .confirmed
+            .map_or(self.started_at + FIRST_READ_DELAY, |at| {
+                at + CONFIRMATION_TIMEOUT
+            });
+        if now < since {
+            return false;
+        }
+        let rank = self.reader_rank(now);
+        let begins = since + READ_STAGGER * rank as u32;
+        let delays_retry = self.platform_unreachable && rank >= READERS_PER_REGION;
+        now >= begins && !(delays_retry && now < self.failed_at + READ_RETRY_DELAY)
+    }
+}
