--- a/crates/kws-daemon/src/placement/ended_tries.rs
+++ b/crates/kws-daemon/src/placement/ended_tries.rs
@@ -1,4 +1,4 @@
-//! What the hosts that place are told of tries that ended or still run.
+//! What other hosts learn of tries that ended or still run.
 
 use super::{GrantedTicket, PlacementThread};
 use crate::try_log::EndedTry;
