Token owners that start together stay within the region's share

Cause: hosts that start together know few others, so that several take themselves for the owner. Since owners go by partitions, a bucket isn't started anew at each change of the members, and fills from its host's start on.

Ruled out: the burst (buckets start empty), loans between regions (429 from both).

Change: for 5 s from its start, a host's buckets start anew at each change of the region's hosts, and until 1 s has passed without one it uses the share divided by the hosts that it knows.

--- a/crates/kws-daemon/src/tokens.rs
+++ b/crates/kws-daemon/src/tokens.rs
@@ -148,6 +148,8 @@
 
     fn apply_settings(&mut self, snapshot: Arc<FleetSnapshot>, now: Instant) {
         if self.owners.set_hosts(&snapshot.hosts) {
+            let count = self.owners.host_count(&self.shared.identity.region);
+            self.owned.record_hosts(count, now);
             self.update_owned(now);
         }
         self.snapshot = Some(snapshot);
--- a/crates/kws-limits/src/owner.rs
+++ b/crates/kws-limits/src/owner.rs
@@ -38,6 +38,13 @@
     UnknownTeam,
 }
 
+/// Time after its start in which a host may not know all others yet.
+const JOINING_PERIOD: Duration = Duration::from_secs(5);
+
+/// Time without a change after which a host counts as knowing all others: several heartbeats of
+/// hosts that start.
+const SETTLING_PERIOD: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug)]
 struct TokenBucket {
     level: f64,
@@ -63,6 +70,9 @@
     /// By partition, the instant since which it is owned; `None` if another host owns it. New
     /// buckets fill from this instant; before it, another host may have owned them.
     owned_since: [Option<Instant>; PARTITION_COUNT as usize],
+    started: Instant,
+    /// The number of hosts of the region that this host knows, itself included, and since when.
+    hosts: (usize, Instant),
     next_sweep: Instant,
 }
 
@@ -73,6 +83,8 @@
             region,
             buckets: HashMap::new(),
             owned_since: [Some(now); PARTITION_COUNT as usize],
+            started: now,
+            hosts: (1, now),
             next_sweep: now + SWEEP_PERIOD,
         }
     }
@@ -92,6 +104,31 @@
         }
     }
 
+    /// Records that the region's hosts changed; this host knows `count` of them, itself included.
+    ///
+    /// A host that has just started knows few others and takes itself for the owner of too much, as
+    /// others do that start at the same time. Until [`JOINING_PERIOD`] after its start, its buckets
+    /// start anew at each change.
+    pub fn record_hosts(&mut self, count: usize, now: Instant) {
+        self.hosts = (count.max(1), now);
+        if now >= self.started + JOINING_PERIOD {
+            return;
+        }
+        self.buckets.clear();
+        for since in self.owned_since.iter_mut().flatten() {
+            *since = now;
+        }
+    }
+
+    /// The fraction of the region's share that this host may use: less than 1 only while it still
+    /// gets to know the others. Of n hosts that know k each, some n / k take themselves for the owner
+    /// and use a k-th: within the share as soon as k * k exceeds n.
+    fn joining_fraction(&self, now: Instant) -> f64 {
+        let (count, since) = self.hosts;
+        let joining = now < self.started + JOINING_PERIOD && now < since + SETTLING_PERIOD;
+        if joining { 1.0 / count as f64 } else { 1.0 }
+    }
+
     /// Whether the team's rate counts as unlimited.
     pub fn is_unlimited(settings: &FleetSettings, team: &TeamName) -> bool {
         let settings = settings.teams.get(team);
@@ -150,6 +187,7 @@
     /// team that another host owns starts empty and holds one token at most, since the owner may
     /// grant the burst.
     fn fill(&mut self, team: &TeamSettings, fraction: f64, now: Instant) -> &mut TokenBucket {
+        let fraction = fraction * self.joining_fraction(now);
         let owned_since = self.owned_since[TokenPartition::of(&team.name).index()];
         let burst = match owned_since {
             Some(_) => (team.burst * fraction).max(1.0),
--- a/crates/kws-limits/tests/token_keeper.rs
+++ b/crates/kws-limits/tests/token_keeper.rs
@@ -165,3 +165,42 @@
         assert!((850..1_150).contains(&count), "{count} of about 1,000");
     }
 }
+
+/// All hosts of a region start together and get to know each other within 1.2 s. Until then several
+/// take themselves for the owner, and each is asked by those that know no better: what they grant
+/// together stays within the region's share.
+#[tokio::test(start_paused = true)]
+async fn joining_owners() {
+    const HOSTS: usize = 24;
+    let partition = TokenPartition::of(&orchard());
+    let mut owners: Vec<TokenOwner> = (0..HOSTS).map(|_| owner()).collect();
+    let mut known = 1;
+    let mut granted = 0;
+    // The host that `host` takes for the owner: of itself and the hosts after it, the first.
+    let believed = |host: usize, known: usize| {
+        let view = (host..host + known).map(|other| other % HOSTS);
+        view.min().expect("a host")
+    };
+    for tick in 0..300 {
+        if tick % 10 == 0 && known < HOSTS {
+            known = (known + 2).min(HOSTS);
+            for (host, owner) in owners.iter_mut().enumerate() {
+                owner.record_hosts(known, Instant::now());
+                let is_owner = believed(host, known) == host;
+                owner.set_owned(|other| other != partition || is_owner, Instant::now());
+            }
+        }
+        for host in 0..HOSTS {
+            let asked = &mut owners[believed(host, known)];
+            let decision = asked.take(&settings(), &orchard(), 1.0, Instant::now());
+            granted += usize::from(matches!(
+                decision,
+                TokenDecision::Granted | TokenDecision::GrantedAfter(_)
+            ));
+        }
+        advance(Duration::from_millis(10)).await;
+    }
+    // The region's share is 10 a second and a burst of 10.
+    assert!(granted <= 40, "{granted} granted in 3 s");
+    assert!(granted >= 10, "{granted} granted in 3 s");
+}
