Joining token owners use the share that the growth of their view supports

Ruled out: emptied buckets alone (joining_owners grants 173 of 40 without either; with them, a fraction by 300 ms of growth still 54).

Change: the fraction is the part of the known hosts that a host knew 500 ms ago. Emptied buckets keep the tokens that they granted in advance as owed.

--- a/crates/kws-limits/src/owner.rs
+++ b/crates/kws-limits/src/owner.rs
@@ -3,7 +3,10 @@
 
 use crate::partition::{PARTITION_COUNT, TokenPartition};
 use kws_protocol::{FleetSettings, RegionName, TeamName, TeamSettings};
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// How long a request may wait for its token, because a short wait serves the caller better than a
@@ -41,9 +44,9 @@
 /// Time after its start in which a host may not know all others yet.
 const JOINING_PERIOD: Duration = Duration::from_secs(5);
 
-/// Time without a change after which a host counts as knowing all others: several heartbeats of
+/// Period over which the growth of the known hosts tells how many are still unknown: two heartbeats of
 /// hosts that start.
-const SETTLING_PERIOD: Duration = Duration::from_secs(1);
+const GROWTH_PERIOD: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy, Debug)]
 struct TokenBucket {
@@ -71,8 +74,9 @@
     /// buckets fill from this instant; before it, another host may have owned them.
     owned_since: [Option<Instant>; PARTITION_COUNT as usize],
     started: Instant,
-    /// The number of hosts of the region that this host knows, itself included, and since when.
-    hosts: (usize, Instant),
+    /// The number of hosts of the region that this host knew, itself included, and since when;
+    /// reaches back by [`GROWTH_PERIOD`].
+    host_counts: VecDeque<(Instant, usize)>,
     next_sweep: Instant,
 }
 
@@ -84,7 +88,7 @@
             buckets: HashMap::new(),
             owned_since: [Some(now); PARTITION_COUNT as usize],
             started: now,
-            hosts: (1, now),
+            host_counts: [(now, 1)].into(),
             next_sweep: now + SWEEP_PERIOD,
         }
     }
@@ -108,25 +112,41 @@
     ///
     /// A host that has just started knows few others and takes itself for the owner of too much, as
     /// others do that start at the same time. Until [`JOINING_PERIOD`] after its start, its buckets
-    /// start anew at each change.
+    /// are emptied at each change.
     pub fn record_hosts(&mut self, count: usize, now: Instant) {
-        self.hosts = (count.max(1), now);
+        let counts = &mut self.host_counts;
+        counts.push_back((now, count.max(1)));
+        while counts
+            .get(1)
+            .is_some_and(|(at, _)| *at + GROWTH_PERIOD <= now)
+        {
+            counts.pop_front();
+        }
         if now >= self.started + JOINING_PERIOD {
             return;
         }
-        self.buckets.clear();
         for since in self.owned_since.iter_mut().flatten() {
             *since = now;
         }
+        for bucket in self.buckets.values_mut() {
+            // Tokens that were granted in advance stay owed.
+            bucket.level = bucket.level.min(0.0);
+            bucket.filled = now;
+        }
     }
 
     /// The fraction of the region's share that this host may use: less than 1 only while it still
-    /// gets to know the others. Of n hosts that know k each, some n / k take themselves for the owner
-    /// and use a k-th: within the share as soon as k * k exceeds n.
+    /// gets to know the others, and then the part of them that it knew [`GROWTH_PERIOD`] ago. The
+    /// faster its view grows, the more other hosts may take themselves for the owner.
     fn joining_fraction(&self, now: Instant) -> f64 {
-        let (count, since) = self.hosts;
-        let joining = now < self.started + JOINING_PERIOD && now < since + SETTLING_PERIOD;
-        if joining { 1.0 / count as f64 } else { 1.0 }
+        if now >= self.started + JOINING_PERIOD {
+            return 1.0;
+        }
+        let counts = || self.host_counts.iter();
+        let earlier = counts().take_while(|(at, _)| *at + GROWTH_PERIOD <= now);
+        let earlier = earlier.last().map_or(1, |(_, count)| *count);
+        let known = counts().last().map_or(1, |(_, count)| *count);
+        (earlier as f64 / known as f64).min(1.0)
     }
 
     /// Whether the team's rate counts as unlimited.
