--- a/crates/kws-dispatch/src/placer/pool/waiting.rs
+++ b/crates/kws-dispatch/src/placer/pool/waiting.rs
@@ -27,10 +27,10 @@
 /// Shortest limit of the wait in the queue: short bursts are served late rather than refused.
 const MIN_QUEUE_WAIT: Duration = Duration::from_millis(100);
 
-/// Shortest delay that a refused caller is told to wait.
+/// Shortest delay returned to a refused caller.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Longest delay that a refused caller is told to wait.
+/// Longest delay returned to a refused caller.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// How long a request may wait in the queue when it arrives.
@@ -106,7 +106,7 @@
         self.queue_estimate(now).wait(ahead)
     }
 
-    /// The delay that a refused caller is told to wait: the time until the present queue is served,
+    /// The delay returned to a refused caller: the time until the present queue is served,
     /// with jitter, so that callers refused together don't return together.
     pub(super) fn retry_delay(&mut self, now: Instant) -> Duration {
         self.jitter_state = self
