--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -56,6 +56,9 @@
         thread::spawn(move || {
             for sequence in 2.. {
                 thread::sleep(HEARTBEAT);
+                if beating.has_left() {
+                    return;
+                }
                 let entry = beating.entry(&zone, "ready", sequence);
                 store.put(&format!("servers/{}", beating.id), &entry);
             }
@@ -65,6 +68,17 @@
         self.upstreams.push(upstream);
     }
 
+    /// An upstream leaves without reporting that it drains: its entry goes, and it serves on. The
+    /// removal is confirmed when the call returns.
+    pub fn remove_upstream(&self, id: &str) {
+        for upstream in self.upstreams.iter().filter(|upstream| upstream.id == id) {
+            upstream.leave();
+        }
+        self.store.remove(&format!("servers/{id}"));
+        self.record
+            .line(&format!("leave    {id}: its entry is removed"));
+    }
+
     /// Writes a version of the configuration, which is confirmed when the call returns.
     pub fn configure(&self, text: &str) {
         self.store.put("op/config", text);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 //! Usage: `review-standin CASE RECORD`, from the repository's root. `TROUBLE=0` leaves out the
 //! disruption. Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
 
+mod case_gone;
 mod case_prefix;
 mod case_stale;
 mod case_stop;
@@ -45,6 +46,7 @@
         exit(2);
     });
     let verdict = match case.as_str() {
+        "gone" => case_gone::run(trouble, &record),
         "prefix" => case_prefix::run(trouble, &record),
         "stop" => case_stop::run(trouble, &record),
         "stale" => case_stale::run(trouble, &record),
--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -3,7 +3,10 @@
 use crate::{http, record::Record};
 use std::{
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -23,6 +26,7 @@
     pub id: String,
     pub service: String,
     work: Duration,
+    left: Arc<AtomicBool>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
@@ -41,6 +45,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             work,
+            left: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
         };
@@ -63,6 +68,15 @@
         )
     }
 
+    /// Ends its heartbeats.
+    pub fn leave(&self) {
+        self.left.store(true, Ordering::SeqCst);
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.left.load(Ordering::SeqCst)
+    }
+
     /// How long a request takes: the milliseconds of `work` in its query, or as long as usual.
     fn work_of(&self, target: &str) -> Duration {
         let query = target.split_once('?').map_or("", |(_, query)| query);
