--- a/review/standin/src/case_stop.rs
+++ b/review/standin/src/case_stop.rs
@@ -39,17 +39,17 @@
 const PLANNED: [Planned; 3] = [
     Planned {
         id: "9c41d07be2a30001",
-        sent_ms: 2_700,
+        sent_ms: 2_600,
         work_ms: 1_400,
     },
     Planned {
         id: "9c41d07be2a30002",
-        sent_ms: 3_950,
+        sent_ms: 3_750,
         work_ms: 1_400,
     },
     Planned {
         id: "9c41d07be2a30003",
-        sent_ms: 5_200,
+        sent_ms: 4_950,
         work_ms: 1_400,
     },
 ];
--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -59,7 +59,6 @@
 pub struct Daemon {
     pub name: String,
     pub addresses: Addresses,
-    pub zone: String,
     child: Child,
 }
 
@@ -117,7 +116,6 @@
         Self {
             name: name.to_owned(),
             addresses,
-            zone: zone.to_owned(),
             child,
         }
     }
