--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -122,7 +122,7 @@
                 return;
             }
             thread::sleep(self.work_of(&request.target));
-            let signature = format!("{}.{id}.00.0.0.0", self.id);
+            let signature = format!("signed-{}-{id}", self.id);
             let body = format!("{} ran {id} for {}\n", self.id, self.service);
             let headers = [
                 ("Request-Id", id.as_str()),
