A stop closes idle connections and refuses what would outlast the grace

Cause: the listener closed idle connections only once no connection had a request in progress. Each request on an idle connection prolonged that wait, and nothing knew the grace period.

Why it works: a connection is closed as soon as it is idle, between two reads, so that a request is either served or never read; and what is read after the drain lag is only served if its time limit ends before the kill.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -29,9 +29,11 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
+/// The end of the grace period that is kept for the last responses and the process's own exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(250);
 /// Capacity of the channel of platform events.
 const PLATFORM_EVENTS_CAPACITY: usize = 8;
 /// Capacity of the channel of peer messages to the fleet thread.
@@ -117,14 +119,16 @@
     }
 
     /// Stops in order: turns readiness off, keeps serving for the drain lag while the load balancer
-    /// notices, returns the loans, then waits for all requests in flight.
+    /// notices, returns the loans, then waits for all requests in flight. From the end of the drain
+    /// lag on, requests that may not end within the grace period are refused.
     pub async fn stop(self) {
+        let end = Instant::now() + self.settings.grace.saturating_sub(EXIT_RESERVE);
         self.shared.stopping.store(true, Ordering::Release);
         log::info!("stopping");
         sleep(self.drain_lag).await;
         self.listener.drain();
         let _ = self.ledger.send(LedgerEvent::Stop).await;
-        self.listener.stop().await;
+        self.listener.stop_before(end).await;
         log::info!("stopped");
     }
 }
--- a/crates/kws-forward/src/caller_service.rs
+++ b/crates/kws-forward/src/caller_service.rs
@@ -1,7 +1,8 @@
 //! Service factories that handle a caller's connection: TLS, framing checks, HTTP.
 
 use crate::{
-    connections::CountedFactory,
+    caller_connection::CallerConnection,
+    connections::TrackedFactory,
     exchange::serve,
     guard_layer::GuardLayer,
     protocol_control::handle_control,
@@ -46,6 +47,7 @@
     let unused_connections = parts.unused_connections.clone();
     let pending_requests = parts.pending_requests.clone();
     let live_workers = parts.live_workers.clone();
+    let stop_phase = parts.stop_phase.clone();
     let worker = Rc::new(OnceCell::<Rc<WorkerState>>::new());
     let shared_state = move || {
         let state = worker.get_or_init(|| Rc::new(WorkerState::new(parts.clone())));
@@ -67,14 +69,15 @@
         }))
     }));
     chain_factory(fn_service(move |io: Io<F>| {
-        let layer = GuardLayer::new(
-            max_head,
-            unused_connections.track(),
-            pending_requests.clone(),
-        );
-        let guarded = io.add_filter(layer);
+        let unused_guard = unused_connections.track();
+        let connection = CallerConnection::new(max_head, unused_guard, pending_requests.clone());
+        let guarded = io.add_filter(GuardLayer::new(connection));
         async move { Ok::<_, DispatchError>(guarded) }
     }))
     .map_init_err(|(): ()| ())
-    .and_then(CountedFactory(http, live_workers))
+    .and_then(TrackedFactory {
+        inner: http,
+        live_workers,
+        stop_phase,
+    })
 }
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -2,11 +2,13 @@
 
 use crate::{
     access_entry::{AccessEntry, ExchangeLog},
+    caller_connection::ConnectionHandle,
     head::{read_head, requests_close},
     refusal::{RequestRefusal, refusal_response, set_header},
     request_body::{BodyLimits, RequestBody},
     request_check::{RequestChecks, RouteTarget},
     request_id::truncate_id,
+    tracked_body::TrackedBody,
     tries::TrySeries,
     worker::WorkerState,
 };
@@ -23,12 +25,15 @@
     let Some(caller) = request.io().cloned() else {
         return Response::InternalServerError().finish();
     };
+    let connection = caller.query::<ConnectionHandle>();
+    let exchange = connection.as_ref().map(ConnectionHandle::open_exchange);
     let disconnected = caller.on_disconnect();
-    tokio::select! {
+    let response = tokio::select! {
         biased;
         () = disconnected => Response::BadRequest().force_close().finish(),
         response = serve_connected(&worker, request, caller) => response,
-    }
+    };
+    response.map_body(|_, body| TrackedBody::wrap(body, exchange))
 }
 
 /// Checks the head of a request with `Expect: 100-continue` before the caller sends the body.
@@ -121,6 +126,9 @@
         let time_limit = requested.min(route.deadline);
         let deadline = self.started + time_limit;
         self.log.time_limit = Some(time_limit);
+        if self.checks.worker.stops_before(deadline) {
+            return Err(RequestRefusal::not_run(RefusalReason::Stopping));
+        }
         if let Some(team) = &team {
             let admitted = self.admit(team, deadline).await;
             self.log.record_token_wait(self.started);
--- a/crates/kws-forward/src/frame_guard.rs
+++ b/crates/kws-forward/src/frame_guard.rs
@@ -77,6 +77,16 @@
         self.state == GuardState::Head && self.framing.lines == 0 && self.line.is_empty()
     }
 
+    /// Whether all further bytes are discarded.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.state == GuardState::Closed
+    }
+
+    /// Discards all further bytes.
+    pub(crate) fn close(&mut self) {
+        self.state = GuardState::Closed;
+    }
+
     /// If more than `count` bytes of body data remain, consumes `count` of them and returns `true`:
     /// they pass unchanged.
     pub(crate) fn skip_body(&mut self, count: usize) -> bool {
--- a/crates/kws-forward/src/guard_layer.rs
+++ b/crates/kws-forward/src/guard_layer.rs
@@ -1,72 +1,44 @@
 //! I/O filter that applies the frame guard to a caller's connection.
 
-use crate::{
-    frame_guard::FrameGuard,
-    live_count::{LiveCount, LiveGuard},
-};
+use crate::caller_connection::{CallerConnection, ConnectionHandle};
 use ntex::io::{FilterBuf, FilterLayer};
-use std::{cell::RefCell, io};
+use std::{
+    any::{Any, TypeId},
+    io,
+    rc::Rc,
+};
 
-/// Filters a caller's bytes through a [`FrameGuard`] and leaves outgoing bytes unchanged. Counts
-/// the connection as pending from the first byte of a request to the first byte of its response.
+/// Filters a caller's bytes through a [`CallerConnection`] and leaves outgoing bytes unchanged.
 #[derive(Debug)]
-pub(crate) struct GuardLayer {
-    guard: RefCell<FrameGuard>,
-    unused_guard: RefCell<Option<LiveGuard>>,
-    pending_requests: LiveCount,
-    pending_guard: RefCell<Option<LiveGuard>>,
-}
+pub(crate) struct GuardLayer(Rc<CallerConnection>);
 
 impl GuardLayer {
-    /// Creates the filter of a new connection, which holds `unused_guard` until the first byte
-    /// arrives.
-    pub(crate) fn new(
-        max_head: usize,
-        unused_guard: LiveGuard,
-        pending_requests: LiveCount,
-    ) -> Self {
-        Self {
-            guard: RefCell::new(FrameGuard::new(max_head)),
-            unused_guard: RefCell::new(Some(unused_guard)),
-            pending_requests,
-            pending_guard: RefCell::new(None),
-        }
-    }
-
-    fn record_read(&self) {
-        let mut pending_guard = self.pending_guard.borrow_mut();
-        pending_guard.get_or_insert_with(|| self.pending_requests.track());
-        self.unused_guard.take();
-    }
-
-    fn record_write(&self) {
-        if self.guard.borrow().is_idle() {
-            self.pending_guard.take();
-        }
+    /// Creates the filter of a connection.
+    pub(crate) fn new(connection: CallerConnection) -> Self {
+        Self(Rc::new(connection))
     }
 }
 
 impl FilterLayer for GuardLayer {
+    fn query(&self, id: TypeId) -> Option<Box<dyn Any>> {
+        let handle = ConnectionHandle(Rc::clone(&self.0));
+        (id == TypeId::of::<ConnectionHandle>()).then(|| Box::new(handle) as Box<dyn Any>)
+    }
+
     fn process_read_buf(&self, buffers: &FilterBuf<'_>) -> io::Result<()> {
         buffers.with_read_buffers(|source, target| {
             let Some(input) = source.take() else {
                 return Ok(());
             };
-            self.record_read();
-            let mut guard = self.guard.borrow_mut();
-            if target.is_empty() && guard.skip_body(input.len()) {
-                *target = input;
-                return Ok(());
-            }
-            let fed = guard.feed(&input, target);
-            fed.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+            let read = self.0.read(input, target);
+            read.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
         })
     }
 
     fn process_write_buf(&self, buffers: &FilterBuf<'_>) -> io::Result<()> {
         buffers.with_write_buffers(|source, target| {
             if !source.is_empty() {
-                self.record_write();
+                self.0.record_write();
             }
             source.move_to(target);
             Ok(())
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -1,6 +1,7 @@
 //! Caller listeners and forwarding of requests.
 
 mod access_entry;
+mod caller_connection;
 mod caller_service;
 mod connections;
 mod control;
@@ -28,6 +29,7 @@
 mod single_try;
 mod target;
 mod tls;
+mod tracked_body;
 mod tries;
 mod try_guard;
 mod upstream;
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     caller_service::{plain_service, tls_service},
+    connections::StopPhase,
     control::ForwardControl,
     listen_socket::ListenSocket,
     live_count::LiveCount,
@@ -20,15 +21,15 @@
     io,
     net::{SocketAddr, TcpListener},
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
 };
 use tokio::{
-    sync::oneshot,
-    time::{interval, sleep},
+    sync::{oneshot, watch},
+    time::{Instant, interval, sleep},
 };
 
 /// Interval between reloads of the certificate files.
@@ -88,6 +89,7 @@
 pub struct ListenerHandle {
     address: SocketAddr,
     draining: Arc<AtomicBool>,
+    stop_end: Arc<OnceLock<Instant>>,
     stop: Option<oneshot::Sender<()>>,
     stopped: Option<oneshot::Receiver<()>>,
 }
@@ -103,8 +105,16 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Stops accepting requests, serves those that have begun to arrive, and returns when every
-    /// request in flight has ended.
+    /// Like [`Self::stop`], for a process that is killed at `end`: a request whose time limit ends
+    /// later is refused as not run.
+    pub async fn stop_before(self, end: Instant) {
+        // Only the first stop sets it.
+        let _ = self.stop_end.set(end);
+        self.stop().await;
+    }
+
+    /// Closes the listening socket and idle connections, serves the requests that have begun to
+    /// arrive, and returns when every request in flight has ended.
     pub async fn stop(mut self) {
         self.drain();
         if let Some(stop) = self.stop.take() {
@@ -138,11 +148,15 @@
     let listener = server::create_tcp_listener(settings.address, MAX_BACKLOG)?;
     let address = listener.local_addr()?;
     let draining = Arc::new(AtomicBool::new(false));
+    let stop_end = Arc::<OnceLock<Instant>>::default();
+    let (stop_phase, phase_receiver) = watch::channel(StopPhase::Serving);
     let (stop, stop_receiver) = oneshot::channel();
     let (stopped_sender, stopped) = oneshot::channel();
     let parts = WorkerParts {
         control,
         draining: Arc::clone(&draining),
+        stop_phase: phase_receiver,
+        stop_end: Arc::clone(&stop_end),
         unused_connections: LiveCount::default(),
         pending_requests: LiveCount::default(),
         live_workers: LiveCount::default(),
@@ -153,35 +167,49 @@
         .name("kws-callers".to_owned())
         .spawn(move || {
             let system = System::new("kws-callers", DefaultRuntime);
-            system.block_on(serve_until_stop(settings, listener, parts, stop_receiver));
+            let signals = StopSignals {
+                stop: stop_receiver,
+                phase: stop_phase,
+            };
+            system.block_on(serve_until_stop(settings, listener, parts, signals));
             let _ = stopped_sender.send(());
         })?;
     Ok(ListenerHandle {
         address,
         draining,
+        stop_end,
         stop: Some(stop),
         stopped: Some(stopped),
     })
 }
 
+/// The channels by which a listener is told to stop and tells its workers.
+struct StopSignals {
+    stop: oneshot::Receiver<()>,
+    phase: watch::Sender<StopPhase>,
+}
+
 async fn serve_until_stop(
     settings: ListenerSettings,
     listener: TcpListener,
     parts: WorkerParts,
-    stop: oneshot::Receiver<()>,
+    signals: StopSignals,
 ) {
     let counts = parts.clone();
     let started = ListenSocket::new(&listener)
         .and_then(|socket| Ok((socket, start_server(&settings, listener, parts)?)));
     match started {
         Ok((socket, server)) => {
-            wait_for_stop(stop, settings.certificate.as_deref()).await;
+            wait_for_stop(signals.stop, settings.certificate.as_deref()).await;
+            // A request on a connection that stays open could arrive too late to be answered.
+            signals.phase.send_replace(StopPhase::CloseIdle);
             close_socket(&socket, &server).await;
-            // Stopping the server drops requests whose heads have not been read completely.
             counts
                 .unused_connections
                 .wait_for_zero(FIRST_BYTE_TIMEOUT)
                 .await;
+            signals.phase.send_replace(StopPhase::CloseUnused);
+            // Stopping the server drops requests whose heads have not been read completely.
             counts
                 .pending_requests
                 .wait_for_zero(settings.head_timeout * 2)
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,17 +1,18 @@
 //! State shared by the requests of one worker.
 
 use crate::{
-    control::ForwardControl, live_count::LiveCount, request_id::IdSource,
+    connections::StopPhase, control::ForwardControl, live_count::LiveCount, request_id::IdSource,
     route_history::RouteHistory, tls::BackendTrust, upstream::UpstreamPool,
 };
 use kws_protocol::HeaderDialect;
 use std::{
     rc::Rc,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
 };
+use tokio::{sync::watch, time::Instant};
 
 /// Shared parts that each worker's state is created from.
 #[derive(Clone)]
@@ -20,6 +21,10 @@
     pub(crate) control: Arc<dyn ForwardControl>,
     /// Set while the listener drains.
     pub(crate) draining: Arc<AtomicBool>,
+    /// Which connections a stop closes.
+    pub(crate) stop_phase: watch::Receiver<StopPhase>,
+    /// By when every response must have ended; set when a stop with such a limit begins.
+    pub(crate) stop_end: Arc<OnceLock<Instant>>,
     /// Counts connections on which no byte has arrived yet.
     pub(crate) unused_connections: LiveCount,
     /// Counts requests without a response yet.
@@ -45,6 +50,7 @@
     /// What is known of the routes' requests and responses.
     pub(crate) routes: RouteHistory,
     draining: Arc<AtomicBool>,
+    stop_end: Arc<OnceLock<Instant>>,
 }
 
 impl WorkerState {
@@ -57,6 +63,7 @@
             dialect: parts.dialect,
             routes: RouteHistory::default(),
             draining: parts.draining,
+            stop_end: parts.stop_end,
         }
     }
 
@@ -64,4 +71,9 @@
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
+
+    /// Whether the listener stops before `deadline`.
+    pub(crate) fn stops_before(&self, deadline: Instant) -> bool {
+        self.stop_end.get().is_some_and(|end| *end < deadline)
+    }
 }
--- a/crates/kws-forward/tests/graceful_stop.rs
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -208,3 +208,107 @@
     let whole = response.text.matches("HTTP/1.1 200").count();
     assert_eq!(whole, expected + 1, "{response:?}");
 }
+
+/// Guards against a stop that serves requests on idle kept connections until the process is killed
+/// (review, case 1): once the listener is closed, such a connection is closed too, while another
+/// one still has a request.
+#[tokio::test]
+async fn idle_kept_connection() {
+    let slow = BackendScript {
+        delay_ms: 3_000,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([slow]).await;
+    let address = fleet.listener.address();
+    let mut kept = fleet.connect().await;
+    let unknown = get("/unknown").replace("connection: close\r\n", "");
+    kept.write_all(unknown.as_bytes()).await.expect("writes");
+    let mut head = [0; 12];
+    kept.read_exact(&mut head).await.expect("reads");
+    assert_eq!(&head, b"HTTP/1.1 404");
+    let pending = tokio::spawn(send_get(address));
+    until(|| fleet.arrivals() == 1).await;
+
+    let (backends, listener) = (fleet.backends, fleet.listener);
+    let stopped = tokio::spawn(listener.stop());
+    sleep(Duration::from_millis(500)).await;
+    let text = get("/till").replace("GET", "POST");
+    let _ = kept.write_all(text.as_bytes()).await;
+    let mut rest = Vec::new();
+    let _ = timeout(TEST_TIMEOUT, kept.read_to_end(&mut rest))
+        .await
+        .expect("closed");
+    let arrivals: usize = backends.iter().map(|backend| backend.seen().len()).sum();
+    assert_eq!(arrivals, 1, "{}", String::from_utf8_lossy(&rest));
+    assert!(!stopped.is_finished());
+    pending.await.expect("no panic").expect("a response");
+    timeout(TEST_TIMEOUT, stopped)
+        .await
+        .expect("stops")
+        .expect("no panic");
+}
+
+/// Guards against responses cut by the kill at the end of the grace period (review, case 1): a
+/// request that may take longer than what is left of it is refused as not run, another is served.
+#[rstest]
+#[case::may_last_too_long("30000", 503)]
+#[case::ends_in_time("2000", 200)]
+#[tokio::test]
+async fn request_late_in_stop(#[case] deadline_ms: &str, #[case] status: u16) {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let mut stream = fleet.connect().await;
+    sleep(Duration::from_millis(100)).await;
+    let (backends, listener) = (fleet.backends, fleet.listener);
+    let end = Instant::now() + Duration::from_secs(5);
+    let stopped = tokio::spawn(listener.stop_before(end));
+    sleep(Duration::from_millis(50)).await;
+    let deadline = format!("x-knapweedseam-deadline-ms: {deadline_ms}\r\n");
+    let text = request("POST", "/till", &deadline, "");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    let response = read_to_end(&mut stream).await;
+    assert_eq!(response.status(), status, "{response:?}");
+    let refused = status == 503;
+    assert_eq!(
+        response.text.contains("knapweedseam-run: not run"),
+        refused,
+        "{response:?}"
+    );
+    assert_eq!(
+        response.text.contains("retry-after:"),
+        refused,
+        "{response:?}"
+    );
+    let arrivals: usize = backends.iter().map(|backend| backend.seen().len()).sum();
+    assert_eq!(arrivals, usize::from(!refused));
+    timeout(TEST_TIMEOUT, stopped)
+        .await
+        .expect("stops")
+        .expect("no panic");
+}
+
+/// A connection counts as idle only when its whole response has left: a caller that reads slowly
+/// while the host stops gets all of it.
+#[rstest]
+#[case::in_buffers(256 * 1024)]
+#[case::beyond_buffers(16 * 1024 * 1024)]
+#[tokio::test]
+async fn unread_response(#[case] body_bytes: u64) {
+    let large = BackendScript {
+        body_bytes,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([large]).await;
+    let mut stream = fleet.connect().await;
+    let text = get("/listing").replace("connection: close\r\n", "");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    sleep(Duration::from_millis(100)).await;
+    let stopped = tokio::spawn(fleet.listener.stop());
+    sleep(Duration::from_millis(1_500)).await;
+    let response = read_to_end(&mut stream).await;
+    assert_eq!((response.status(), response.is_whole()), (200, true));
+    timeout(TEST_TIMEOUT, stopped)
+        .await
+        .expect("stops")
+        .expect("no panic");
+}
