Hosts take over from silent readers within a heartbeat and 0.4 s

Cause: a host read the platform itself only after 3.5 s without a confirmation, or once the readers were no longer live, after 4 s.

Why it works: an unanswered heartbeat tells of a silent reader long before the age of the last confirmation can, which reaches 2 s in a calm fleet. The hosts next in order ask both readers each second; further ones ask several at once when those ahead of them are silent.

--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -58,6 +58,7 @@
     outputs: FleetOutputs,
     protocol: Box<dyn FleetProtocol>,
     lease_end: Option<Instant>,
+    reads_platform: bool,
     last_counters: FleetCounters,
     suspend_detector: SuspendDetector,
     has_left: bool,
@@ -74,6 +75,7 @@
         shared,
         outputs,
         lease_end: None,
+        reads_platform: false,
         last_counters: FleetCounters::default(),
         suspend_detector: SuspendDetector::new(),
         has_left: false,
@@ -217,13 +219,18 @@
             .await;
     }
 
-    fn publish_watch_timing(&self) {
+    fn publish_watch_timing(&mut self) {
         let now = Instant::now();
+        let reads = self.protocol.reads_platform(now);
+        if reads != self.reads_platform {
+            self.reads_platform = reads;
+            log::info!(reads = reads; "reading of the platform changed");
+        }
         self.shared.set_watch_timing(WatchTiming {
             wait: self.protocol.watch_wait(),
             grace: self.protocol.watch_grace(),
             pause: self.protocol.watch_pause(),
-            idle: !self.protocol.reads_platform(now),
+            idle: !reads,
         });
     }
 
--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -410,6 +410,7 @@
     fn clock_suspended(&mut self, now: Instant) -> Vec<FleetAction> {
         self.confirmed = None;
         self.queries.clear();
+        self.table.clear_asked();
         self.next_heartbeat = now;
         self.drive(now, Vec::new())
     }
@@ -422,7 +423,9 @@
             self.grace_end = None;
             return self.offer_platform_values(sent, now);
         }
-        self.drive(now, Vec::new())
+        let mut actions = Vec::new();
+        self.ask_next_readers(now, &mut actions);
+        self.drive(now, actions)
     }
 
     fn leave(&mut self, now: Instant) -> Vec<FleetAction> {
--- a/crates/kws-membership/src/mesh/heartbeats.rs
+++ b/crates/kws-membership/src/mesh/heartbeats.rs
@@ -1,6 +1,10 @@
 //! Which hosts get a heartbeat, and when.
 
-use super::{MeshView, readers::READERS_PER_REGION, seed_name};
+use super::{
+    MeshView,
+    readers::{READERS_PER_REGION, STANDBY_RANKS},
+    seed_name,
+};
 use crate::FleetAction;
 use kws_protocol::{HostName, MeshMember, MeshMessage};
 use rand::RngExt;
@@ -9,7 +13,7 @@
 
 /// The interval between heartbeats of a host that knows peers: three heartbeats fit into a lease of
 /// 3 s.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The heartbeat interval during discovery.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(250);
@@ -26,15 +30,22 @@
 
 impl MeshView {
     /// The targets of this round of heartbeats: a reader, which has the most recent data, and a
-    /// random host of the region. Readers also contact a random host of another region.
+    /// random host of the region. The hosts that would read next contact all readers; readers also
+    /// contact a random host of another region.
     pub(super) fn heartbeat_targets(&mut self, now: Instant) -> Vec<HostName> {
         let own = self.table.own().clone();
         let live: Vec<MeshMember> = self.table.live(now).cloned().collect();
         let (local, remote): (Vec<&MeshMember>, Vec<&MeshMember>) =
             live.iter().partition(|member| member.region == own.region);
-        let readers = self.readers(now);
+        let order: Vec<HostName> = self.reader_order(now).collect();
+        let readers = &order[..order.len().min(READERS_PER_REGION)];
+        let is_standby = order
+            .iter()
+            .take(STANDBY_RANKS)
+            .any(|name| *name == own.name);
+        let asked = if is_standby { READERS_PER_REGION } else { 1 };
         let others = readers.iter().filter(|name| **name != own.name);
-        let mut targets: Vec<HostName> = others.take(1).cloned().collect();
+        let mut targets: Vec<HostName> = others.take(asked).cloned().collect();
         targets.extend(self.pick_random(&local));
         if readers.contains(&own.name) {
             targets.extend(self.pick_random(&remote));
@@ -76,6 +87,12 @@
         self.send_heartbeat(&targets, now, actions);
     }
 
+    /// Asks further hosts when readers are silent, without waiting for the next round.
+    pub(super) fn ask_next_readers(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let targets = self.next_readers(now);
+        self.send_heartbeat(&targets, now, actions);
+    }
+
     /// Sends one heartbeat, with a common nonce, to all `targets`.
     pub(super) fn send_heartbeat(
         &mut self,
@@ -86,6 +103,9 @@
         if targets.is_empty() {
             return;
         }
+        for target in targets {
+            self.table.mark_asked(target, now);
+        }
         let nonce = self.queries.open(now, self.lease());
         let message = MeshMessage::Heartbeat {
             nonce,
--- a/crates/kws-membership/src/mesh/readers.rs
+++ b/crates/kws-membership/src/mesh/readers.rs
@@ -1,6 +1,6 @@
 //! Which hosts read the platform for the others.
 
-use super::MeshView;
+use super::{MeshView, heartbeats::HEARTBEAT_INTERVAL};
 use crate::{HostCandidate, rank_hosts};
 use kws_protocol::HostName;
 use std::time::Duration;
@@ -10,6 +10,13 @@
 /// one may go undetected for a while.
 pub(super) const READERS_PER_REGION: usize = 2;
 
+/// Hosts that ask every reader, not only the first, so that one of them takes over soon when all
+/// readers fail at once.
+pub(super) const STANDBY_RANKS: usize = 2 * READERS_PER_REGION;
+
+/// How many further hosts a host asks for each silent one.
+const ASKED_PER_SILENT: usize = 4;
+
 /// The processor share that reading the platform for a region takes at the design size, in
 /// thousandths of a processor. `docs/CAPACITY.md` gives the scaling.
 const READER_MILLICORES: u32 = 200;
@@ -43,33 +50,54 @@
         self.reader_order(now).take(READERS_PER_REGION).collect()
     }
 
-    /// The region's hosts in reader order; those whose reads fail come last.
+    /// The region's hosts in reader order. Those that don't answer this host come after the others,
+    /// and those whose reads fail before them.
     pub(super) fn reader_order(&self, now: Instant) -> impl Iterator<Item = HostName> {
-        let readable = self.reader_group(now, false);
-        readable.chain(self.reader_group(now, true))
+        let mut order = self.rank_readers(now);
+        // The sort is stable, so the rank decides within each group.
+        order.sort_by_key(|name| (self.table.is_silent(name, now), self.fails_to_read(name)));
+        order.into_iter()
     }
 
-    /// The hosts whose reads fail, if `unreachable` is set, or the others; in reader order.
-    pub(super) fn reader_group(
-        &self,
-        now: Instant,
-        unreachable: bool,
-    ) -> impl Iterator<Item = HostName> {
+    /// The region's hosts by rank alone.
+    fn rank_readers(&self, now: Instant) -> Vec<HostName> {
         let own = self.table.own();
         let local = self
             .table
             .live(now)
             .filter(|member| member.region == own.region);
-        let others =
-            local.filter(|member| self.table.platform_unreachable(&member.name) == unreachable);
-        let candidates = others.chain((self.platform_unreachable == unreachable).then_some(own));
-        let candidates = candidates.map(|member| HostCandidate {
+        let candidates = local.chain([own]).map(|member| HostCandidate {
             name: &member.name,
             millicores: member.millicores,
         });
         let order = rank_hosts("reader", READER_MILLICORES, candidates);
-        let order: Vec<HostName> = order.into_iter().cloned().collect();
-        order.into_iter()
+        order.into_iter().cloned().collect()
+    }
+
+    fn fails_to_read(&self, name: &HostName) -> bool {
+        if *name == self.table.own().name {
+            return self.platform_unreachable;
+        }
+        self.table.platform_unreachable(name)
+    }
+
+    /// The hosts to ask because others of a better rank than this host are silent:
+    /// [`ASKED_PER_SILENT`] for each, so that even a row of silent hosts is passed in a few steps.
+    pub(super) fn next_readers(&self, now: Instant) -> Vec<HostName> {
+        if !self.table.has_silent(now) {
+            return Vec::new();
+        }
+        let own = &self.table.own().name;
+        let ranked = self.rank_readers(now);
+        let ahead = ranked.iter().take_while(|name| *name != own);
+        let silent = ahead.filter(|name| self.table.is_silent(name, now)).count();
+        let answering = self
+            .reader_order(now)
+            .filter(|name| name != own && !self.table.is_silent(name, now));
+        answering
+            .take(ASKED_PER_SILENT * silent)
+            .filter(|name| !self.table.is_in_contact(name, HEARTBEAT_INTERVAL, now))
+            .collect()
     }
 
     /// The number of hosts of the region that precede this one in reader order.
--- a/crates/kws-membership/src/mesh/table.rs
+++ b/crates/kws-membership/src/mesh/table.rs
@@ -13,6 +13,14 @@
 /// heartbeats may be lost.
 pub(crate) const LIVE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// A member that leaves a message of this host unanswered for this long counts as silent. Replies
+/// take milliseconds, and more on a host that is short of processor time.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a member counts as silent unless it is asked again. By then it is no longer live if all
+/// others find it silent as well.
+const SILENCE_RETENTION: Duration = LIVE_TIMEOUT;
+
 /// A member that no host has heard for this long is evicted.
 const EVICTION_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -30,6 +38,17 @@
     hash: u64,
     /// Whether its own reads of the platform fail.
     platform_unreachable: bool,
+    /// When this host itself last heard it.
+    direct: Option<Instant>,
+    /// When it was sent the oldest message that it has not answered.
+    asked: Option<Instant>,
+}
+
+impl MemberRecord {
+    fn is_silent(&self, now: Instant) -> bool {
+        let waited = self.asked.map(|at| now.saturating_duration_since(at));
+        waited.is_some_and(|waited| (REPLY_TIMEOUT..SILENCE_RETENTION).contains(&waited))
+    }
 }
 
 /// The members known to one host, without the host itself.
@@ -84,6 +103,8 @@
             added: now,
             hash: name_hash(&member.name),
             platform_unreachable: false,
+            direct: None,
+            asked: None,
         };
         self.digest.take();
         self.records.insert(member.name.clone(), record);
@@ -101,9 +122,47 @@
     pub(crate) fn mark_heard(&mut self, name: &HostName, now: Instant) {
         if let Some(record) = self.records.get_mut(name) {
             record.heard = record.heard.max(now);
+            record.direct = Some(now);
+            record.asked = None;
+        }
+    }
+
+    /// Records that `name` was sent a message that it has to answer.
+    pub(crate) fn mark_asked(&mut self, name: &HostName, now: Instant) {
+        if let Some(record) = self.records.get_mut(name) {
+            let since = record
+                .asked
+                .filter(|at| now.saturating_duration_since(*at) < SILENCE_RETENTION);
+            record.asked = since.or(Some(now));
+        }
+    }
+
+    /// Forgets which messages are unanswered.
+    pub(crate) fn clear_asked(&mut self) {
+        for record in self.records.values_mut() {
+            record.asked = None;
         }
     }
 
+    /// Whether a member has left a message of this host unanswered for [`REPLY_TIMEOUT`].
+    pub(crate) fn is_silent(&self, name: &HostName, now: Instant) -> bool {
+        let record = self.records.get(name);
+        record.is_some_and(|record| record.is_silent(now))
+    }
+
+    /// Whether any member is silent.
+    pub(crate) fn has_silent(&self, now: Instant) -> bool {
+        self.records.values().any(|record| record.is_silent(now))
+    }
+
+    /// Whether a message to a member is unanswered, or this host has heard it within `period`.
+    pub(crate) fn is_in_contact(&self, name: &HostName, period: Duration, now: Instant) -> bool {
+        self.records.get(name).is_some_and(|record| {
+            let recent = |at: Instant| now.saturating_duration_since(at) < period;
+            record.asked.is_some() || record.direct.is_some_and(recent)
+        })
+    }
+
     /// Records whether the reads of a member from the platform fail, as it reported.
     pub(crate) fn record_platform_unreachable(&mut self, name: &HostName, unreachable: bool) {
         if let Some(record) = self.records.get_mut(name) {
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -2,12 +2,14 @@
 //! freshness.
 
 use kws_membership::{
-    CheckedTree, FleetAction, FleetProtocol, MeshView, TreeChecker, TreeRejection,
+    CheckedTree, FleetAction, FleetProtocol, HostCandidate, MeshView, TreeChecker, TreeRejection,
+    rank_hosts,
 };
 use kws_protocol::{
     FleetSettings, FreshnessSettings, HostList, HostName, MeshMember, MeshMessage, PeerMessage,
     PublishedValues, TreeRevision,
 };
+use rstest::rstest;
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -21,6 +23,8 @@
 const MAX_LISTED: usize = 110;
 const STEP: Duration = Duration::from_millis(20);
 const READ_PERIOD: Duration = Duration::from_millis(500);
+/// The shortest time in which a change must be in force on every host.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
 
 struct TestChecker;
 
@@ -75,6 +79,8 @@
     isolated: BTreeSet<usize>,
     /// Hosts that exchange messages with each other only, and can't read.
     cut_off: BTreeSet<usize>,
+    /// Hosts that are suspended: they do nothing, and messages to them are lost.
+    suspended: BTreeSet<usize>,
     in_flight: Vec<(usize, HostName, PeerMessage)>,
     /// Members sent in lists.
     listed: usize,
@@ -93,6 +99,7 @@
             failing_reads: BTreeSet::new(),
             isolated: BTreeSet::new(),
             cut_off: BTreeSet::new(),
+            suspended: BTreeSet::new(),
             in_flight: Vec::new(),
             listed: 0,
             reads: 0,
@@ -201,12 +208,18 @@
             if self.cut_off.contains(&sender) != self.cut_off.contains(&target) {
                 continue;
             }
+            if self.suspended.contains(&target) {
+                continue;
+            }
             let host = self.hosts.get_mut(&target).expect("a host");
             let actions = host.view.receive(&from, message, now);
             self.carry_out(target, actions);
         }
         let numbers: Vec<usize> = self.hosts.keys().copied().collect();
         for number in numbers {
+            if self.suspended.contains(&number) {
+                continue;
+            }
             self.read(number, now);
             let host = self.hosts.get_mut(&number).expect("a host");
             let actions = host.view.tick(now);
@@ -221,6 +234,36 @@
         }
     }
 
+    /// The hosts in the order in which they read the platform.
+    fn reader_order(&self) -> Vec<usize> {
+        let candidates = self.hosts.values().map(|host| HostCandidate {
+            name: &host.name,
+            millicores: 200,
+        });
+        let order = rank_hosts("reader", 200, candidates);
+        let number = |name: &HostName| {
+            let found = self.hosts.iter().find(|(_, host)| host.name == *name);
+            found.map(|(number, _)| *number)
+        };
+        order.into_iter().filter_map(number).collect()
+    }
+
+    /// Runs until all hosts that aren't suspended hold the newest values. Returns how long it took.
+    async fn run_until_newest(&mut self) -> Duration {
+        let start = Instant::now();
+        let holds = |mesh: &Self| {
+            let mut hosts = mesh.hosts.iter();
+            hosts.all(|(number, host)| {
+                mesh.suspended.contains(number)
+                    || host.view.revision() >= TreeRevision(mesh.revision)
+            })
+        };
+        while !holds(self) && start.elapsed() < Duration::from_secs(30) {
+            self.step().await;
+        }
+        start.elapsed()
+    }
+
     fn members(&self, number: usize) -> usize {
         self.hosts[&number].view.members(Instant::now()).len()
     }
@@ -344,6 +387,42 @@
     assert!((0..12).all(|number| mesh.current(number)));
 }
 
+/// Guards against hosts that go on with withdrawn values while their readers are suspended (review,
+/// case 2): the others adopt a change within the time in which it must be in force.
+#[rstest]
+#[case::small_region(6, 2)]
+#[case::large_region(40, 2)]
+#[case::standby_hosts_too(40, 4)]
+#[case::many_hosts(40, 12)]
+#[tokio::test(start_paused = true)]
+async fn suspended_readers(#[case] hosts: usize, #[case] suspended: usize) {
+    for phase in 0..4 {
+        let mut mesh = TestMesh::new(hosts);
+        mesh.run(Duration::from_secs(6) + Duration::from_millis(250) * phase)
+            .await;
+        mesh.suspended = mesh.reader_order().into_iter().take(suspended).collect();
+        mesh.step().await;
+        mesh.publish("a", Some("2"));
+        let needed = mesh.run_until_newest().await;
+        assert!(needed < IN_FORCE, "{needed:?} in phase {phase}");
+    }
+}
+
+/// A host that replies late once is not replaced as a reader for long.
+#[tokio::test(start_paused = true)]
+async fn resumed_readers() {
+    let mut mesh = TestMesh::new(12);
+    mesh.run(Duration::from_secs(6)).await;
+    let readers: BTreeSet<usize> = mesh.reader_order().into_iter().take(2).collect();
+    mesh.suspended.clone_from(&readers);
+    mesh.run(Duration::from_secs(2)).await;
+    mesh.suspended.clear();
+    mesh.run(Duration::from_secs(3)).await;
+    mesh.read_by.clear();
+    mesh.run(Duration::from_secs(3)).await;
+    assert_eq!(mesh.read_by, readers);
+}
+
 #[tokio::test(start_paused = true)]
 async fn lease_in_outage() {
     let mut mesh = TestMesh::new(12);
