A prefix that ends with a slash no longer matches the path without it

Cause: PathTable::insert cut slashes off the end of prefixes, so that both forms were one key, and the lookup offers the whole path first.

Evidence: on the code before, three cases of route_choice::slash_at_end failed: without_slash, first_segment, both_forms.

Why it works: prefixes are kept as written, and the lookup offers each prefix of the path with and without its last slash, longest first. A prefix without a slash at its end matches as before.

--- a/crates/kws-forward/src/route.rs
+++ b/crates/kws-forward/src/route.rs
@@ -13,7 +13,8 @@
     by_host: HashMap<String, PathTable>,
 }
 
-/// Routes of one host name by path prefix, without trailing slashes.
+/// Routes of one host name by path prefix. A prefix that ends with a slash matches the paths that
+/// begin with it; any other matches that path and those below it.
 #[derive(Debug, Default)]
 struct PathTable(HashMap<String, Vec<RouteEntry>>);
 
@@ -51,7 +52,7 @@
 
 impl PathTable {
     fn insert(&mut self, route: &RouteSettings) {
-        let prefix = route.path.trim_end_matches('/').to_owned();
+        let prefix = route.path.clone();
         self.0.entry(prefix).or_default().push(RouteEntry {
             name: route.name.clone(),
             methods: route.methods.clone(),
@@ -67,9 +68,11 @@
     }
 }
 
-/// Yields the path and then each of its prefixes that ends before a slash, longest first.
+/// Yields the path and then each of its prefixes that ends with a slash or before one, longest
+/// first.
 fn prefixes(path: &str) -> impl Iterator<Item = &str> {
-    successors(Some(path), |longer| {
-        longer.rfind('/').map(|slash| &longer[..slash])
+    successors(Some(path), |longer| match longer.strip_suffix('/') {
+        Some(shorter) => Some(shorter),
+        None => longer.rfind('/').map(|slash| &longer[..=slash]),
     })
 }
--- a/crates/kws-forward/tests/route_choice.rs
+++ b/crates/kws-forward/tests/route_choice.rs
@@ -40,3 +40,30 @@
     let found = view.route(host, path, method);
     assert_eq!(found.map(|route| route.name.as_str()), name);
 }
+
+/// Guards against a path that takes the route of a longer prefix which doesn't begin it (review,
+/// case 4): a prefix that ends with a slash leaves out the path without that slash.
+#[rstest]
+#[case::below("/rows/ripe/4", Some("ripe"))]
+#[case::with_slash("/rows/ripe/", Some("ripe"))]
+#[case::without_slash("/rows/ripe", Some("rows"))]
+#[case::first_segment("/rows", None)]
+#[case::longer_segment("/rows/ripening", Some("rows"))]
+#[case::both_forms("/shop", Some("shop"))]
+#[case::longer_form("/shop/", Some("counter"))]
+fn slash_at_end(#[case] path: &str, #[case] name: Option<&str>) {
+    let named = |path: &str, name: &str| {
+        route(path, |route| {
+            route.name = kws_protocol::RouteName::new(name);
+        })
+    };
+    let settings = settings([
+        named("/rows/", "rows"),
+        named("/rows/ripe/", "ripe"),
+        named("/shop", "shop"),
+        named("/shop/", "counter"),
+    ]);
+    let view = RoutingView::new(snapshot(settings));
+    let found = view.route("any.test", path, "GET");
+    assert_eq!(found.map(|route| route.name.as_str()), name);
+}
--- a/crates/kws-tree/src/schema/route.rs
+++ b/crates/kws-tree/src/schema/route.rs
@@ -72,7 +72,7 @@
                 "path",
                 ValueKind::Path,
                 Required,
-                "The path prefix that it serves, on whole segments.",
+                "The path prefix that it serves, on whole segments. One that ends with a slash does not serve the path without it.",
             ),
         ),
         value(
