Silence of the readers is no outage of the platform

Cause: beside the late takeover, any first answer after 4 s without a confirmation counted as the end of an outage, and values missing in it were kept for 2 s.

Why it works: an outage now needs failed reads, this host's or a peer's, over 1 s or more. Real outages still count: expired_values, outage_seen_by_peers.

--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -76,6 +76,8 @@
     platform_sent: Option<Instant>,
     /// Whether the last read of the platform failed.
     platform_unreachable: bool,
+    /// Since when reads of this host or of peers have failed; none while they succeed.
+    failing_since: Option<Instant>,
     /// When a read last failed; the start time if none did.
     failed_at: Instant,
     /// When this host starts to read the platform if it has found no peer.
@@ -128,6 +130,7 @@
             first_current: None,
             platform_sent: None,
             platform_unreachable: false,
+            failing_since: None,
             failed_at: now,
             lone_read_at,
             grace_end: None,
@@ -196,12 +199,17 @@
     ) {
         self.table
             .record_platform_unreachable(from, view.platform_unreachable);
+        if view.platform_unreachable {
+            self.record_failing_reads(now);
+        }
         if view.digest == self.values.digest() && view.digest != 0 {
             self.values.raise_revision(view.revision);
             let heard = asked
                 .zip(view.confirmed_age)
                 .and_then(|(asked, age)| asked.checked_sub(age));
-            self.confirmed = self.confirmed.max(heard);
+            if let Some(heard) = heard {
+                self.record_confirmation(heard);
+            }
             let current = heard.filter(|_| view.current);
             self.first_current = self.first_current.or(current);
             return;
@@ -391,6 +399,7 @@
         self.counters.failed_platform += 1;
         let mut actions = Vec::new();
         self.failed_at = now;
+        self.record_failing_reads(now);
         if !self.platform_unreachable {
             // Another host must take over, so all of the region are notified immediately.
             self.platform_unreachable = true;
--- a/crates/kws-membership/src/mesh/platform.rs
+++ b/crates/kws-membership/src/mesh/platform.rs
@@ -5,21 +5,43 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Without a confirmed read for this long, the platform counts as having had an outage, and entries
-/// in it may have expired meanwhile.
+/// Without a confirmed read for this long although hosts tried, the platform counts as having had
+/// an outage, and entries in it may have expired meanwhile.
 const OUTAGE_THRESHOLD: Duration = Duration::from_secs(4);
 
+/// How long reads must have failed for an outage. A read that is pending while the process is
+/// suspended fails when it resumes, and the next one succeeds at once.
+const MIN_FAILURE_TIME: Duration = Duration::from_secs(1);
+
 /// How long missing values are kept after an outage: entries that expired during it are restored
 /// within 2 s of the recovery, or are gone for good.
 const OUTAGE_GRACE: Duration = Duration::from_secs(2);
 
 impl MeshView {
+    /// Records that a read of this host or of a peer failed.
+    pub(super) fn record_failing_reads(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Records that the platform confirmed the active values in a read sent at `sent`.
+    pub(super) fn record_confirmation(&mut self, sent: Instant) {
+        self.confirmed = self.confirmed.max(Some(sent));
+        self.failing_since = self.failing_since.filter(|since| *since > sent);
+    }
+
+    /// Whether the platform was away: reads have failed, and none has succeeded for
+    /// [`OUTAGE_THRESHOLD`]. The silence of the hosts that read says nothing about the platform.
+    fn had_outage(&self, now: Instant) -> bool {
+        let exceeds = |at: Option<Instant>, limit| {
+            at.is_some_and(|at| now.saturating_duration_since(at) > limit)
+        };
+        exceeds(self.confirmed, OUTAGE_THRESHOLD) && exceeds(self.failing_since, MIN_FAILURE_TIME)
+    }
+
     /// Detects the end of a platform outage. For [`OUTAGE_GRACE`] from the first answer on, values
     /// that have disappeared are kept.
     pub(super) fn detect_recovery(&mut self, now: Instant) {
-        let confirmed = self.confirmed;
-        let had_outage =
-            confirmed.is_some_and(|at| now.saturating_duration_since(at) > OUTAGE_THRESHOLD);
+        let had_outage = self.had_outage(now);
         if had_outage && self.grace_end.is_none() {
             log::info!(age_ms = self.confirmed_age_ms(now); "platform reachable again");
             self.grace_end = Some(now + OUTAGE_GRACE);
@@ -80,7 +102,7 @@
             self.push(now, &mut actions);
         }
         if digest == self.values.digest() {
-            self.confirmed = self.confirmed.max(Some(sent));
+            self.record_confirmation(sent);
             self.first_current.get_or_insert(sent);
         }
         self.drive(now, actions)
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -486,6 +486,57 @@
     assert!(mesh.all_hold_newest(), "removed after 2 s");
 }
 
+/// Guards against a removed value that is kept although the store never failed (review, case 5):
+/// hosts that were suspended, so that nobody read, take its removal at once. A read that was pending
+/// meanwhile may have failed.
+#[rstest]
+#[case::lone_host(1, false)]
+#[case::whole_region(6, false)]
+#[case::pending_read(1, true)]
+#[case::pending_reads(6, true)]
+#[tokio::test(start_paused = true)]
+async fn removed_while_suspended(#[case] hosts: usize, #[case] pending: bool) {
+    let mut mesh = TestMesh::new(hosts);
+    mesh.publish("b", Some("1"));
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.suspended = (0..hosts).collect();
+    mesh.run(Duration::from_secs(5)).await;
+    mesh.publish("b", None);
+    mesh.suspended.clear();
+    if pending {
+        mesh.failing_reads = (0..hosts).collect();
+        mesh.step().await;
+        mesh.failing_reads.clear();
+    }
+    mesh.run(Duration::from_secs(1)).await;
+    assert!(mesh.all_hold_newest());
+    assert!(
+        mesh.hosts
+            .values()
+            .all(|host| host.adopted.last() == Some(&mesh.revision))
+    );
+}
+
+/// A host that did not see the outage itself, but heard of it, keeps values that disappeared.
+#[tokio::test(start_paused = true)]
+async fn outage_seen_by_peers() {
+    let mut mesh = TestMesh::new(12);
+    mesh.publish("b", Some("1"));
+    mesh.run(Duration::from_secs(6)).await;
+    let readers: Vec<usize> = mesh.reader_order().into_iter().take(2).collect();
+    mesh.failing_reads = (0..12).collect();
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.publish("b", None);
+    mesh.suspended = readers.iter().copied().collect();
+    mesh.failing_reads.clear();
+    let before: Vec<usize> = mesh.hosts.values().map(|host| host.adopted.len()).collect();
+    mesh.run(Duration::from_millis(1_500)).await;
+    let after: Vec<usize> = mesh.hosts.values().map(|host| host.adopted.len()).collect();
+    assert_eq!(after, before, "kept for 2 s");
+    let needed = mesh.run_until_newest().await;
+    assert!(needed < Duration::from_secs(3), "{needed:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn rejected_values() {
     let mut mesh = TestMesh::new(4);
