--- a/crates/kws-daemon/src/placement/owners.rs
+++ b/crates/kws-daemon/src/placement/owners.rs
@@ -70,7 +70,8 @@
     let needs = services.map(|(name, service)| {
         let mut needed: HashMap<RegionName, u32> = HashMap::new();
         for server in service.servers.values() {
-            *needed.entry(server.region.clone()).or_default() += server.slots * SLOT_MILLICORES;
+            let millicores = needed.entry(server.region.clone()).or_default();
+            *millicores = millicores.saturating_add(server.slots.saturating_mul(SLOT_MILLICORES));
         }
         (name.clone(), needed)
     });
