Soak: stops in series under load, as whole processes

Callers keep connections open, idle for up to 4 s, and send bodies in parts; servers shed requests and repeat their refusals, which the stand-in learns; configurations change, and stopping hosts get further signals.

--- a/crates/kws-standin/src/backend/answer.rs
+++ b/crates/kws-standin/src/backend/answer.rs
@@ -38,7 +38,11 @@
     match script.fault {
         BackendFault::CutHead => return Ok(AfterAnswer::Close),
         BackendFault::SilentHead => return pending().await,
-        BackendFault::NotRun => return write_shed(writer, script, subject).await,
+        BackendFault::NotRun => {
+            let answer = shed_answer(script, subject);
+            writer.write_all(answer.as_bytes()).await?;
+            return Ok(AfterAnswer::Reuse);
+        }
         _ => {}
     }
     writer.write_all(head(script, subject).as_bytes()).await?;
@@ -55,14 +59,8 @@
     }
 }
 
-async fn write_shed<W>(
-    writer: &mut W,
-    script: &BackendScript,
-    subject: &AnswerSubject,
-) -> io::Result<AfterAnswer>
-where
-    W: AsyncWrite + Unpin,
-{
+/// The refusal of a request that is shed.
+pub(crate) fn shed_answer(script: &BackendScript, subject: &AnswerSubject) -> String {
     let mut answer = "HTTP/1.1 503 Service Unavailable\r\n".to_owned();
     answer.push_str("knapweedseam-run: not run\r\ncontent-length: 0\r\n");
     if script.echo_id {
@@ -72,8 +70,7 @@
         let _ = write!(answer, "{name}: {value}\r\n");
     }
     answer.push_str("\r\n");
-    writer.write_all(answer.as_bytes()).await?;
-    Ok(AfterAnswer::Reuse)
+    answer
 }
 
 fn head(script: &BackendScript, subject: &AnswerSubject) -> String {
--- a/crates/kws-standin/src/backend/script.rs
+++ b/crates/kws-standin/src/backend/script.rs
@@ -53,6 +53,9 @@
     Wrong,
     /// Requests are shed, with the promise that they did not run.
     NotRun,
+    /// Each second request on a connection is shed, and its refusal is written once more before the
+    /// next answer.
+    RepeatedRefusal,
     /// The answer comes before the request's body is read, and the connection ends.
     Early,
 }
--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -1,7 +1,7 @@
 //! The listener of a backend server.
 
 use super::{
-    answer::{AfterAnswer, AnswerSubject, write_answer},
+    answer::{AfterAnswer, AnswerSubject, shed_answer, write_answer},
     request::{SeenRequest, read_body, read_head},
     script::{BackendFault, BackendScript},
 };
@@ -138,8 +138,16 @@
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.split();
     let mut reader = BufReader::new(reader);
+    let mut refusal = None;
     while let Some(mut request) = read_head(&mut reader).await? {
-        let script = lock(&state.script).clone();
+        let mut script = lock(&state.script).clone();
+        let repeats = script.fault == BackendFault::RepeatedRefusal;
+        if repeats {
+            script.fault = match &refusal {
+                None => BackendFault::NotRun,
+                Some(_) => BackendFault::None,
+            };
+        }
         request.connection = connection;
         request.fault = script.fault;
         let index = state.note(request.clone());
@@ -153,6 +161,12 @@
             continue;
         }
         let subject = state.subject(&script, &request).await;
+        if repeats {
+            match refusal.take() {
+                None => refusal = Some(shed_answer(&script, &subject)),
+                Some(copy) => writer.write_all(String::as_bytes(&copy)).await?,
+            }
+        }
         if write_answer(&mut writer, &script, &subject).await? == AfterAnswer::Close {
             return writer.shutdown().await;
         }
--- a/crates/kws-standin/src/caller.rs
+++ b/crates/kws-standin/src/caller.rs
@@ -101,7 +101,23 @@
     /// # Errors
     /// When the connection ends before the answer does.
     pub async fn exchange(&mut self, request: &str) -> io::Result<CallerAnswer> {
-        self.stream.write_all(request.as_bytes()).await?;
+        self.send(request).await?;
+        self.receive().await
+    }
+
+    /// Sends a request or a part of one.
+    ///
+    /// # Errors
+    /// When the connection has ended.
+    pub async fn send(&mut self, text: &str) -> io::Result<()> {
+        self.stream.write_all(text.as_bytes()).await
+    }
+
+    /// Reads an answer, which must state its length.
+    ///
+    /// # Errors
+    /// When the connection ends before the answer does.
+    pub async fn receive(&mut self) -> io::Result<CallerAnswer> {
         let mut answer = CallerAnswer::default();
         while !(answer.text.contains("\r\n\r\n") && answer.is_whole()) {
             let count = self.stream.read(&mut self.buffer).await?;
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -10,10 +10,16 @@
 mod fault;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/kept_caller.rs"]
+mod kept_caller;
 #[path = "soak/promise.rs"]
 mod promise;
 #[path = "soak/relay.rs"]
 mod relay;
+#[path = "soak/seeds.rs"]
+mod seeds;
+#[path = "soak/stop_series.rs"]
+mod stop_series;
 #[path = "../platform/tests/common/store.rs"]
 mod store;
 
@@ -22,7 +28,8 @@
 use fleet::SoakFleet;
 use promise::broken_promises;
 use rstest::rstest;
-use std::{env, ops::Range, time::Duration};
+use seeds::seeds;
+use std::{env, time::Duration};
 use tokio::time::sleep;
 
 const HOSTS: usize = 4;
@@ -118,6 +125,24 @@
     assert!(cut.is_empty(), "{cut:#?}");
 }
 
+/// Hosts stop in turn, also before the previous one has ended, while callers keep their connections
+/// open and send their bodies in parts.
+#[rstest]
+#[case(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn short_stops(#[case] seed: u64) {
+    stop_series::keep_requests(seed, 3).await;
+}
+
+/// Many seeds of stops, by hand.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; run by hand"]
+async fn long_stops() {
+    for seed in seeds() {
+        stop_series::keep_requests(seed, 8).await;
+    }
+}
+
 /// Many seeds, by hand.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes minutes; run by hand"]
@@ -127,9 +152,3 @@
         keep_promises(seed, Duration::from_secs(seconds)).await;
     }
 }
-
-fn seeds() -> Range<u64> {
-    let text = env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..51".to_owned());
-    let (first, end) = text.split_once("..").expect("two numbers");
-    first.parse().expect("a seed")..end.parse().expect("a seed")
-}
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -103,15 +103,18 @@
             .lock()
             .expect("callers don't panic")
             .push(outcome);
-        let closes = |answer: &CallerAnswer| {
-            answer
-                .header("connection")
-                .is_some_and(|text| text.eq_ignore_ascii_case("close"))
-        };
-        answer.filter(|answer| !closes(answer)).map(|_| connection)
+        let kept = answer.filter(|answer| !is_closing(answer));
+        kept.map(|_| connection)
     }
 }
 
+/// Whether a response announces that its connection closes.
+pub fn is_closing(answer: &CallerAnswer) -> bool {
+    answer
+        .header("connection")
+        .is_some_and(|text| text.eq_ignore_ascii_case("close"))
+}
+
 fn request(id: &str, once: bool) -> String {
     let line = if once {
         "POST /pay/slot"
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -163,12 +163,13 @@
     }
 
     fn draw_answer(&mut self) -> BackendFault {
-        match self.rng.random_range(0..6) {
+        match self.rng.random_range(0..7) {
             0 => BackendFault::CutHead,
             1 => BackendFault::CutBody(20),
             2 => BackendFault::SilentHead,
             3 => BackendFault::SilentBody(20),
             4 => BackendFault::ExtraBytes,
+            5 => BackendFault::RepeatedRefusal,
             _ => BackendFault::NotRun,
         }
     }
@@ -290,7 +291,7 @@
         fault,
         headers: [("Not-Executed".to_owned(), "1".to_owned())]
             .into_iter()
-            .filter(|_| fault == BackendFault::NotRun)
+            .filter(|_| matches!(fault, BackendFault::NotRun | BackendFault::RepeatedRefusal))
             .collect(),
         delay_ms: 5,
         id_header: "request-id".to_owned(),
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -227,8 +227,11 @@
     }
 }
 
+/// Starts the daemon of this build, or the one that `SOAK_DAEMON` names.
 fn start_process(settings: &std::path::Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_knapweedseamd"))
+    let own = env!("CARGO_BIN_EXE_knapweedseamd");
+    let daemon = std::env::var("SOAK_DAEMON").unwrap_or_else(|_| own.to_owned());
+    Command::new(daemon)
         .args(["--workers", "1", "--settings"])
         .arg(settings)
         .stdout(Stdio::null())
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -14,7 +14,7 @@
 /// The routes' timeout, and half a second to say so.
 const LATEST_ANSWER: Duration = Duration::from_secs(3);
 /// Statuses that promise that the request did not run and never will.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// The size of a server's body, in bytes.
 const BODY_BYTES: usize = 64;
 
