--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -183,7 +183,7 @@
     })
 }
 
-/// The channels by which a listener is told to stop and tells its workers.
+/// The channels by which a listener receives its stop and passes it on to its workers.
 struct StopSignals {
     stop: oneshot::Receiver<()>,
     phase: watch::Sender<StopPhase>,
