A refusal is passed on as a promise only if the server made it

Callers saw: a backend server's 408, 421, 429 or 503 without the header that says 'not run' reached them unchanged. They take these statuses for the promise that the request did not run, also on routes whose requests must not be repeated, and send a request again that may have run (REFUSED).

Cause: the host holds its own refusals to the promise, not those of servers.

Why it works: such an answer counts as broken for a request that must not be repeated, 502 with an unknown outcome; other routes and statuses are passed on as before (passed_on).

--- a/crates/kws-forward/src/response.rs
+++ b/crates/kws-forward/src/response.rs
@@ -42,6 +42,10 @@
         guard.finish(class);
         return Err(TryError::failed(TryFailure::ServerNotRun));
     }
+    if matches && !is_repeatable(context) && implies_not_run(response.status()) {
+        guard.finish(TryClass::Failed);
+        return Err(TryError::failed(TryFailure::BadAnswer));
+    }
     let checked = check_response(context, response);
     let Some((headers, framing)) = checked.ok().filter(|_| matches) else {
         guard.finish(TryClass::Failed);
@@ -134,6 +138,23 @@
     }
 }
 
+fn is_repeatable(context: TryContext<'_>) -> bool {
+    let method = context.parts.method.as_str();
+    context.route.is_repeatable(method)
+}
+
+/// Whether callers take a status for the promise that the request did not run. A server makes this
+/// promise with the agreed header only; without it, a request that must not be repeated may have run.
+fn implies_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// The class of a response that states that the server did not run the request, if it does.
 fn not_run_class(dialect: &HeaderDialect, response: &ClientResponse) -> Option<TryClass> {
     let status = response.status();
