A stopping host announces the close of connections from the signal on

Callers saw, since idle connections are closed at a stop: a request sent on a kept connection just as the host closed it, unread.

Cause: responses announced the close only from the end of the drain lag on, the moment at which idle connections are closed, so that connections of busy callers were among them.

Why it works: with the announcement at the signal, a connection that is used within the drain lag is left by its caller; only those idle for all of it are closed. daemon_processes::announced_close holds it; on the code before, its second response would carry no such header, as drain() came after the lag (not run there).

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -119,14 +119,15 @@
     }
 
     /// Stops in order: turns readiness off, keeps serving for the drain lag while the load balancer
-    /// notices, returns the loans, then waits for all requests in flight. From the end of the drain
+    /// notices, with responses that close their connections, returns the loans, then waits for all requests in flight. From the end of the drain
     /// lag on, requests that may not end within the grace period are refused.
     pub async fn stop(self) {
         let end = Instant::now() + self.settings.grace.saturating_sub(EXIT_RESERVE);
         self.shared.stopping.store(true, Ordering::Release);
         log::info!("stopping");
-        sleep(self.drain_lag).await;
+        // Callers in use of a connection leave it before the stop closes the idle ones.
         self.listener.drain();
+        sleep(self.drain_lag).await;
         let _ = self.ledger.send(LedgerEvent::Stop).await;
         self.listener.stop_before(end).await;
         log::info!("stopped");
--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -5,6 +5,7 @@
 use kws_standin::{
     PlatformMode, PlatformService,
     backend::{BackendHandle, BackendScript, BackendServer},
+    caller::CallerConnection,
 };
 use rstest::rstest;
 use serde::Deserialize;
@@ -421,6 +422,27 @@
     assert!(errors.is_empty(), "{errors:#?}");
 }
 
+/// A stopping host announces on each response that it closes the connection, from the signal on: callers
+/// that use a connection leave it before the host closes those that are idle.
+#[tokio::test]
+async fn announced_close() {
+    let mut fleet = TestFleet::start_with(1, false).await;
+    fleet.wait_admitted().await;
+    let listen = fleet.daemons[0].listen;
+    let mut connection = CallerConnection::connect(listen).await.expect("connects");
+    let request = "GET /unknown HTTP/1.1\r\nhost: farm.test\r\n\r\n";
+    let before = connection.exchange(request).await.expect("an answer");
+    assert_eq!((before.status(), before.header("connection")), (404, None));
+    fleet.daemons[0].signal("-TERM");
+    // Well within the drain lag of a second.
+    sleep(Duration::from_millis(300)).await;
+    let after = connection.exchange(request).await.expect("an answer");
+    assert_eq!(
+        (after.status(), after.header("connection")),
+        (404, Some("close"))
+    );
+}
+
 /// Each request leaves its tries and its end in the log, under its name, and the fields of the lines
 /// are those that the operators' page lists.
 #[tokio::test]
