--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -426,7 +426,7 @@
 /// that use a connection leave it before the host closes those that are idle.
 #[tokio::test]
 async fn announced_close() {
-    let mut fleet = TestFleet::start_with(1, false).await;
+    let fleet = TestFleet::start_with(1, false).await;
     fleet.wait_admitted().await;
     let listen = fleet.daemons[0].listen;
     let mut connection = CallerConnection::connect(listen).await.expect("connects");
