--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -2,7 +2,8 @@
 //! callers and backend servers saw.
 //!
 //! By hand, fifty seeds of ten seconds: `SOAK_SEEDS=1..51 SOAK_SECONDS=10 cargo test --release
-//! --test fault_soak -- --ignored --nocapture`.
+//! --test fault_soak long_soak -- --ignored --nocapture`; `long_stops` takes fifty seeds of stops.
+//! `SOAK_DAEMON` names the daemon of another build.
 
 #[path = "soak/caller.rs"]
 mod caller;
