Hosts stop to ask for readers once one has answered

Seen in reading the change: while half of a region's hosts are silent, each of the others asked all that it had not heard in the last second, again each second.

--- a/crates/kws-membership/src/mesh/readers.rs
+++ b/crates/kws-membership/src/mesh/readers.rs
@@ -82,21 +82,29 @@
     }
 
     /// The hosts to ask because others of a better rank than this host are silent:
-    /// [`ASKED_PER_SILENT`] for each, so that even a row of silent hosts is passed in a few steps.
+    /// [`ASKED_PER_SILENT`] for each, so that even a row of silent hosts is passed in a few steps. None
+    /// once a host that reads instead has answered.
     pub(super) fn next_readers(&self, now: Instant) -> Vec<HostName> {
         if !self.table.has_silent(now) {
             return Vec::new();
         }
         let own = &self.table.own().name;
+        let answering: Vec<HostName> = self
+            .reader_order(now)
+            .filter(|name| !self.table.is_silent(name, now))
+            .collect();
+        let has_answered =
+            |name: &HostName| name == own || self.table.was_heard(name, HEARTBEAT_INTERVAL, now);
+        if answering.first().is_none_or(has_answered) {
+            return Vec::new();
+        }
         let ranked = self.rank_readers(now);
         let ahead = ranked.iter().take_while(|name| *name != own);
         let silent = ahead.filter(|name| self.table.is_silent(name, now)).count();
-        let answering = self
-            .reader_order(now)
-            .filter(|name| name != own && !self.table.is_silent(name, now));
         answering
+            .into_iter()
             .take(ASKED_PER_SILENT * silent)
-            .filter(|name| !self.table.is_in_contact(name, HEARTBEAT_INTERVAL, now))
+            .filter(|name| !has_answered(name) && !self.table.is_asked(name))
             .collect()
     }
 
--- a/crates/kws-membership/src/mesh/table.rs
+++ b/crates/kws-membership/src/mesh/table.rs
@@ -155,12 +155,16 @@
         self.records.values().any(|record| record.is_silent(now))
     }
 
-    /// Whether a message to a member is unanswered, or this host has heard it within `period`.
-    pub(crate) fn is_in_contact(&self, name: &HostName, period: Duration, now: Instant) -> bool {
-        self.records.get(name).is_some_and(|record| {
-            let recent = |at: Instant| now.saturating_duration_since(at) < period;
-            record.asked.is_some() || record.direct.is_some_and(recent)
-        })
+    /// Whether a message to a member is unanswered.
+    pub(crate) fn is_asked(&self, name: &HostName) -> bool {
+        let record = self.records.get(name);
+        record.is_some_and(|record| record.asked.is_some())
+    }
+
+    /// Whether this host itself has heard a member within `period`.
+    pub(crate) fn was_heard(&self, name: &HostName, period: Duration, now: Instant) -> bool {
+        let heard = self.records.get(name).and_then(|record| record.direct);
+        heard.is_some_and(|at| now.saturating_duration_since(at) < period)
     }
 
     /// Records whether the reads of a member from the platform fail, as it reported.
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -21,6 +21,8 @@
 const LEASE: Duration = Duration::from_secs(3);
 /// Members in lists a second and host: a third of what a host may send, 23 KB/s, at 70 bytes a member.
 const MAX_LISTED: usize = 110;
+/// Heartbeats a second and host: a quarter of what a host may send, 23 KB/s, at 700 bytes a reply.
+const MAX_HEARTBEATS: f64 = 8.0;
 const STEP: Duration = Duration::from_millis(20);
 const READ_PERIOD: Duration = Duration::from_millis(500);
 /// The shortest time in which a change must be in force on every host.
@@ -84,6 +86,7 @@
     in_flight: Vec<(usize, HostName, PeerMessage)>,
     /// Members sent in lists.
     listed: usize,
+    heartbeats: usize,
     reads: usize,
     /// Hosts that have read the store.
     read_by: BTreeSet<usize>,
@@ -102,6 +105,7 @@
             suspended: BTreeSet::new(),
             in_flight: Vec::new(),
             listed: 0,
+            heartbeats: 0,
             reads: 0,
             read_by: BTreeSet::new(),
             starts: 0,
@@ -174,6 +178,9 @@
                     if let PeerMessage::Mesh(MeshMessage::Members(members)) = &message {
                         self.listed += members.len();
                     }
+                    if matches!(message, PeerMessage::Mesh(MeshMessage::Heartbeat { .. })) {
+                        self.heartbeats += 1;
+                    }
                     self.in_flight.push((number, to, message));
                 }
                 FleetAction::SetContacts(hosts) => {
@@ -408,6 +415,19 @@
     }
 }
 
+/// Half of a region's hosts fall silent: the others ask only until they know who reads.
+#[tokio::test(start_paused = true)]
+async fn silent_half() {
+    let mut mesh = TestMesh::new(60);
+    mesh.run(Duration::from_secs(6)).await;
+    mesh.suspended = (0..30).collect();
+    let before = mesh.heartbeats;
+    let time = Duration::from_secs(4);
+    mesh.run(time).await;
+    let rate = (mesh.heartbeats - before) as f64 / 30.0 / time.as_secs_f64();
+    assert!(rate < MAX_HEARTBEATS, "{rate} heartbeats a second and host");
+}
+
 /// A host that replies late once is not replaced as a reader for long.
 #[tokio::test(start_paused = true)]
 async fn resumed_readers() {
