A stop keeps a second of the grace for the process's own exit

Cause: a request that arrives at the end of what a stopping host accepts was served if its time limit ended 250 ms before the grace did. The HTTP server takes up to 750 ms to stop after the last response.

Why it works: what is accepted now ends 1 s before the grace does.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -32,8 +32,9 @@
     time::{Instant, sleep},
 };
 
-/// The end of the grace period that is kept for the last responses and the process's own exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(250);
+/// The end of the grace period that is kept for the process's own exit: the HTTP server takes up to
+/// 750 ms to stop once the last response has ended.
+const EXIT_RESERVE: Duration = Duration::from_secs(1);
 /// Capacity of the channel of platform events.
 const PLATFORM_EVENTS_CAPACITY: usize = 8;
 /// Capacity of the channel of peer messages to the fleet thread.
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -25,13 +25,17 @@
 mod store;
 
 use caller::CallerGroup;
-use fault::FaultDriver;
+use fault::{FaultDriver, script};
 use fleet::SoakFleet;
+use kws_standin::{
+    backend::{BackendFault, BackendScript},
+    caller::CallerConnection,
+};
 use promise::broken_promises;
 use rstest::rstest;
 use seeds::seeds;
 use std::{env, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 const HOSTS: usize = 4;
 const SERVERS: usize = 6;
@@ -99,6 +103,7 @@
 #[rstest]
 #[case(1)]
 #[case(2)]
+#[case(414)]
 #[tokio::test(flavor = "multi_thread")]
 async fn short_soak(#[case] seed: u64) {
     keep_promises(seed, Duration::from_secs(6)).await;
@@ -126,10 +131,37 @@
     assert!(cut.is_empty(), "{cut:#?}");
 }
 
+/// A request that arrives at the end of what a stopping host accepts, with a time limit that ends just
+/// before the grace period does, keeps no process alive beyond it.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_request() {
+    let mut fleet = SoakFleet::start(1, 1).await;
+    fleet.servers[0].server.set_script(BackendScript {
+        delay_ms: 10_000,
+        ..script(BackendFault::None)
+    });
+    let listen = fleet.hosts[0].listen;
+    let signalled = Instant::now();
+    fleet.hosts[0].signal("-TERM");
+    // The drain lag is 2.4 s; connections accepted before its end may be used for another second.
+    sleep_until(signalled + Duration::from_millis(2_300)).await;
+    let mut connection = CallerConnection::connect(listen).await.expect("connects");
+    sleep_until(signalled + Duration::from_millis(3_240)).await;
+    let request = caller::request("0000000000000001", true);
+    let answer = connection.exchange(&request).await;
+    sleep_until(signalled + fleet::GRACE).await;
+    let ended = fleet.hosts[0].ended();
+    assert!(
+        ended.is_some_and(|status| status.success()),
+        "{ended:?}, {answer:?}"
+    );
+}
+
 /// Hosts stop in turn, also before the previous one has ended, while callers keep their connections
 /// open and send their bodies in parts.
 #[rstest]
 #[case(1)]
+#[case(426)]
 #[tokio::test(flavor = "multi_thread")]
 async fn short_stops(#[case] seed: u64) {
     stop_series::keep_requests(seed, 3).await;
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -115,7 +115,8 @@
         .is_some_and(|text| text.eq_ignore_ascii_case("close"))
 }
 
-fn request(id: &str, once: bool) -> String {
+/// A request with the team's key; one that may run `once` or a repeatable one.
+pub fn request(id: &str, once: bool) -> String {
     let line = if once {
         "POST /pay/slot"
     } else {
