--- a/tests/soak/stop_series.rs
+++ b/tests/soak/stop_series.rs
@@ -147,7 +147,8 @@
             });
             let since = stop.map(|stop| (sent - stop.signalled, request.ended - stop.signalled));
             findings.push(format!(
-                "no response, ran {ran} times, sent and ended {since:?} after the signal: {request}"
+                "no response in {:?}, ran {ran} times, sent and ended {since:?} after the signal: {request}",
+                request.ended - sent
             ));
         }
     }
