Log the status and address of each try, and extra responses of servers

The incident's hypotheses could not be told apart: the line of a try named neither the status that the server sent nor its address, so that two tries at one address looked like tries at two servers, and a dropped copy of a response left no trace.

The line of a try has status and address. A response without a request for it is logged as 'extra response', with the id that it bears and the id that was expected, and counted by extra_responses_total. No decision depends on them.

--- a/crates/kws-admin/src/metrics.rs
+++ b/crates/kws-admin/src/metrics.rs
@@ -63,6 +63,7 @@
     queue: IntGaugeVec,
     lease_left: Gauge,
     log_dropped: IntCounter,
+    extra_responses: IntCounterVec,
 }
 
 impl FleetMetrics {
@@ -106,6 +107,11 @@
                 "log_lines_dropped_total",
                 "Log lines left out",
             ))?,
+            extra_responses: counters(
+                "extra_responses_total",
+                "Responses of servers without a request for them",
+                &["kind"],
+            )?,
             servers: IntGaugeVec::new(
                 options("servers", "Backend servers by state"),
                 &["service", "state"],
@@ -128,7 +134,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 20] = [
+        let collectors: [Box<dyn Collector>; 21] = [
             Box::new(self.requests.clone()),
             Box::new(self.stages.clone()),
             Box::new(self.routes.clone()),
@@ -149,6 +155,7 @@
             Box::new(self.queue.clone()),
             Box::new(self.lease_left.clone()),
             Box::new(self.log_dropped.clone()),
+            Box::new(self.extra_responses.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector)?;
@@ -206,6 +213,11 @@
         self.platform_bytes.inc_by(bytes);
     }
 
+    /// Counts a response that a server sent without a request for it.
+    pub fn record_extra_response(&self, kind: &str) {
+        self.extra_responses.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a message sent to a peer.
     pub fn record_peer_sent(&self, class: &str, bytes: usize) {
         self.record_peer_traffic("sent", class, bytes);
--- a/crates/kws-admin/tests/metrics_names.rs
+++ b/crates/kws-admin/tests/metrics_names.rs
@@ -25,6 +25,7 @@
     ] {
         metrics.record_platform_read(result, 10);
     }
+    metrics.record_extra_response("copy");
     metrics.record_peer_sent("mesh", 20);
     metrics.record_peer_received("mesh", 30);
     metrics.record_peer_dropped("mesh");
@@ -123,6 +124,7 @@
 }
 
 const NAMES: &str = r#"# HELP knapweedseam_current 1 while the lease holds
+# HELP knapweedseam_extra_responses_total Responses of servers without a request for them
 # HELP knapweedseam_lease_left_seconds How long the settings may still be believed
 # HELP knapweedseam_log_lines_dropped_total Log lines left out
 # HELP knapweedseam_peer_bytes_total Bytes
@@ -143,6 +145,7 @@
 # HELP knapweedseam_stage_seconds Time of a request in one stage
 # HELP knapweedseam_trees_refused_total Refused revisions
 # TYPE knapweedseam_current gauge
+# TYPE knapweedseam_extra_responses_total counter
 # TYPE knapweedseam_lease_left_seconds gauge
 # TYPE knapweedseam_log_lines_dropped_total counter
 # TYPE knapweedseam_peer_bytes_total counter
@@ -163,6 +166,7 @@
 # TYPE knapweedseam_stage_seconds histogram
 # TYPE knapweedseam_trees_refused_total counter
 knapweedseam_current
+knapweedseam_extra_responses_total{kind="copy"}
 knapweedseam_lease_left_seconds
 knapweedseam_log_lines_dropped_total
 knapweedseam_peer_bytes_total{class="mesh",direction="received"}
--- a/crates/kws-bench/src/forward/granting.rs
+++ b/crates/kws-bench/src/forward/granting.rs
@@ -3,8 +3,8 @@
 use futures_util::future::{BoxFuture, FutureExt, ready};
 use kws_fixture::SampleFleet;
 use kws_forward::{
-    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryPermission, RoutingView, ServerGrant,
-    ServerRequest, TryOutcome,
+    AccessRecord, ExtraResponse, ForwardControl, GrantTicket, Refusal, RetryPermission,
+    RoutingView, ServerGrant, ServerRequest, TryOutcome,
 };
 use kws_protocol::{
     RefusalReason, ResponseChecks, RetryReason, RouteAccess, RouteName, RouteSettings, ServerName,
@@ -86,5 +86,7 @@
 
     fn count_retry(&self, _: RetryReason) {}
 
+    fn record_extra_response(&self, _: &ExtraResponse) {}
+
     fn record_access(&self, _: AccessRecord) {}
 }
--- a/crates/kws-daemon/src/control.rs
+++ b/crates/kws-daemon/src/control.rs
@@ -6,13 +6,14 @@
     dispatch::DispatchEvent,
     ledger::LedgerEvent,
     shared::{DaemonShared, lock},
+    try_log::log_extra_response,
 };
 use futures_util::future::BoxFuture;
 use kws_admin::RequestRecord;
 use kws_dispatch::{DispatchRequest, RetryBudget, RetrySource, TicketId};
 use kws_forward::{
-    AccessRecord, ForwardControl, GrantTicket, Refusal, RetryPermission, RoutingView, ServerGrant,
-    ServerRequest, TryOutcome,
+    AccessRecord, ExtraResponse, ForwardControl, GrantTicket, Refusal, RetryPermission,
+    RoutingView, ServerGrant, ServerRequest, TryOutcome,
 };
 use kws_protocol::{RefusalReason, RetryReason, RouteName, ServiceName, TeamName, TryKind};
 use std::{
@@ -245,6 +246,13 @@
         self.shared.metrics.record_retry(reason);
     }
 
+    fn record_extra_response(&self, extra: &ExtraResponse) {
+        self.shared
+            .metrics
+            .record_extra_response(extra.kind.as_str());
+        log_extra_response(extra);
+    }
+
     fn record_access(&self, record: AccessRecord) {
         let service = record.service.as_ref();
         let route = record.route.as_ref();
--- a/crates/kws-daemon/src/dispatch.rs
+++ b/crates/kws-daemon/src/dispatch.rs
@@ -17,6 +17,7 @@
 };
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -71,6 +72,7 @@
 struct GrantRecord {
     service: ServiceName,
     server: ServerName,
+    address: SocketAddr,
     since: Instant,
 }
 
@@ -175,6 +177,7 @@
     fn log_ended(&mut self, ticket: TicketId, record: &GrantRecord, outcome: TryOutcome) {
         let ended = EndedTry {
             server: &record.server,
+            address: record.address,
             placed_by: &self.shared.identity.host,
             since: record.since,
             outcome,
@@ -218,6 +221,7 @@
         let record = GrantRecord {
             service,
             server: grant.server.clone(),
+            address: grant.address,
             since: now,
         };
         self.granted.insert(ticket, record);
--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -27,7 +27,7 @@
 use owners::owner_millicores;
 use pending::{PendingSlot, PendingSlots};
 use remote::RemoteTickets;
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::Receiver,
     time::{Instant, MissedTickBehavior, interval},
@@ -57,6 +57,7 @@
     placed_by: Option<HostName>,
     service: ServiceName,
     server: ServerName,
+    address: SocketAddr,
     since: Instant,
 }
 
--- a/crates/kws-daemon/src/placement/ended_tries.rs
+++ b/crates/kws-daemon/src/placement/ended_tries.rs
@@ -38,11 +38,13 @@
             placed_by,
             service,
             server,
+            address,
             since,
         } = granted;
         let own = self.shared.identity.host.clone();
         let ended = EndedTry {
             server: &server,
+            address,
             placed_by: placed_by.as_ref().unwrap_or(&own),
             since,
             outcome,
--- a/crates/kws-daemon/src/placement/grants.rs
+++ b/crates/kws-daemon/src/placement/grants.rs
@@ -60,6 +60,7 @@
             placed_by: Some(from.clone()),
             service: pending.request.service,
             server: grant.server.clone(),
+            address: grant.address,
             since: now,
         };
         self.deliver_grant(id, granted, grant, pending.reply, now);
@@ -165,6 +166,7 @@
             placed_by: None,
             service,
             server: grant.server.clone(),
+            address: grant.address,
             since: now,
         };
         self.deliver_grant(TicketId(key), granted, grant, reply, now);
--- a/crates/kws-daemon/src/try_log.rs
+++ b/crates/kws-daemon/src/try_log.rs
@@ -1,9 +1,9 @@
 //! Log lines of slots and tries, on the asker and on the host that places.
 
 use kws_dispatch::RefusalContext;
-use kws_forward::{Refusal, TryClass, TryOutcome};
+use kws_forward::{ExtraResponse, Refusal, TryClass, TryOutcome};
 use kws_protocol::{HostName, ServerName, ServiceName};
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
 /// A try of a request of this host that has not ended.
@@ -24,6 +24,8 @@
 /// A try that had a slot.
 pub(crate) struct EndedTry<'a> {
     pub(crate) server: &'a ServerName,
+    /// Address that the try was sent to.
+    pub(crate) address: SocketAddr,
     /// Host that granted the slot.
     pub(crate) placed_by: &'a HostName,
     /// Time at which the slot was granted.
@@ -103,18 +105,32 @@
             number = entry.number,
             service = entry.service.as_str(),
             server = ended.server.as_str(),
+            address:% = ended.address,
             keeper = ended.placed_by.as_str(),
             alone = entry.uncoordinated,
             waited_us = micros(ended.since.saturating_duration_since(entry.requested)),
             latency_us = micros(ended.outcome.latency),
             held_us = micros(ended.since.elapsed()),
             ended = class_name(ended.outcome.class),
+            status = ended.outcome.status,
             draining = ended.outcome.draining;
             "try"
         );
     }
 }
 
+/// Logs a response that a server sent without a request for it.
+pub(crate) fn log_extra_response(extra: &ExtraResponse) {
+    log::warn!(
+        request_id = extra.request_id.as_str(),
+        kind = extra.kind.as_str(),
+        address:% = extra.server,
+        expected_id = extra.expected_id.as_deref().unwrap_or_default(),
+        status = extra.status;
+        "extra response"
+    );
+}
+
 /// A slot that this host granted.
 pub(crate) struct PlacedTry<'a> {
     pub(crate) server: &'a ServerName,
--- a/crates/kws-forward/src/control.rs
+++ b/crates/kws-forward/src/control.rs
@@ -100,6 +100,8 @@
     pub class: TryClass,
     /// Whether the server reported that it is draining.
     pub draining: bool,
+    /// The status of the server's response; 0 if there was none.
+    pub status: u16,
 }
 
 impl TryOutcome {
@@ -108,9 +110,46 @@
         latency: Duration::ZERO,
         class: TryClass::Cancelled,
         draining: false,
+        status: 0,
     };
 }
 
+/// What an extra response is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExtraResponseKind {
+    /// It has the id of an earlier request on the connection and came where a later response was
+    /// expected.
+    Copy,
+    /// It came while no response was expected, so that its head was not read.
+    Unexpected,
+}
+
+impl ExtraResponseKind {
+    /// The name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Copy => "copy",
+            Self::Unexpected => "unexpected",
+        }
+    }
+}
+
+/// A response that a backend server sent without a request for it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExtraResponse {
+    /// What it is.
+    pub kind: ExtraResponseKind,
+    /// The server's address.
+    pub server: SocketAddr,
+    /// The id of the request that it was a response to; for an unexpected one, of the last request on
+    /// the connection.
+    pub request_id: String,
+    /// The id of the request whose response was expected, if any.
+    pub expected_id: Option<String>,
+    /// Its status; 0 if its head was not read.
+    pub status: u16,
+}
+
 /// Whether a retry is allowed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RetryPermission {
@@ -210,6 +249,9 @@
     /// Counts a retry by its reason.
     fn count_retry(&self, reason: RetryReason);
 
+    /// Counts and logs a response that belongs to no request in flight.
+    fn record_extra_response(&self, extra: &ExtraResponse);
+
     /// Writes a request to the access log.
     fn record_access(&self, record: AccessRecord);
 }
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -36,8 +36,8 @@
 mod worker;
 
 pub use control::{
-    AccessOutcome, AccessRecord, ForwardControl, GrantTicket, Refusal, RetryPermission,
-    ServerGrant, ServerRequest, TryClass, TryOutcome,
+    AccessOutcome, AccessRecord, ExtraResponse, ExtraResponseKind, ForwardControl, GrantTicket,
+    Refusal, RetryPermission, ServerGrant, ServerRequest, TryClass, TryOutcome,
 };
 pub use listener::{ListenerHandle, ListenerSettings, run_listener};
 pub use routing::RoutingView;
--- a/crates/kws-forward/src/response.rs
+++ b/crates/kws-forward/src/response.rs
@@ -36,7 +36,8 @@
         let routes = &context.worker.routes;
         routes.record_size(&context.route.name, bytes);
     }
-    guard.record_head(is_draining(dialect, response.headers()));
+    let draining = is_draining(dialect, response.headers());
+    guard.record_head(response.status().as_u16(), draining);
     let matches = matches_request(context, response.headers());
     if matches && let Some(class) = not_run_class(dialect, response) {
         guard.finish(class);
--- a/crates/kws-forward/src/response_guard.rs
+++ b/crates/kws-forward/src/response_guard.rs
@@ -4,6 +4,7 @@
 //! guard bounds each of them, removes extensions and trailers, and drops responses that carry the
 //! id of an earlier request on the connection: copies that the server sent late.
 
+use crate::control::ExtraResponseKind;
 use ntex::util::BytesMut;
 use std::collections::VecDeque;
 use thiserror::Error;
@@ -75,8 +76,8 @@
     status: u16,
     length: Option<u64>,
     chunked: bool,
-    /// Whether it carries the id of an earlier request.
-    copy: bool,
+    /// Index of the earlier request whose id it carries, if any.
+    copied: Option<usize>,
 }
 
 /// Tracks the requests and responses of one connection to a backend server.
@@ -102,6 +103,21 @@
     section_bytes: usize,
     /// Bytes received while no response was expected.
     surplus: usize,
+    /// Extra responses that were found and not taken yet.
+    extra: Vec<FoundResponse>,
+}
+
+/// An extra response as the guard sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct FoundResponse {
+    /// What it is.
+    pub(crate) kind: ExtraResponseKind,
+    /// The id of the request that it was a response to.
+    pub(crate) request_id: String,
+    /// The id of the request whose response was expected, if any.
+    pub(crate) expected_id: Option<String>,
+    /// Its status; 0 if its head was not read.
+    pub(crate) status: u16,
 }
 
 impl ResponseGuard {
@@ -123,6 +139,7 @@
             dropped: 0,
             section_bytes: 0,
             surplus: 0,
+            extra: Vec::new(),
         }
     }
 
@@ -238,12 +255,29 @@
         if self.surplus >= MAX_SURPLUS {
             return Err(ResponseFault::Surplus);
         }
+        if self.surplus == 0 {
+            self.extra.push(FoundResponse {
+                kind: ExtraResponseKind::Unexpected,
+                request_id: self.expected_id().unwrap_or_default(),
+                expected_id: None,
+                status: 0,
+            });
+        }
         let passed = input.len().min(MAX_SURPLUS - self.surplus);
         output.extend_from_slice(&input[..passed]);
         self.surplus += input.len();
         Ok(input.len())
     }
 
+    /// Takes the extra responses found since the last call.
+    pub(crate) fn take_extra(&mut self) -> Vec<FoundResponse> {
+        std::mem::take(&mut self.extra)
+    }
+
+    fn expected_id(&self) -> Option<String> {
+        self.expected.id.as_deref().map(readable_id)
+    }
+
     fn pass(&self, bytes: &[u8], output: &mut BytesMut) {
         if !self.dropping {
             output.extend_from_slice(bytes);
@@ -342,14 +376,20 @@
             self.response.chunked = value.eq_ignore_ascii_case(b"chunked");
         } else if name.eq_ignore_ascii_case(self.id_header.as_bytes()) {
             let is_expected = self.expected.id.as_deref() == Some(value);
-            let is_earlier = self.earlier_ids.iter().any(|id| id == value);
-            self.response.copy |= is_earlier && !is_expected;
+            let earlier = self.earlier_ids.iter().position(|id| id == value);
+            self.response.copied = self.response.copied.or(earlier.filter(|_| !is_expected));
         }
     }
 
     fn end_head(&mut self, output: &mut BytesMut) -> Result<(), ResponseFault> {
-        self.dropping = self.response.copy;
-        if self.dropping {
+        self.dropping = self.response.copied.is_some();
+        if let Some(earlier) = self.response.copied {
+            self.extra.push(FoundResponse {
+                kind: ExtraResponseKind::Copy,
+                request_id: readable_id(&self.earlier_ids[earlier]),
+                expected_id: self.expected_id(),
+                status: self.response.status,
+            });
             self.dropped += 1;
             if self.dropped > MAX_DROPPED {
                 return Err(ResponseFault::Copies);
@@ -396,6 +436,10 @@
     }
 }
 
+fn readable_id(id: &[u8]) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
+
 /// The status of a status line of HTTP/1.
 fn read_status(line: &[u8]) -> Option<u16> {
     let rest = line.strip_prefix(b"HTTP/1.")?;
--- a/crates/kws-forward/src/try_guard.rs
+++ b/crates/kws-forward/src/try_guard.rs
@@ -12,6 +12,7 @@
     started: Instant,
     latency: Option<Duration>,
     draining: bool,
+    status: u16,
     drop_class: TryClass,
     finished: bool,
 }
@@ -25,15 +26,17 @@
             started: Instant::now(),
             latency: None,
             draining: false,
+            status: 0,
             drop_class: TryClass::Cancelled,
             finished: false,
         }
     }
 
-    /// Records that the response head arrived, which ends the latency.
-    pub(crate) fn record_head(&mut self, draining: bool) {
+    /// Records that a response head with this status arrived, which ends the latency.
+    pub(crate) fn record_head(&mut self, status: u16, draining: bool) {
         self.latency = Some(self.started.elapsed());
         self.draining = draining;
+        self.status = status;
     }
 
     /// Sets the class to report if the guard is dropped, for a head that determines the class
@@ -52,6 +55,7 @@
             latency: self.latency.unwrap_or_else(|| self.started.elapsed()),
             class,
             draining: self.draining,
+            status: self.status,
         };
         self.control.finish(self.ticket, outcome);
     }
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connection pools to backend servers.
 
-use crate::{response_layer::ResponseLayer, tls::BackendTrust};
+use crate::{control::ForwardControl, response_layer::ResponseLayer, tls::BackendTrust};
 use kws_protocol::HeaderDialect;
 use ntex::{
     SharedCfg,
@@ -17,8 +17,10 @@
 use std::{
     cell::RefCell,
     collections::{HashMap, HashSet},
+    fmt,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 use tokio::time::timeout;
@@ -85,7 +87,6 @@
 }
 
 /// The connections of one worker to backend servers.
-#[derive(Debug)]
 pub(crate) struct UpstreamPool {
     clients: RefCell<HashMap<UpstreamAddress, Rc<ServerClients>>>,
     trust: Option<BackendTrust>,
@@ -93,17 +94,33 @@
     id_header: &'static str,
     servers_echo: bool,
     echoing: RefCell<HashSet<SocketAddr>>,
+    control: Arc<dyn ForwardControl>,
+}
+
+impl fmt::Debug for UpstreamPool {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("UpstreamPool")
+            .field("clients", &self.clients)
+            .field("echoing", &self.echoing)
+            .finish_non_exhaustive()
+    }
 }
 
 impl UpstreamPool {
     /// Creates an empty pool.
-    pub(crate) fn new(trust: Option<BackendTrust>, dialect: &HeaderDialect) -> Self {
+    pub(crate) fn new(
+        trust: Option<BackendTrust>,
+        dialect: &HeaderDialect,
+        control: Arc<dyn ForwardControl>,
+    ) -> Self {
         Self {
             clients: RefCell::default(),
             trust,
             id_header: dialect.request_id,
             servers_echo: dialect.servers_echo,
             echoing: RefCell::default(),
+            control,
         }
     }
 
@@ -150,45 +167,52 @@
             return None;
         }
         let clients = Rc::new(ServerClients {
-            repeatable: build_client(REPEATABLE_IDLE, self.id_header, trust).await?,
-            non_repeatable: build_client(NON_REPEATABLE_IDLE, self.id_header, trust).await?,
+            repeatable: self.build_client(address, REPEATABLE_IDLE, trust).await?,
+            non_repeatable: self
+                .build_client(address, NON_REPEATABLE_IDLE, trust)
+                .await?,
         });
         let mut known = self.clients.borrow_mut();
         // Another request may have added the server meanwhile; its connections are kept.
         Some(Rc::clone(known.entry(address).or_insert(clients)))
     }
-}
 
-/// Builds a client that sends each request once, unchanged, and without timeouts of its own.
-async fn build_client(
-    idle: Seconds,
-    id_header: &'static str,
-    trust: Option<&BackendTrust>,
-) -> Option<Client> {
-    let mut connector = Connector::new()
-        .connector(guarded(TcpConnector::<Uri>::new(), id_header))
-        .limit(CONNECTION_LIMIT)
-        .keep_alive(idle)
-        .lifetime(CONNECTION_LIFETIME);
-    if let Some(trust) = trust {
-        let tls_connector = TlsConnector::from(trust.config());
-        connector = connector.secure_connector(guarded(tls_connector, id_header));
+    /// Builds a client that sends each request once, unchanged, and without timeouts of its own.
+    async fn build_client(
+        &self,
+        address: UpstreamAddress,
+        idle: Seconds,
+        trust: Option<&BackendTrust>,
+    ) -> Option<Client> {
+        let layer = {
+            let (id_header, control) = (self.id_header, Arc::clone(&self.control));
+            move || ResponseLayer::new(id_header, address.address, Arc::clone(&control))
+        };
+        let mut connector = Connector::new()
+            .connector(guarded(TcpConnector::<Uri>::new(), layer.clone()))
+            .limit(CONNECTION_LIMIT)
+            .keep_alive(idle)
+            .lifetime(CONNECTION_LIFETIME);
+        if let Some(trust) = trust {
+            let tls_connector = TlsConnector::from(trust.config());
+            connector = connector.secure_connector(guarded(tls_connector, layer));
+        }
+        Client::builder()
+            .connector::<()>(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .build(SharedCfg::default())
+            .await
+            .ok()
     }
-    Client::builder()
-        .connector::<()>(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .build(SharedCfg::default())
-        .await
-        .ok()
 }
 
-/// Adds a timeout to a connector and the response guard to its connections, and maps all of its
-/// failures to [`ConnectError::Unresolved`].
+/// Adds a timeout to a connector and a response guard to each of its connections, and maps all of
+/// its failures to [`ConnectError::Unresolved`].
 fn guarded<T, F>(
     connector: T,
-    id_header: &'static str,
+    new_layer: impl Clone + Fn() -> ResponseLayer,
 ) -> impl ServiceFactory<
     Connect<Uri>,
     SharedCfg,
@@ -208,7 +232,7 @@
         )
         .await
         {
-            Ok(Ok(io)) => Ok(io.add_filter(ResponseLayer::new(id_header))),
+            Ok(Ok(io)) => Ok(io.add_filter(new_layer())),
             Ok(Err(_)) | Err(_) => Err(ConnectError::Unresolved),
         },
     )
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -56,9 +56,14 @@
 impl WorkerState {
     /// Creates the state of a new worker.
     pub(crate) fn new(parts: WorkerParts) -> Self {
+        let pool = UpstreamPool::new(
+            parts.backend_trust,
+            &parts.dialect,
+            Arc::clone(&parts.control),
+        );
         Self {
             control: parts.control,
-            pool: Rc::new(UpstreamPool::new(parts.backend_trust, &parts.dialect)),
+            pool: Rc::new(pool),
             ids: IdSource::new(),
             dialect: parts.dialect,
             routes: RouteHistory::default(),
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -4,8 +4,9 @@
 use futures_util::future::{BoxFuture, FutureExt, ready};
 use kws_fixture::SampleFleet;
 use kws_forward::{
-    AccessRecord, ForwardControl, GrantTicket, ListenerHandle, ListenerSettings, Refusal,
-    RetryPermission, RoutingView, ServerGrant, ServerRequest, TryClass, TryOutcome, run_listener,
+    AccessRecord, ExtraResponse, ForwardControl, GrantTicket, ListenerHandle, ListenerSettings,
+    Refusal, RetryPermission, RoutingView, ServerGrant, ServerRequest, TryClass, TryOutcome,
+    run_listener,
 };
 use kws_protocol::{
     FleetSettings, FleetSnapshot, KeyDigest, RefusalReason, ResponseChecks, RetryReason,
@@ -54,6 +55,7 @@
     pub outcomes: Mutex<Vec<TryOutcome>>,
     pub refusals: Mutex<Vec<RefusalReason>>,
     pub retries: Mutex<Vec<RetryReason>>,
+    pub extra_responses: Mutex<Vec<ExtraResponse>>,
     pub records: Mutex<Vec<AccessRecord>>,
 }
 
@@ -113,6 +115,10 @@
         self.retries.lock().unwrap().push(reason);
     }
 
+    fn record_extra_response(&self, extra: &ExtraResponse) {
+        self.extra_responses.lock().unwrap().push(extra.clone());
+    }
+
     fn record_access(&self, record: AccessRecord) {
         self.records.lock().unwrap().push(record);
     }
@@ -230,6 +236,7 @@
             outcomes: Mutex::default(),
             refusals: Mutex::default(),
             retries: Mutex::default(),
+            extra_responses: Mutex::default(),
             records: Mutex::default(),
         });
         let mut listener_settings = ListenerSettings::new((Ipv4Addr::LOCALHOST, 0).into(), 1);
--- a/crates/kws-forward/tests/late_copies.rs
+++ b/crates/kws-forward/tests/late_copies.rs
@@ -6,6 +6,7 @@
 mod raw_server;
 
 use fleet::{Fleet, get, request, route, settings};
+use kws_forward::ExtraResponseKind;
 use kws_protocol::ServerName;
 use kws_standin::caller::CallerAnswer;
 use raw_server::{RawServer, RawStep, text};
@@ -241,3 +242,28 @@
     );
     assert_eq!((last.status(), last.run()), (502, "unknown"));
 }
+
+/// Extra responses are reported with the requests that they were responses to.
+#[rstest]
+#[case::unexpected(vec![text(&format!("{NAMED}{NAMED}"))], vec![text(NAMED)], ExtraResponseKind::Unexpected, 0)]
+#[case::copy(vec![text(NAMED)], vec![text(&format!("{COPY}{NAMED}"))], ExtraResponseKind::Copy, 200)]
+#[tokio::test]
+async fn reported_copies(
+    #[case] first: Vec<RawStep>,
+    #[case] second: Vec<RawStep>,
+    #[case] kind: ExtraResponseKind,
+    #[case] status: u16,
+) {
+    let server = RawServer::start(vec![vec![text(NAMED)], first, second]).await;
+    let fleet = fleet(&server);
+    send_both(&fleet, &[listing(), listing(), listing()]).await;
+    let ids = server.ids().await.concat();
+    let reported = fleet.control.extra_responses.lock().unwrap().clone();
+    let [extra] = &reported[..] else {
+        panic!("{reported:?}");
+    };
+    assert_eq!((extra.kind, extra.status), (kind, status));
+    assert_eq!((extra.server, &extra.request_id), (server.address, &ids[1]));
+    let expected = (kind == ExtraResponseKind::Copy).then(|| ids[2].clone());
+    assert_eq!(extra.expected_id, expected);
+}
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -38,7 +38,7 @@
 const HIGH_RATE: u32 = 100_000;
 
 /// The sorted keys of each event.
-const EVENT_KEYS: [(&str, &str); 9] = [
+const EVENT_KEYS: [(&str, &str); 10] = [
     ("started", "admin event host level listen peer time"),
     (
         "request",
@@ -47,8 +47,12 @@
     ),
     (
         "try",
-        "alone draining ended event held_us keeper latency_us level number request_id server \
-         service ticket time waited_us",
+        "address alone draining ended event held_us keeper latency_us level number request_id \
+         server service status ticket time waited_us",
+    ),
+    (
+        "extra response",
+        "address event expected_id kind level request_id status time",
     ),
     (
         "slot placed",
@@ -377,6 +381,22 @@
     fleet.assert_logged(&words, round).await;
 }
 
+/// Bytes after a complete response are reported as an extra one.
+#[tokio::test]
+async fn extra_response() {
+    let script = BackendScript::with_fault(BackendFault::ExtraBytes);
+    let fleet = LogFleet::start(1, HIGH_RATE, &[script]).await;
+    let listen = fleet.hosts[0].listen;
+    let words = [
+        ("extra response", "kind", "unexpected"),
+        ("extra response", "expected_id", ""),
+    ];
+    let round = || async {
+        ask(listen, "POST /pay/slot", 500).await;
+    };
+    fleet.assert_logged(&words, round).await;
+}
+
 /// A server of the platform that says that it did not run the request.
 fn shedding() -> BackendScript {
     BackendScript {
