Failing test: the copy of a refusal is taken for the response to the next try

The server has two names in the list, as one that has started again at its address under a new id until the old entry expires. It refuses the request by its old name (421, or 503 with the header) and repeats the refusal when the request comes by the new name on the same connection. repeated_id, three cases, shows the same class with callers that send an id twice: one got the body of the earlier response.

--- a/crates/kws-forward/tests/late_copies.rs
+++ b/crates/kws-forward/tests/late_copies.rs
@@ -7,7 +7,7 @@
 
 use fleet::{Fleet, get, request, route, settings};
 use kws_forward::ExtraResponseKind;
-use kws_protocol::ServerName;
+use kws_protocol::{HeaderDialect, ServerName};
 use kws_standin::caller::CallerAnswer;
 use raw_server::{RawServer, RawStep, text};
 use rstest::rstest;
@@ -267,3 +267,87 @@
     let expected = (kind == ExtraResponseKind::Copy).then(|| ids[2].clone());
     assert_eq!(extra.expected_id, expected);
 }
+
+/// A refusal of a request that was meant for another server at the address.
+const MISDIRECTED: &str =
+    "HTTP/1.1 421 Misdirected\r\nx-request-id: {id}\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against "not run" for a request that runs, and against its run on a second server: a server
+/// that has two names refuses a request by one of them, and writes the refusal once more when the
+/// request comes by the other name.
+#[rstest]
+#[case::busy(REFUSED)]
+#[case::misdirected(MISDIRECTED)]
+#[tokio::test]
+async fn copied_refusal(#[case] refusal: &str, #[values(2, 3)] tries: u32) {
+    let copy_and_answer = vec![text(&format!("{refusal}{NAMED}"))];
+    let renamed = RawServer::start(vec![
+        vec![text(NAMED)],
+        vec![text(refusal)],
+        copy_and_answer,
+    ])
+    .await;
+    let other = RawServer::start(vec![vec![text(NAMED)]]).await;
+    let servers = vec![
+        (ServerName::new("server-old"), renamed.address),
+        (ServerName::new("server-new"), renamed.address),
+        (ServerName::new("server-other"), other.address),
+    ];
+    let route = route("/till", |route| {
+        route.repeatable = Some(false);
+        route.tries = tries;
+    });
+    let dialect = HeaderDialect {
+        expected_server: Some("x-server"),
+        ..HeaderDialect::DEFAULT
+    };
+    let fleet = Fleet::with_servers(settings([route]), Vec::new(), servers, |settings| {
+        settings.dialect = dialect;
+    });
+    let answers = send_both(&fleet, &[payment(), payment()]).await;
+    assert!(is_right(&answers[0]), "{:?}", answers[0]);
+    let elsewhere = other.ids().await.concat();
+    assert!(
+        elsewhere.is_empty(),
+        "runs on a second server: {elsewhere:?}"
+    );
+    assert!(
+        answers[1].run() != "not run" && ![421, 503].contains(&answers[1].status()),
+        "{:?}",
+        answers[1]
+    );
+}
+
+/// Guards against the answer to another request: callers send the same id twice.
+#[rstest]
+#[case::busy(REFUSED)]
+#[case::misdirected(MISDIRECTED)]
+#[case::served(NAMED)]
+#[tokio::test]
+async fn repeated_id(#[case] first: &str) {
+    let copy = first.replace("right", "wrong");
+    let second = vec![text(&format!("{copy}{NAMED}"))];
+    let server = RawServer::start(vec![vec![text(NAMED)], vec![text(first)], second]).await;
+    let servers = vec![(ServerName::new("server-0"), server.address)];
+    let route = route("/till", |route| {
+        route.repeatable = Some(false);
+        route.tries = 1;
+    });
+    let dialect = HeaderDialect {
+        expected_server: Some("x-server"),
+        preserve_request_id: true,
+        ..HeaderDialect::DEFAULT
+    };
+    let fleet = Fleet::with_servers(settings([route]), Vec::new(), servers, |settings| {
+        settings.dialect = dialect;
+    });
+    let same_id = request(
+        "POST",
+        "/till",
+        "content-length: 0\r\nx-request-id: a1\r\n",
+        "",
+    );
+    let answers = send_both(&fleet, &[payment(), same_id.clone(), same_id]).await;
+    let last = &answers[2];
+    assert!(is_right(last) || last.run() == "unknown", "{last:?}");
+}
