A connection carries each request id once

What callers saw: a request that must not be repeated was answered 503 'not run' and ran, or ran on a second server (REFUSED, TWICE).

Cause: a response names its request, not the try. When a request came twice on a connection, an extra copy of the first response, which names the same request, was taken for the second. A host could send it so to a server with two names at one address (started again under a new id, the old entry not yet expired: 421, then a retry by the new name), to a server of a listed fleet that was tried again, and for a caller that sends an id twice, which even got the body of the earlier response.

Each worker remembers for at least 65 s, longer than a connection lives, which ids it sent to which address. An id that was sent there before goes on a new connection that is closed after it. Then the pair of connection and id names one try, and an extra response on the older connection is either dropped by its id or meets no request. This holds for every kind of response and every reason to send an id again; the retry itself is still made.

--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -25,6 +25,7 @@
 mod route;
 mod route_history;
 mod routing;
+mod sent_requests;
 mod silence;
 mod single_try;
 mod target;
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -9,7 +9,7 @@
     response::read_response,
     response_body::ResponseTimeouts,
     try_guard::TryGuard,
-    upstream::{SendError, UpstreamAddress},
+    upstream::{ConnectionUse, SendError, UpstreamAddress},
     worker::WorkerState,
 };
 use kws_dispatch::TryFailure;
@@ -154,17 +154,15 @@
 async fn send(context: TryContext<'_>, body: RequestBody) -> Result<ClientResponse, SendError> {
     let address = context.grant.address;
     let repeatable = context.route.is_repeatable(context.parts.method.as_str());
-    let client = context
-        .worker
-        .pool
-        .client(context.upstream(), repeatable)
-        .await;
+    let pool = &context.worker.pool;
+    let connection_use = pool.record_request(address, context.request_id, repeatable);
+    let client = pool.client(context.upstream(), connection_use).await;
     let mut request = build_request(context, &client.ok_or(SendError::Connect)?);
     // If the server doesn't echo the request id, a late response to this request can't be told from
     // the response to the next one. After a chunked body the guard can't tell where the next
     // request begins.
-    let is_reusable = context.worker.pool.echoes_request_id(address) && !body.is_chunked();
-    if !is_reusable {
+    let is_shared = connection_use != ConnectionUse::Single;
+    if !is_shared || !pool.echoes_request_id(address) || body.is_chunked() {
         request = request.force_close();
     }
     let body = if body.is_absent() {
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -1,6 +1,9 @@
 //! Connection pools to backend servers.
 
-use crate::{control::ForwardControl, response_layer::ResponseLayer, tls::BackendTrust};
+use crate::{
+    control::ForwardControl, response_layer::ResponseLayer, sent_requests::SentRequests,
+    tls::BackendTrust,
+};
 use kws_protocol::HeaderDialect;
 use ntex::{
     SharedCfg,
@@ -23,7 +26,7 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// The connect timeout: four round trips to another region. Nothing has been sent by then, so the
 /// request can still go to another server.
@@ -34,6 +37,8 @@
 const NON_REPEATABLE_IDLE: Seconds = Seconds(1);
 /// The maximum age of a connection.
 const CONNECTION_LIFETIME: Seconds = Seconds(60);
+/// How long requests sent to a server are remembered, longer than [`CONNECTION_LIFETIME`].
+const SENT_PERIOD: Duration = Duration::from_secs(65);
 /// The maximum number of connections of one worker to one server. Slots limit their use further.
 const CONNECTION_LIMIT: usize = 1024;
 
@@ -62,6 +67,17 @@
     }
 }
 
+/// The connections that a request may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionUse {
+    /// Those of requests that must not be repeated.
+    NonRepeatable,
+    /// Those of repeatable requests.
+    Repeatable,
+    /// A new one that no other request uses.
+    Single,
+}
+
 /// The HTTP clients of one server. Repeatable requests and all others use separate connections.
 #[derive(Debug)]
 struct ServerClients {
@@ -94,6 +110,7 @@
     id_header: &'static str,
     servers_echo: bool,
     echoing: RefCell<HashSet<SocketAddr>>,
+    sent: RefCell<SentRequests>,
     control: Arc<dyn ForwardControl>,
 }
 
@@ -120,23 +137,45 @@
             id_header: dialect.request_id,
             servers_echo: dialect.servers_echo,
             echoing: RefCell::default(),
+            sent: RefCell::new(SentRequests::new(SENT_PERIOD, Instant::now())),
             control,
         }
     }
 
+    /// Records that a request is sent to `address` and returns the connections that it may use.
+    ///
+    /// A response names the request, not the try, so that no connection carries two requests with the
+    /// same id: the copy of a response to one of them couldn't be told from the response to the other.
+    pub(crate) fn record_request(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+        repeatable: bool,
+    ) -> ConnectionUse {
+        let mut sent = self.sent.borrow_mut();
+        match (sent.record(address, request_id, Instant::now()), repeatable) {
+            (true, _) => ConnectionUse::Single,
+            (false, true) => ConnectionUse::Repeatable,
+            (false, false) => ConnectionUse::NonRepeatable,
+        }
+    }
+
     /// The client for a request to `address`; absent if it can't be built or TLS is needed
     /// without a trust store.
     pub(crate) async fn client(
         &self,
         address: UpstreamAddress,
-        repeatable: bool,
+        connection_use: ConnectionUse,
     ) -> Option<Client> {
+        if connection_use == ConnectionUse::Single {
+            return self.build_client(address, Seconds::ZERO).await;
+        }
         let known = self.clients.borrow().get(&address).map(Rc::clone);
         let clients = match known {
             Some(clients) => clients,
             None => self.add_server(address).await?,
         };
-        Some(if repeatable {
+        Some(if connection_use == ConnectionUse::Repeatable {
             clients.repeatable.clone()
         } else {
             clients.non_repeatable.clone()
@@ -162,15 +201,9 @@
     }
 
     async fn add_server(&self, address: UpstreamAddress) -> Option<Rc<ServerClients>> {
-        let trust = self.trust.as_ref().filter(|_| address.tls);
-        if address.tls && trust.is_none() {
-            return None;
-        }
         let clients = Rc::new(ServerClients {
-            repeatable: self.build_client(address, REPEATABLE_IDLE, trust).await?,
-            non_repeatable: self
-                .build_client(address, NON_REPEATABLE_IDLE, trust)
-                .await?,
+            repeatable: self.build_client(address, REPEATABLE_IDLE).await?,
+            non_repeatable: self.build_client(address, NON_REPEATABLE_IDLE).await?,
         });
         let mut known = self.clients.borrow_mut();
         // Another request may have added the server meanwhile; its connections are kept.
@@ -178,12 +211,11 @@
     }
 
     /// Builds a client that sends each request once, unchanged, and without timeouts of its own.
-    async fn build_client(
-        &self,
-        address: UpstreamAddress,
-        idle: Seconds,
-        trust: Option<&BackendTrust>,
-    ) -> Option<Client> {
+    async fn build_client(&self, address: UpstreamAddress, idle: Seconds) -> Option<Client> {
+        let trust = self.trust.as_ref().filter(|_| address.tls);
+        if address.tls && trust.is_none() {
+            return None;
+        }
         let layer = {
             let (id_header, control) = (self.id_header, Arc::clone(&self.control));
             move || ResponseLayer::new(id_header, address.address, Arc::clone(&control))
