A long chunk size no longer refuses a request that was forwarded

Callers saw: "400, not run" for a request with a chunked body of which a server had got the head and the first chunks, when a later chunk size had more than 16 digits (leading zeros). The request went on beside the refusal; its response was dropped. Whether it ran wasn't known.

Cause: the frame guard bounds a size line by its length and parses it as a 64-bit number, so leading zeros pass. The HTTP server reads at most 16 digits and reports a malformed request; protocol_control answers such a report as one of a head, of which nothing has been forwarded.

Evidence: server_promise::long_chunk_size on the code before: left: 400, right: 200: "HTTP/1.1 400 Bad Request ... knapweedseam-run: not run ... {"reason":"bad_request","run":"not run",...}"

Why it works: the guard passes the number that it has read, without leading zeros, as the response guard does. A 64-bit number has at most 16 digits, so the HTTP server reads every size that the guard accepts. The other checks of its body decoder (line ends of data and of the last chunk) are the guard's own. So a malformed body again closes its connection without a response.

--- a/crates/kws-forward/src/frame_guard.rs
+++ b/crates/kws-forward/src/frame_guard.rs
@@ -249,8 +249,8 @@
         }
         let text = str::from_utf8(digits).map_err(|_| FramingError)?;
         let size = u64::from_str_radix(text, 16).map_err(|_| FramingError)?;
-        output.extend_from_slice(digits);
-        output.extend_from_slice(b"\r\n");
+        // The HTTP server rejects a size of more than 16 digits.
+        output.extend_from_slice(format!("{size:x}\r\n").as_bytes());
         self.section_bytes = 0;
         self.state = if size == 0 {
             GuardState::Trailers
--- a/crates/kws-forward/tests/server_promise.rs
+++ b/crates/kws-forward/tests/server_promise.rs
@@ -3,9 +3,10 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
-use fleet::{Fleet, get, request};
+use fleet::{Fleet, get, read_to_end, request, until};
 use kws_standin::backend::BackendScript;
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
 
 /// A server that runs each request and answers with `status`, without the header that says that it
 /// did not run it.
@@ -51,3 +52,24 @@
     assert_eq!(answer.status(), status, "{answer:?}");
     assert_eq!(answer.reason(), "", "{answer:?}");
 }
+
+/// Guards against "not run" for a request that a server has begun to get: the size of a later chunk has
+/// more digits than the HTTP server reads.
+#[tokio::test]
+async fn long_chunk_size() {
+    let fleet = Fleet::start([server(200)]).await;
+    let mut stream = fleet.connect().await;
+    let head = request(
+        "POST",
+        "/till",
+        "transfer-encoding: chunked\r\n",
+        "4\r\nslot\r\n",
+    );
+    stream.write_all(head.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    let rest = "00000000000000000001\r\ns\r\n0\r\n\r\n";
+    stream.write_all(rest.as_bytes()).await.expect("writes");
+    let answer = read_to_end(&mut stream).await;
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    assert_eq!(fleet.backends[0].seen()[0].body, b"slots");
+}
