A slot reply counts only from the host that was asked last

What callers saw: possibly a refusal, not run, although the host now asked for the slot would have granted it.

Cause: a slot request that has moved to another host, since the first one is no longer listed, keeps its ticket, and Grant, Refuse and Queued were taken by the ticket alone. So a late Refuse of the former host ended the wait for the new one, whose slot was then returned unused, and a late Queued switched off the time limit for the new host's reply.

Evidence: slot_replies::former_host with the check of the sender taken out, as the code was before: former and earlier_run fail, both for Queued (left: false, right: true) and for Refuse or Grant (left: true, right: false).

Why it works: the reply's sender is compared with the host of the pending request; a host known by its address only stands for any run of its daemon. A Grant that no longer counts is returned to its sender, as one of a cancelled request was already. No request ran or was promised wrongly before: a refused request is never sent, and each try has a ticket of its own.

--- a/crates/kws-daemon/src/placement.rs
+++ b/crates/kws-daemon/src/placement.rs
@@ -261,14 +261,14 @@
         self.owners.record_message(from);
         match message {
             TicketMessage::RequestSlot(request) => self.handle_slot_request(from, request, now),
-            TicketMessage::Queued { ticket } => self.pending.record_queued(ticket, now),
+            TicketMessage::Queued { ticket } => self.pending.record_queued(ticket, from, now),
             TicketMessage::Grant { ticket, grant } => self.handle_grant(from, ticket, grant, now),
             TicketMessage::Refuse {
                 ticket,
                 reason,
                 retry_after,
             } => {
-                if let Some(pending) = self.pending.remove(ticket) {
+                if let Some(pending) = self.pending.take_replied(ticket, from) {
                     let refusal = Refusal {
                         reason,
                         retry_after,
--- a/crates/kws-daemon/src/placement/grants.rs
+++ b/crates/kws-daemon/src/placement/grants.rs
@@ -47,7 +47,7 @@
         now: Instant,
     ) {
         let id = TicketId(ticket);
-        let Some(pending) = self.pending.remove(ticket) else {
+        let Some(pending) = self.pending.take_replied(ticket, from) else {
             // The request was placed elsewhere or cancelled in the meantime: release the slot.
             if !self.granted.contains_key(&id) {
                 let service = ServiceName::new("");
--- a/crates/kws-daemon/src/placement/pending.rs
+++ b/crates/kws-daemon/src/placement/pending.rs
@@ -70,8 +70,17 @@
         self.0.remove(&ticket)
     }
 
-    pub(super) fn record_queued(&mut self, ticket: u64, now: Instant) {
-        if let Some(pending) = self.0.get_mut(&ticket) {
+    /// Removes and returns the request that `from` replies to. A request that has moved to another
+    /// host keeps its ticket; a reply of the earlier one isn't the reply to it.
+    pub(super) fn take_replied(&mut self, ticket: u64, from: &HostName) -> Option<PendingSlot> {
+        let is_asked = self.0.get(&ticket)?.owner.matches(from);
+        is_asked.then(|| self.0.remove(&ticket))?
+    }
+
+    /// Records that `from` has queued the request.
+    pub(super) fn record_queued(&mut self, ticket: u64, from: &HostName, now: Instant) {
+        let pending = self.0.get_mut(&ticket);
+        if let Some(pending) = pending.filter(|pending| pending.owner.matches(from)) {
             pending.queued = true;
             pending.last_message = now;
         }
