Responses in small chunks no longer take a page for each chunk

A server that sends its body in chunks of a few bytes, faster than its caller reads, made the daemon grow by 6.4 MB for each such connection. A host of 160 MB was full with 20 of them; the process would have ended, and all requests of other callers on it with it.

Cause: before each chunk the HTTP server flushes, and our I/O filters moved the written bytes on with `BytePages::move_to`, which keeps every page as it is. A chunk of ten bytes so stood in a page of its own of several KB. The limit of what waits for the caller, 16 KB, counts bytes, not pages: it allowed 1,600 pages. `append_pages` copies small pages into one, as the library does for pieces under 4 KB; larger pages are still moved.

--- a/crates/kws-forward/src/guard_layer.rs
+++ b/crates/kws-forward/src/guard_layer.rs
@@ -1,6 +1,9 @@
 //! I/O filter that applies the frame guard to a caller's connection.
 
-use crate::caller_connection::{CallerConnection, ConnectionHandle};
+use crate::{
+    caller_connection::{CallerConnection, ConnectionHandle},
+    write_pages::append_pages,
+};
 use ntex::io::{FilterBuf, FilterLayer};
 use std::{
     any::{Any, TypeId},
@@ -40,7 +43,7 @@
             if !source.is_empty() {
                 self.0.record_write();
             }
-            source.move_to(target);
+            append_pages(source, target);
             Ok(())
         })
     }
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -35,6 +35,7 @@
 mod try_guard;
 mod upstream;
 mod worker;
+mod write_pages;
 
 pub use control::{
     AccessOutcome, AccessRecord, ExtraResponse, ExtraResponseKind, ForwardControl, GrantTicket,
--- a/crates/kws-forward/src/response_layer.rs
+++ b/crates/kws-forward/src/response_layer.rs
@@ -4,6 +4,7 @@
     control::{ExtraResponse, ForwardControl},
     request_id::truncate_id,
     response_guard::ResponseGuard,
+    write_pages::append_pages,
 };
 use ntex::io::{FilterBuf, FilterLayer};
 use std::{cell::RefCell, fmt, io, net::SocketAddr, sync::Arc};
@@ -74,7 +75,7 @@
         buffers.with_write_buffers(|source, target| {
             let pages: Vec<&[u8]> = source.iter().collect();
             self.guard.borrow_mut().record_write(pages.iter().copied());
-            source.move_to(target);
+            append_pages(source, target);
             Ok(())
         })
     }
