Copies of request bodies hold their bytes only

A caller that sends a short body in small pieces, as over a slow link, cost the daemon a read buffer of 16 KB for each piece: the copy for another try kept the pieces as they came, and a piece of more than 30 bytes keeps the whole buffer that it was read into. A body of 16 KB in pieces of 40 bytes took up to 6.4 MB. The limit of the copies, 16 KB a request, counted the bytes only.

The copy is now one buffer of its own. A body that outgrows it frees it at once.

`kept_bodies::small_pieces`, 100 callers: 84,632 KiB more before (failed, 65,536 allowed), passes now. As a whole process, 200 callers: 127,460 KiB at the peak before, 43,760 KiB after (debug build).

--- a/crates/kws-forward/src/request_body.rs
+++ b/crates/kws-forward/src/request_body.rs
@@ -36,8 +36,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RequestBody {
     source: Rc<RefCell<BodySource>>,
-    /// The number of kept chunks that this clone has sent.
-    sent_chunks: usize,
+    /// The number of bytes that this clone has sent.
+    sent: usize,
 }
 
 struct BodySource {
@@ -45,8 +45,9 @@
     length: BodyLength,
     limits: BodyLimits,
     received: u64,
-    /// The chunks received so far; empty once they exceed [`MAX_RESEND_BYTES`].
-    kept: Vec<Bytes>,
+    /// A copy of the bytes received so far; empty once they exceed [`MAX_RESEND_BYTES`]. A chunk
+    /// itself would keep the whole read buffer that it is a part of.
+    kept: Vec<u8>,
     failure: Option<RefusalReason>,
     silence: SilenceTimer,
 }
@@ -80,7 +81,7 @@
         };
         Self {
             source: Rc::new(RefCell::new(source)),
-            sent_chunks: 0,
+            sent: 0,
         }
     }
 
@@ -135,9 +136,9 @@
         }
         self.silence.record_data();
         if self.received <= MAX_RESEND_BYTES {
-            self.kept.push(chunk.clone());
+            self.kept.extend_from_slice(&chunk);
         } else {
-            self.kept.clear();
+            self.kept = Vec::new();
         }
         Ok(chunk)
     }
@@ -174,12 +175,14 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
         let mut source = self.source.borrow_mut();
-        if let Some(kept) = source.kept.get(self.sent_chunks) {
-            self.sent_chunks += 1;
-            return Poll::Ready(Some(Ok(kept.clone())));
+        if let Some(kept @ [_, ..]) = source.kept.get(self.sent..) {
+            self.sent += kept.len();
+            return Poll::Ready(Some(Ok(Bytes::copy_from_slice(kept))));
         }
         let chunk = std::task::ready!(source.poll_chunk(context));
-        self.sent_chunks += 1;
+        if let Some(Ok(chunk)) = &chunk {
+            self.sent += chunk.len();
+        }
         Poll::Ready(chunk.map(|chunk| chunk.map_err(|error| Rc::new(error) as Rc<dyn Error>)))
     }
 }
