A late copy without end no longer stops a host

A server that sent a copy of an earlier response whose chunks never end, on a connection in use again, stopped the whole worker that read it: no other caller was answered, and the time limit of the request didn't end it either (`dropped_copy::chunked`: the first request to a sound service got no answer in 30 s; the route's timeout is 1.5 s).

Cause: the response guard drops copies. The HTTP library reads a connection in a loop until nothing is there or its read buffer is full, and doesn't give way in between. Dropped bytes never fill the buffer. With a server that sends as fast as the guard reads, the loop never ends, and neither timers nor other connections get their turn.

The guard now gives up the connection after 1 MiB of dropped bytes, as it does after four copies. All else that it takes out of a response was bounded already: chunk extensions by their line, which passes a byte of data at least, trailers and heads by their size, bytes after the end by 1 KiB.

`dropped_copy::sized` passed before: there the guard reads faster than the server of the test sends.

--- a/crates/kws-forward/src/response_guard.rs
+++ b/crates/kws-forward/src/response_guard.rs
@@ -20,6 +20,9 @@
 const MAX_SURPLUS: usize = 1024;
 /// Maximum number of copies that are dropped before the expected response.
 const MAX_DROPPED: u32 = 4;
+/// Maximum total size of these copies, in bytes. While bytes are dropped the connection is read without
+/// a pause: nothing fills up that would stop the reads, and the worker serves nobody else.
+const MAX_DROPPED_BYTES: usize = 1024 * 1024;
 /// Number of earlier requests on a connection of which copies are known.
 const MAX_EARLIER: usize = 4;
 
@@ -35,8 +38,8 @@
     /// Bytes that belong to no response.
     #[error("bytes after the end of the response")]
     Surplus,
-    /// Too many copies of earlier responses, or one whose end is unknown.
-    #[error("too many copies of earlier responses")]
+    /// Too many copies of earlier responses, too large ones, or one whose end is unknown.
+    #[error("too many copies of earlier responses, or too large ones")]
     Copies,
 }
 
@@ -100,6 +103,7 @@
     /// Whether the current response is dropped.
     dropping: bool,
     dropped: u32,
+    dropped_bytes: usize,
     section_bytes: usize,
     /// Bytes received while no response was expected.
     surplus: usize,
@@ -137,6 +141,7 @@
             response: ResponseHead::default(),
             dropping: false,
             dropped: 0,
+            dropped_bytes: 0,
             section_bytes: 0,
             surplus: 0,
             extra: Vec::new(),
@@ -187,6 +192,7 @@
         let sent = (bytes.len() - head_end - 4) as u64;
         self.request_body = length.saturating_sub(sent);
         self.dropped = 0;
+        self.dropped_bytes = 0;
         self.begin_response();
     }
 
@@ -240,11 +246,22 @@
                 }
                 _ => self.feed_line(input, output)?,
             };
+            self.count_dropped(taken)?;
             input = &input[taken..];
         }
         Ok(())
     }
 
+    fn count_dropped(&mut self, count: usize) -> Result<(), ResponseFault> {
+        if self.dropping {
+            self.dropped_bytes += count;
+        }
+        if self.dropped_bytes > MAX_DROPPED_BYTES {
+            return Err(ResponseFault::Copies);
+        }
+        Ok(())
+    }
+
     /// Passes the first bytes of a surplus, by which the client sees that it can't use the connection
     /// again. More of them end the connection.
     fn take_surplus(
--- a/tests/endless/caller.rs
+++ b/tests/endless/caller.rs
@@ -43,6 +43,11 @@
 }
 
 impl CallEnd {
+    /// Whether the response is complete, by its framing.
+    pub fn is_whole(self) -> bool {
+        self.whole
+    }
+
     /// Whether the end is what a caller of this kind must see.
     pub fn is_true(self, kind: CallerKind) -> bool {
         match kind {
--- a/tests/endless/server.rs
+++ b/tests/endless/server.rs
@@ -7,6 +7,8 @@
     time::sleep,
 };
 
+/// A whole response.
+const FIRST: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 5\r\n\r\nright";
 /// How long a server without bytes holds its connections.
 const SILENCE: Duration = Duration::from_mins(1);
 /// Size of one write, in bytes.
@@ -15,7 +17,10 @@
 /// What a server sends after a request.
 #[derive(Clone, Copy, Debug)]
 pub struct EndlessShape {
-    /// Sent first. `{id}` stands for the id of the request.
+    /// Whether the first request on a connection gets a whole response.
+    pub second: bool,
+    /// Sent first. `{id}` stands for the id of the request, `{previous}` for that of the one before
+    /// it on the connection.
     pub start: &'static str,
     /// Sent again and again until the peer closes the connection.
     pub forever: &'static str,
@@ -49,8 +54,15 @@
 }
 
 async fn serve(mut stream: TcpStream, shape: EndlessShape) -> Option<()> {
+    let mut previous = String::new();
+    if shape.second {
+        previous = read_head(&mut stream).await?;
+        let answer = FIRST.replace("{id}", &previous);
+        stream.write_all(answer.as_bytes()).await.ok()?;
+    }
     let id = read_head(&mut stream).await?;
     let text = shape.start.replace("{id}", &id);
+    let text = text.replace("{previous}", &previous);
     stream.write_all(text.as_bytes()).await.ok()?;
     send_forever(&mut stream, shape.forever).await;
     None
--- a/tests/endless/shapes.rs
+++ b/tests/endless/shapes.rs
@@ -4,6 +4,7 @@
 
 const fn broken(start: &'static str, forever: &'static str) -> EndlessShape {
     EndlessShape {
+        second: false,
         start,
         forever,
         whole: false,
@@ -12,6 +13,7 @@
 
 const fn whole(start: &'static str, forever: &'static str) -> EndlessShape {
     EndlessShape {
+        second: false,
         start,
         forever,
         whole: true,
@@ -44,6 +46,20 @@
 /// Chunks of a few bytes.
 pub const SMALL_CHUNKS: EndlessShape = broken(chunked!("200 OK", ""), "5\r\nright\r\n");
 
+/// A copy of the response to the request before.
+pub const COPIES: &[EndlessShape] = &[
+    EndlessShape {
+        second: true,
+        ..broken(sized!("200 OK", "request-id: {previous}\r\n"), "right")
+    },
+    EndlessShape {
+        second: true,
+        ..broken(
+            "HTTP/1.1 200 OK\r\nrequest-id: {previous}\r\ntransfer-encoding: chunked\r\n\r\n",
+            "5\r\nright\r\n",
+        )
+    },
+];
 /// One of each kind.
 pub const SHAPES: &[EndlessShape] = &[
     broken("", ""),
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -19,7 +19,7 @@
 use host::EndlessHost;
 use rstest::rstest;
 use server::EndlessShape;
-use shapes::{SHAPES, SMALL_CHUNKS};
+use shapes::{COPIES, SHAPES, SMALL_CHUNKS};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -32,6 +32,14 @@
 /// The pause between them.
 const WELL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Requests the service that is well again and again.
+async fn ask_often(host: &EndlessHost) {
+    for number in 0..WELL_REQUESTS {
+        assert!(host.ask_well().await, "request {number}");
+        sleep(WELL_PAUSE).await;
+    }
+}
+
 /// Lets `callers` callers of `kind` request each of the `shapes`.
 async fn play(shapes: &[EndlessShape], callers: usize, kind: CallerKind) {
     let mut host = EndlessHost::start(shapes, callers).await;
@@ -39,13 +47,7 @@
     let before = host.peak_kib();
     let numbers = (0..shapes.len() * callers).map(|at| at % shapes.len());
     let calls = join_all(numbers.map(|number| caller::call(&host, number, kind)));
-    let well = async {
-        for number in 0..WELL_REQUESTS {
-            assert!(host.ask_well().await, "request {number}");
-            sleep(WELL_PAUSE).await;
-        }
-    };
-    let (ends, ()) = tokio::join!(calls, well);
+    let (ends, ()) = tokio::join!(calls, ask_often(&host));
     let wrong = ends.iter().position(|end| !end.is_true(kind));
     let wrong = wrong.map(|at| (&shapes[at % shapes.len()], ends[at]));
     assert!(wrong.is_none(), "{wrong:?}");
@@ -70,3 +72,19 @@
 async fn small_chunks(#[values(CallerKind::Reading, CallerKind::Waiting)] kind: CallerKind) {
     play(&[SMALL_CHUNKS], CONNECTIONS, kind).await;
 }
+
+/// The copy of an earlier response is dropped, and others are served while it is.
+#[rstest]
+#[case::sized(0)]
+#[case::chunked(1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dropped_copy(#[case] shape: usize) {
+    let mut host = EndlessHost::start(&COPIES[shape..=shape], CONNECTIONS).await;
+    let first = caller::call(&host, 0, CallerKind::Reading).await;
+    assert!(first.is_whole());
+    let call = caller::call(&host, 0, CallerKind::Reading);
+    let (second, ()) = tokio::join!(call, ask_often(&host));
+    assert!(second.is_true(CallerKind::Reading), "{second:?}");
+    let peak = host.peak_kib();
+    assert!(peak < HOST_KIB, "{peak} KiB");
+}
