A line without end from the store ends its connection at once

The readers of the store and of Consul use the HTTP library's client as it is. The client keeps the line before a chunk until it ends, however long, and searches it again with each read. Of an endless chunk extension it took 20,103,219 bytes (debug build) until the reader gave up after 1.5 s, and the next read did the same; a daemon's peak memory rose from 29,976 to 55,236 KiB. The length was bounded by the processor's speed alone.

`ParseLimit` ends a connection of which more than 128 KiB wait for the parser. The client stops reading at 16 KiB unless a head or such a line isn't complete, and limits heads to 64 KiB, so sound answers of any size never reach it.

`endless_bytes::endless_store` plays ten kinds of endless answers of the store against a daemon process, which serves meanwhile and stays below 160 MB.

--- a/crates/kws-platform/src/lib.rs
+++ b/crates/kws-platform/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod consul;
 mod directory;
+mod parse_limit;
 mod reader;
 mod watch;
 
--- a/crates/kws-platform/src/reader.rs
+++ b/crates/kws-platform/src/reader.rs
@@ -1,7 +1,15 @@
 //! The interface between the daemon and the platform's configuration service.
 
+use crate::parse_limit::ParseLimit;
 use kws_protocol::{PublishedValues, TreeRevision};
-use ntex::{SharedCfg, client::Client, time::Millis};
+use ntex::{
+    SharedCfg,
+    client::{Client, Connector},
+    connect::{Connect, Connector as TcpConnector},
+    http::Uri,
+    service::apply_fn_factory,
+    time::Millis,
+};
 use std::{future::Future, pin::Pin, time::Duration};
 use thiserror::Error;
 
@@ -56,7 +64,15 @@
 /// # Errors
 /// [`PlatformError::Unreachable`] if the client can't be created.
 pub async fn reading_client(max_bytes: usize) -> Result<Client, PlatformError> {
+    let connector = apply_fn_factory(
+        TcpConnector::<Uri>::new(),
+        async move |request: Connect<Uri>, service| {
+            let io = service.call(request).await?;
+            Ok(io.add_filter(ParseLimit))
+        },
+    );
     Client::builder()
+        .connector::<()>(Connector::new().connector(connector))
         .disable_timeout()
         .disable_redirects()
         .response_payload_limit(max_bytes)
--- a/tests/endless/host.rs
+++ b/tests/endless/host.rs
@@ -4,6 +4,7 @@
     address::free_address,
     server::{EndlessServer, EndlessShape},
     store::{MetadataStore, entry},
+    store_way::StoreWay,
 };
 use kws_standin::{
     backend::{BackendHandle, BackendScript, BackendServer},
@@ -38,6 +39,8 @@
     child: Child,
     listen: SocketAddr,
     ready: SocketAddr,
+    /// The way to the store.
+    pub store_way: StoreWay,
     /// The server of each shape.
     pub servers: Vec<EndlessServer>,
     _well: BackendHandle,
@@ -62,6 +65,7 @@
         };
         let well = BackendServer::start(script).await.expect("a free port");
         put_entry(&store, WELL, well.address(), slots);
+        let store_way = StoreWay::start(store.address()).await;
         let files = TempDir::new().expect("a directory");
         let (listen, ready) = (free_address(), free_address());
         let settings = files.path().join("host.yaml");
@@ -72,7 +76,7 @@
              centers: {{turaida: {{region: vidzemes}}}}\n\
              platform: {{store: \"{}\", terms: {{floor: 0.5, retry_ratio: 0.2}}}}\nlog: error\n",
             free_address(),
-            store.address(),
+            store_way.address,
         );
         fs::write(&settings, text).expect("settings");
         let child = Command::new(env!("CARGO_BIN_EXE_knapweedseamd"))
@@ -85,6 +89,7 @@
             child,
             listen,
             ready,
+            store_way,
             servers,
             _well: well,
             _files: files,
--- a/tests/endless/server.rs
+++ b/tests/endless/server.rs
@@ -53,7 +53,8 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, shape: EndlessShape) -> Option<()> {
+/// Answers one request on a connection with `shape`.
+pub async fn serve(mut stream: TcpStream, shape: EndlessShape) -> Option<()> {
     let mut previous = String::new();
     if shape.second {
         previous = read_head(&mut stream).await?;
--- a/tests/endless/shapes.rs
+++ b/tests/endless/shapes.rs
@@ -60,6 +60,19 @@
         )
     },
 ];
+/// Answers of the store.
+pub const STORE_ANSWERS: &[EndlessShape] = &[
+    broken("HTTP/1.1 200 OK\r\n", "x-a: b\r\n"),
+    broken("HTTP/1.1 200 OK\r\nx-a: ", "b"),
+    broken("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    broken(chunked!("200 OK", "5;a="), "b"),
+    broken(chunked!("200 OK", ""), "1;a=b\r\n \r\n"),
+    broken(chunked!("200 OK", "0\r\nx-a: "), "b"),
+    broken(chunked!("503 Busy", ""), "5\r\nright\r\n"),
+    broken(sized!("200 OK", ""), " "),
+    broken("HTTP/1.1 200 OK\r\n\r\n", " "),
+    broken(chunked!("200 OK", ""), "5\r\nright\r\n"),
+];
 /// One of each kind.
 pub const SHAPES: &[EndlessShape] = &[
     broken("", ""),
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -13,13 +13,15 @@
 mod shapes;
 #[path = "../platform/tests/common/store.rs"]
 mod store;
+#[path = "endless/store_way.rs"]
+mod store_way;
 
 use caller::CallerKind;
 use futures_util::future::join_all;
 use host::EndlessHost;
 use rstest::rstest;
 use server::EndlessShape;
-use shapes::{COPIES, SHAPES, SMALL_CHUNKS};
+use shapes::{COPIES, SHAPES, SMALL_CHUNKS, STORE_ANSWERS};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -88,3 +90,18 @@
     let peak = host.peak_kib();
     assert!(peak < HOST_KIB, "{peak} KiB");
 }
+
+/// The store's answers never end: the host serves with what it has.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_store(#[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9)] shape: usize) {
+    let mut host = EndlessHost::start(&[], CONNECTIONS).await;
+    let before = host.peak_kib();
+    host.store_way.set_endless(STORE_ANSWERS[shape]);
+    for _ in 0..2 {
+        ask_often(&host).await;
+    }
+    let peak = host.peak_kib();
+    println!("{before} KiB, then {peak} KiB");
+    assert!(peak < HOST_KIB, "{peak} KiB");
+}
