Stand-in: a server refuses requests for another id and copies its refusals

A script can name the server: a request that expects another one is answered 421 and is marked as not run. CopiedRefusals writes each refusal once more, before the next answer on its connection or on the idle connection; the copy bears the id of the refused request, whichever request is under way. BackendHandle::restart ends the connections and listens again at the same address. The behaviour of the existing faults stays.

--- a/crates/kws-standin/src/backend/answer.rs
+++ b/crates/kws-standin/src/backend/answer.rs
@@ -1,6 +1,9 @@
 //! Answers, whole or broken.
 
-use super::script::{BackendFault, BackendScript, BodyFraming};
+use super::{
+    refusal::MISDIRECTED,
+    script::{BackendFault, BackendScript, BodyFraming},
+};
 use std::{fmt::Write, future::pending, io, time::Duration};
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
@@ -14,6 +17,8 @@
     pub(crate) id: String,
     /// Whether the request asked for the head only.
     pub(crate) head_only: bool,
+    /// The status with which the request is refused; absent if it runs.
+    pub(crate) refusal: Option<u16>,
 }
 
 /// What becomes of a connection after an answer.
@@ -35,14 +40,14 @@
     W: AsyncWrite + Unpin,
 {
     pause(script.delay()).await;
+    if let Some(status) = subject.refusal {
+        let answer = refusal_answer(status, script, subject);
+        writer.write_all(answer.as_bytes()).await?;
+        return Ok(AfterAnswer::Reuse);
+    }
     match script.fault {
         BackendFault::CutHead => return Ok(AfterAnswer::Close),
         BackendFault::SilentHead => return pending().await,
-        BackendFault::NotRun => {
-            let answer = shed_answer(script, subject);
-            writer.write_all(answer.as_bytes()).await?;
-            return Ok(AfterAnswer::Reuse);
-        }
         _ => {}
     }
     writer.write_all(head(script, subject).as_bytes()).await?;
@@ -53,20 +58,28 @@
 }
 
 /// Waits; even a sleep of no time would take the timer's next tick.
-async fn pause(time: Duration) {
+pub(crate) async fn pause(time: Duration) {
     if !time.is_zero() {
         sleep(time).await;
     }
 }
 
-/// The refusal of a request that is shed.
-pub(crate) fn shed_answer(script: &BackendScript, subject: &AnswerSubject) -> String {
-    let mut answer = "HTTP/1.1 503 Service Unavailable\r\n".to_owned();
+/// The refusal of a request, which promises that it did not run.
+pub(crate) fn refusal_answer(
+    status: u16,
+    script: &BackendScript,
+    subject: &AnswerSubject,
+) -> String {
+    let reason = match status {
+        MISDIRECTED => "Misdirected Request",
+        _ => "Service Unavailable",
+    };
+    let mut answer = format!("HTTP/1.1 {status} {reason}\r\n");
     answer.push_str("knapweedseam-run: not run\r\ncontent-length: 0\r\n");
     if script.echo_id {
         let _ = write!(answer, "{}: {}\r\n", script.id_header, subject.id);
     }
-    for (name, value) in &script.headers {
+    for (name, value) in script.headers.iter().chain(&script.refusal_headers) {
         let _ = write!(answer, "{name}: {value}\r\n");
     }
     answer.push_str("\r\n");
--- a/crates/kws-standin/src/backend/request.rs
+++ b/crates/kws-standin/src/backend/request.rs
@@ -24,6 +24,8 @@
     pub whole: bool,
     /// How its answer was broken.
     pub fault: BackendFault,
+    /// The status of its refusal; absent if it ran.
+    pub refusal: Option<u16>,
 }
 
 impl SeenRequest {
@@ -35,6 +37,11 @@
         })
     }
 
+    /// Whether the request ran: everything but a refusal counts as a run.
+    pub fn has_run(&self) -> bool {
+        self.refusal.is_none()
+    }
+
     /// The request line.
     pub fn line(&self) -> &str {
         self.head.lines().next().unwrap_or_default()
--- a/crates/kws-standin/src/backend/script.rs
+++ b/crates/kws-standin/src/backend/script.rs
@@ -56,10 +56,37 @@
     /// Each second request on a connection is shed, and its refusal is written once more before the
     /// next answer.
     RepeatedRefusal,
+    /// Requests are refused as [`RefusalCopies`] says, and each refusal is written once more.
+    CopiedRefusals(RefusalCopies),
     /// The answer comes before the request's body is read, and the connection ends.
     Early,
 }
 
+/// When refusals are made and written once more.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RefusalCopies {
+    /// Each request of a connection whose number, counted from 0, is a multiple of this is shed; 0
+    /// for none.
+    pub shed_every: u64,
+    /// The time after which a copy is written on the idle connection, in milliseconds; 0 for
+    /// immediately before the next answer only.
+    pub idle_ms: u64,
+}
+
+impl RefusalCopies {
+    /// Whether the request with this number on its connection is shed.
+    pub(crate) fn sheds(self, number: u64) -> bool {
+        self.shed_every > 0 && number.is_multiple_of(self.shed_every)
+    }
+
+    /// How long a connection is idle before copies are written; absent if they wait for the next
+    /// answer.
+    pub(crate) fn idle(self) -> Option<Duration> {
+        (self.idle_ms > 0).then(|| Duration::from_millis(self.idle_ms))
+    }
+}
+
 /// What a backend server does with its requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -84,10 +111,16 @@
     pub echo_id: bool,
     /// The header that names requests.
     pub id_header: String,
+    /// The identifier of the server. A request that expects another one is refused with 421.
+    pub instance: Option<String>,
+    /// The header that names the expected server.
+    pub instance_header: String,
     /// Whether `/health` says that all is well.
     pub healthy: bool,
     /// Further headers of answers.
     pub headers: BTreeMap<String, String>,
+    /// Further headers of refusals.
+    pub refusal_headers: BTreeMap<String, String>,
 }
 
 impl Default for BackendScript {
@@ -103,8 +136,11 @@
             draining: false,
             echo_id: true,
             id_header: "x-request-id".to_owned(),
+            instance: None,
+            instance_header: "expected-instance".to_owned(),
             healthy: true,
             headers: BTreeMap::new(),
+            refusal_headers: BTreeMap::new(),
         }
     }
 }
--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -1,14 +1,18 @@
 //! The listener of a backend server.
 
 use super::{
-    answer::{AfterAnswer, AnswerSubject, shed_answer, write_answer},
+    answer::{AfterAnswer, AnswerSubject, write_answer},
+    refusal::RefusalLog,
     request::{SeenRequest, read_body, read_head},
     script::{BackendFault, BackendScript},
 };
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 use tokio::{
     io::{AsyncWriteExt, BufReader},
@@ -26,7 +30,7 @@
 pub struct BackendHandle {
     address: SocketAddr,
     state: Arc<ServerState>,
-    task: AbortHandle,
+    task: Mutex<AbortHandle>,
     bound: Mutex<Option<TcpSocket>>,
 }
 
@@ -42,6 +46,8 @@
     script: Mutex<BackendScript>,
     seen: Mutex<Vec<SeenRequest>>,
     partner: Mutex<Option<SwapPartner>>,
+    /// Number of connections so far.
+    connections: AtomicU64,
 }
 
 impl BackendServer {
@@ -64,12 +70,13 @@
             script: Mutex::new(script),
             seen: Mutex::default(),
             partner: Mutex::default(),
+            connections: AtomicU64::new(0),
         });
         let task = spawn(accept(listener, Arc::clone(&state))).abort_handle();
         Ok(BackendHandle {
             address,
             state,
-            task,
+            task: Mutex::new(task),
             bound: Mutex::default(),
         })
     }
@@ -95,17 +102,36 @@
     ///
     /// The port stays bound, so that no other listener takes it while the handle lives.
     pub async fn stop(&self) {
-        self.task.abort();
-        while !self.task.is_finished() {
+        self.end_task().await;
+        *lock(&self.bound) = bind_only(self.address).ok();
+    }
+
+    /// Ends every connection and starts again at the same address; what was seen before is kept.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn restart(&self, script: BackendScript) -> io::Result<()> {
+        self.end_task().await;
+        lock(&self.bound).take();
+        self.set_script(script);
+        let listener = TcpListener::bind(self.address).await?;
+        let task = spawn(accept(listener, Arc::clone(&self.state))).abort_handle();
+        *lock(&self.task) = task;
+        Ok(())
+    }
+
+    async fn end_task(&self) {
+        let task = lock(&self.task).clone();
+        task.abort();
+        while !task.is_finished() {
             yield_now().await;
         }
-        *lock(&self.bound) = bind_only(self.address).ok();
     }
 }
 
 impl Drop for BackendHandle {
     fn drop(&mut self) {
-        self.task.abort();
+        lock(&self.task).abort();
     }
 }
 
@@ -123,13 +149,12 @@
 /// The connections live in the set, and end with this task.
 async fn accept(listener: TcpListener, state: Arc<ServerState>) {
     let mut connections = JoinSet::new();
-    let mut number = 0;
     while let Ok((stream, _)) = listener.accept().await {
+        let number = state.connections.fetch_add(1, Ordering::Relaxed);
         let state = Arc::clone(&state);
         connections.spawn(async move {
             let _ = serve(stream, number, &state).await;
         });
-        number += 1;
         while connections.try_join_next().is_some() {}
     }
 }
@@ -138,20 +163,18 @@
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.split();
     let mut reader = BufReader::new(reader);
-    let mut refusal = None;
-    while let Some(mut request) = read_head(&mut reader).await? {
+    let mut refusals = RefusalLog::default();
+    loop {
+        refusals.wait_request(&mut reader, &mut writer).await?;
+        let Some(mut request) = read_head(&mut reader).await? else {
+            return Ok(());
+        };
         let mut script = lock(&state.script).clone();
-        let repeats = script.fault == BackendFault::RepeatedRefusal;
-        if repeats {
-            script.fault = match &refusal {
-                None => BackendFault::NotRun,
-                Some(_) => BackendFault::None,
-            };
-        }
         request.connection = connection;
-        request.fault = script.fault;
+        request.refusal = refusals.next_refusal(&script, &request);
+        request.fault = answer_fault(&script, &request);
         let index = state.note(request.clone());
-        if script.fault != BackendFault::Early {
+        if request.fault != BackendFault::Early {
             let read = read_body(&mut reader, &mut request).await;
             lock(&state.seen)[index] = request.clone();
             read?;
@@ -161,17 +184,23 @@
             continue;
         }
         let subject = state.subject(&script, &request).await;
-        if repeats {
-            match refusal.take() {
-                None => refusal = Some(shed_answer(&script, &subject)),
-                Some(copy) => writer.write_all(String::as_bytes(&copy)).await?,
-            }
-        }
+        refusals
+            .precede_answer(&mut writer, &mut script, &subject)
+            .await?;
+        script.fault = request.fault;
         if write_answer(&mut writer, &script, &subject).await? == AfterAnswer::Close {
             return writer.shutdown().await;
         }
     }
-    Ok(())
+}
+
+/// How the answer to a request is broken.
+fn answer_fault(script: &BackendScript, request: &SeenRequest) -> BackendFault {
+    match script.fault {
+        _ if !request.has_run() => BackendFault::NotRun,
+        BackendFault::RepeatedRefusal | BackendFault::CopiedRefusals(_) => BackendFault::None,
+        fault => fault,
+    }
 }
 
 fn health(healthy: bool) -> &'static [u8] {
@@ -195,12 +224,13 @@
             .unwrap_or_default()
             .to_owned();
         let id = match script.fault {
-            BackendFault::Swapped => self.swap(id).await,
+            BackendFault::Swapped if request.has_run() => self.swap(id).await,
             _ => id,
         };
         AnswerSubject {
             id,
             head_only: request.line().starts_with("HEAD "),
+            refusal: request.refusal,
         }
     }
 
