Soak: servers that start again under a new id at their old address

Reborn is a fault of the soak: the server starts again under a new id at its old address, and its old entry stays for up to 2 s. FaultDriver::with_rebirths draws it and copied refusals; FaultDriver::new draws what it drew before, so that the seeds of short_soak and long_soak keep their meaning.

promise.rs and stop_series.rs count a request as not run if its server refused it, over all starts of the server; before, that was read from the fault, which meant the same.

--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -2,7 +2,8 @@
 //! callers and backend servers saw.
 //!
 //! By hand, fifty seeds of ten seconds: `SOAK_SEEDS=1..51 SOAK_SECONDS=10 cargo test --release
-//! --test fault_soak long_soak -- --ignored --nocapture`; `long_stops` takes fifty seeds of stops.
+//! --test fault_soak long_soak -- --ignored --nocapture`; `long_stops` takes fifty seeds of stops,
+//! `long_rebirths` fifty with servers that start again under new ids.
 //! `SOAK_DAEMON` names the daemon of another build.
 
 #[path = "soak/caller.rs"]
@@ -15,6 +16,8 @@
 mod kept_caller;
 #[path = "soak/promise.rs"]
 mod promise;
+#[path = "soak/rebirth_series.rs"]
+mod rebirth_series;
 #[path = "soak/relay.rs"]
 mod relay;
 #[path = "soak/seeds.rs"]
@@ -28,7 +31,7 @@
 use fault::{FaultDriver, script};
 use fleet::SoakFleet;
 use kws_standin::{
-    backend::{BackendFault, BackendScript},
+    backend::{BackendFault, BackendScript, RefusalCopies},
     caller::CallerConnection,
 };
 use promise::broken_promises;
@@ -51,14 +54,13 @@
     served: usize,
 }
 
-async fn soak(seed: u64, time: Duration) -> SoakReport {
+async fn soak(mut driver: FaultDriver, time: Duration) -> SoakReport {
     let mut fleet = SoakFleet::start(HOSTS, SERVERS).await;
     let group = CallerGroup::default();
     let mut callers = Vec::new();
     for (number, host) in fleet.hosts.iter().enumerate() {
         callers.extend((0..CALLERS).map(|_| group.start(number, host.listen)));
     }
-    let mut driver = FaultDriver::new(seed);
     driver.run(&mut fleet, time).await;
     fleet.wait_ready().await;
     let mended = group.outcomes().len();
@@ -88,8 +90,8 @@
     }
 }
 
-async fn keep_promises(seed: u64, time: Duration) {
-    let report = soak(seed, time).await;
+async fn keep_promises(seed: u64, driver: FaultDriver, time: Duration) {
+    let report = soak(driver, time).await;
     let SoakReport {
         findings, story, ..
     } = &report;
@@ -106,7 +108,8 @@
 #[case(414)]
 #[tokio::test(flavor = "multi_thread")]
 async fn short_soak(#[case] seed: u64) {
-    keep_promises(seed, Duration::from_secs(6)).await;
+    let driver = FaultDriver::new(seed);
+    keep_promises(seed, driver, Duration::from_secs(6)).await;
 }
 
 /// A host stops within its grace while callers come back to it until it is gone.
@@ -136,7 +139,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn late_request() {
     let mut fleet = SoakFleet::start(1, 1).await;
-    fleet.servers[0].server.set_script(BackendScript {
+    fleet.servers[0].set_script(BackendScript {
         delay_ms: 10_000,
         ..script(BackendFault::None)
     });
@@ -167,6 +170,27 @@
     stop_series::keep_requests(seed, 3).await;
 }
 
+/// A server that starts again under a new id refuses the requests that expect its old id, and writes
+/// each refusal once more before the next answer on the connection. That answer may belong to the
+/// next try of the refused request: the copy is no promise for it.
+#[rstest]
+#[case::one_host(1, 1, RefusalCopies::default())]
+#[case::two_hosts(2, 1, RefusalCopies::default())]
+#[case::several_servers(2, 3, RefusalCopies::default())]
+#[case::on_idle(2, 1, RefusalCopies { idle_ms: 5, ..RefusalCopies::default() })]
+#[case::with_sheds(2, 1, RefusalCopies { shed_every: 3, ..RefusalCopies::default() })]
+#[tokio::test(flavor = "multi_thread")]
+async fn copied_refusal(
+    #[case] hosts: usize,
+    #[case] servers: usize,
+    #[case] copies: RefusalCopies,
+) {
+    let report = rebirth_series::restart_servers(hosts, servers, 8, copies).await;
+    println!("{report}");
+    assert!(report.misdirected > 0, "{report}");
+    assert!(report.findings.is_empty(), "{report}");
+}
+
 /// Many seeds of stops, by hand.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes minutes; run by hand"]
@@ -180,8 +204,22 @@
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes minutes; run by hand"]
 async fn long_soak() {
-    let seconds = env::var("SOAK_SECONDS").map_or(10, |text| text.parse().expect("seconds"));
     for seed in seeds() {
-        keep_promises(seed, Duration::from_secs(seconds)).await;
+        keep_promises(seed, FaultDriver::new(seed), soak_time()).await;
+    }
+}
+
+/// Many seeds with servers that start again under new ids, by hand.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; run by hand"]
+async fn long_rebirths() {
+    for seed in seeds() {
+        keep_promises(seed, FaultDriver::with_rebirths(seed), soak_time()).await;
     }
 }
+
+/// The time of one seed of a run by hand.
+fn soak_time() -> Duration {
+    let seconds = env::var("SOAK_SECONDS").map_or(10, |text| text.parse().expect("seconds"));
+    Duration::from_secs(seconds)
+}
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -45,9 +45,19 @@
     outcomes: Arc<Mutex<Vec<Outcome>>>,
     stopping: Arc<AtomicBool>,
     next: Arc<AtomicU64>,
+    /// Whether all requests may run only once; otherwise each second one.
+    only_once: bool,
 }
 
 impl CallerGroup {
+    /// Callers of which no request may run twice.
+    pub fn only_once() -> Self {
+        Self {
+            only_once: true,
+            ..Self::default()
+        }
+    }
+
     /// Starts a caller of one host, until [`Self::stop`].
     pub fn start(&self, host: usize, address: SocketAddr) -> tokio::task::JoinHandle<()> {
         let group = self.clone();
@@ -81,7 +91,7 @@
             None => CallerConnection::connect(address).await.ok()?,
         };
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let once = number.is_multiple_of(2);
+        let once = self.only_once || number.is_multiple_of(2);
         let id = format!("{number:016x}");
         let sent = Instant::now();
         let text = request(&id, once);
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -5,7 +5,7 @@
     relay::RelayMode,
     store::StoreMode,
 };
-use kws_standin::backend::{BackendFault, BackendScript};
+use kws_standin::backend::{BackendFault, BackendScript, RefusalCopies};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::{Instant, sleep_until};
@@ -14,6 +14,12 @@
 const PAUSE_MS: u64 = 600;
 /// How long a fault lasts, at the most, in milliseconds.
 const LENGTH_MS: u64 = 2_500;
+/// How long the old entry of a server that has started again stays, at the most.
+const OLD_ENTRY_TIME: Duration = Duration::from_secs(2);
+/// Number of fault kinds that are drawn by default.
+const DEFAULT_KINDS: i32 = 17;
+/// Number of fault kinds with servers that start again.
+const KINDS_WITH_REBIRTHS: i32 = 22;
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +56,9 @@
     Leave(usize),
     /// The operator publishes.
     Publish,
+    /// A server starts again under a new id at its old address, and refuses and answers with this
+    /// fault. Its old entry stays for a while.
+    Reborn(usize, BackendFault),
 }
 
 /// A fault that lasts.
@@ -72,6 +81,8 @@
 #[derive(Debug)]
 pub struct FaultDriver {
     rng: SmallRng,
+    /// Number of fault kinds that are drawn.
+    kinds: i32,
     running: Vec<RunningFault>,
     /// Times in which hosts stood still, were killed or asked to stop.
     pub troubles: BTreeMap<usize, Vec<HostTrouble>>,
@@ -88,6 +99,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             rng: SmallRng::seed_from_u64(seed),
+            kinds: DEFAULT_KINDS,
             running: Vec::new(),
             troubles: BTreeMap::new(),
             stopping: BTreeMap::new(),
@@ -96,6 +108,14 @@
         }
     }
 
+    /// A driver that also starts servers again under new ids, and lets them repeat their refusals.
+    pub fn with_rebirths(seed: u64) -> Self {
+        Self {
+            kinds: KINDS_WITH_REBIRTHS,
+            ..Self::new(seed)
+        }
+    }
+
     /// Brings about faults for `time`, and mends all of them at the end.
     pub async fn run(&mut self, fleet: &mut SoakFleet, time: Duration) {
         let start = Instant::now();
@@ -105,7 +125,7 @@
             if now >= next {
                 let fault = self.draw(fleet);
                 let length = Duration::from_millis(self.rng.random_range(100..LENGTH_MS));
-                self.begin(fleet, fault, now + length);
+                self.begin(fleet, fault, now + length).await;
                 self.story.push(format!("{:?} {fault:?}", start.elapsed()));
                 next = now + Duration::from_millis(self.rng.random_range(20..PAUSE_MS));
             }
@@ -133,7 +153,7 @@
             1 => RelayMode::OneWay,
             _ => RelayMode::Delayed(Duration::from_millis(self.rng.random_range(5..300))),
         };
-        match self.rng.random_range(0..17) {
+        match self.rng.random_range(0..self.kinds) {
             0 => SoakFault::Freeze(host),
             1 => SoakFault::Kill(host),
             2 => SoakFault::Stop(host),
@@ -149,7 +169,9 @@
             13 => SoakFault::ServerForgets(server),
             14 => SoakFault::ServerResets(server),
             15 => SoakFault::Leave(server),
-            _ => SoakFault::Publish,
+            16 => SoakFault::Publish,
+            17 => SoakFault::Server(server, self.draw_copies()),
+            _ => SoakFault::Reborn(server, self.draw_copies()),
         }
     }
 
@@ -174,7 +196,14 @@
         }
     }
 
-    fn begin(&mut self, fleet: &mut SoakFleet, fault: SoakFault, ends: Instant) {
+    fn draw_copies(&mut self) -> BackendFault {
+        BackendFault::CopiedRefusals(RefusalCopies {
+            shed_every: self.rng.random_range(0..4),
+            idle_ms: self.rng.random_range(0..3) * 20,
+        })
+    }
+
+    async fn begin(&mut self, fleet: &mut SoakFleet, fault: SoakFault, mut ends: Instant) {
         let now = Instant::now();
         match fault {
             SoakFault::Freeze(host) | SoakFault::Kill(host) | SoakFault::Stop(host)
@@ -198,15 +227,15 @@
             SoakFault::StoreWay(host, mode) => fleet.hosts[host].store_way.set_mode(mode),
             SoakFault::StoreLost(host) => fleet.hosts[host].store_way.forget(),
             SoakFault::Store(mode) => fleet.store.set_mode(mode),
-            SoakFault::Compact(server) => fleet.store.compact(&format!("servers/i-{server}")),
+            SoakFault::Compact(server) => fleet.compact(server),
             SoakFault::Server(server, fault) => {
-                fleet.servers[server].server.set_script(script(fault));
+                fleet.servers[server].set_script(script(fault));
             }
-            SoakFault::Failing(server) => fleet.servers[server].server.set_script(BackendScript {
+            SoakFault::Failing(server) => fleet.servers[server].set_script(BackendScript {
                 status: 500,
                 ..script(BackendFault::None)
             }),
-            SoakFault::Slow(server) => fleet.servers[server].server.set_script(BackendScript {
+            SoakFault::Slow(server) => fleet.servers[server].set_script(BackendScript {
                 delay_ms: 700,
                 ..script(BackendFault::None)
             }),
@@ -215,6 +244,10 @@
             SoakFault::ServerResets(server) => fleet.servers[server].way.reset(),
             SoakFault::Leave(server) => fleet.enter(server, "draining"),
             SoakFault::Publish => fleet.publish(),
+            SoakFault::Reborn(server, fault) => {
+                fleet.restart_server(server, script(fault)).await;
+                ends = ends.min(now + OLD_ENTRY_TIME);
+            }
         }
         self.running.push(RunningFault { fault, ends });
     }
@@ -249,9 +282,11 @@
             SoakFault::Store(_) => fleet.store.set_mode(StoreMode::Up),
             SoakFault::Compact(server) | SoakFault::Leave(server) => fleet.enter(server, "ready"),
             SoakFault::Server(server, _) | SoakFault::Failing(server) | SoakFault::Slow(server) => {
-                fleet.servers[server]
-                    .server
-                    .set_script(script(BackendFault::None));
+                fleet.servers[server].set_script(script(BackendFault::None));
+            }
+            SoakFault::Reborn(server, _) => {
+                fleet.expire_entry(server);
+                fleet.servers[server].set_script(script(BackendFault::None));
             }
             SoakFault::ServerWay(server, _) => fleet.servers[server].way.set_mode(RelayMode::Pass),
             _ => {}
@@ -287,12 +322,15 @@
 
 /// A script whose refusals say "not run" in the form that the platform's servers use.
 pub fn script(fault: BackendFault) -> BackendScript {
+    let promise = BTreeMap::from([("Not-Executed".to_owned(), "1".to_owned())]);
+    let (headers, refusal_headers) = match fault {
+        BackendFault::NotRun | BackendFault::RepeatedRefusal => (promise, BTreeMap::new()),
+        _ => (BTreeMap::new(), promise),
+    };
     BackendScript {
         fault,
-        headers: [("Not-Executed".to_owned(), "1".to_owned())]
-            .into_iter()
-            .filter(|_| matches!(fault, BackendFault::NotRun | BackendFault::RepeatedRefusal))
-            .collect(),
+        headers,
+        refusal_headers,
         delay_ms: 5,
         id_header: "request-id".to_owned(),
         ..BackendScript::default()
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -5,8 +5,9 @@
     relay::FaultRelay,
     store::{MetadataStore, configuration, entry},
 };
-use kws_standin::backend::{BackendFault, BackendHandle, BackendServer};
+use kws_standin::backend::{BackendFault, BackendHandle, BackendScript, BackendServer};
 use std::{
+    collections::VecDeque,
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     process::{Child, Command, ExitStatus, Stdio},
@@ -93,6 +94,58 @@
     pub server: BackendHandle,
     /// The way of all hosts to it.
     pub way: FaultRelay,
+    /// Its identifier.
+    id: String,
+    /// Identifiers of earlier starts that still have an entry, the oldest first.
+    former_ids: VecDeque<String>,
+    number: usize,
+    /// Number of its starts.
+    starts: usize,
+}
+
+impl SoakServer {
+    /// Starts a server and the way to it.
+    async fn start(ip: Ipv4Addr, number: usize) -> Self {
+        let id = format!("i-{number}");
+        let script = BackendScript {
+            instance: Some(id.clone()),
+            ..script(BackendFault::None)
+        };
+        let server = BackendServer::start_at(SocketAddr::from((ip, 0)), script).await;
+        let server = server.expect("a free port");
+        let way = FaultRelay::start(ip, server.address()).await;
+        Self {
+            server,
+            way,
+            id,
+            former_ids: VecDeque::new(),
+            number,
+            starts: 1,
+        }
+    }
+
+    /// Changes what the server does; its identifier stays.
+    pub fn set_script(&self, script: BackendScript) {
+        self.server.set_script(self.named(script));
+    }
+
+    /// Starts the server again at its address, under a new identifier.
+    async fn restart(&mut self, script: BackendScript) {
+        let id = format!("i-{}-{}", self.number, self.starts);
+        let former = std::mem::replace(&mut self.id, id);
+        self.starts += 1;
+        self.former_ids.push_back(former);
+        let script = self.named(script);
+        let restarted = self.server.restart(script).await;
+        restarted.expect("the server's own port");
+    }
+
+    fn named(&self, script: BackendScript) -> BackendScript {
+        BackendScript {
+            instance: Some(self.id.clone()),
+            ..script
+        }
+    }
 }
 
 /// The whole fleet.
@@ -122,11 +175,7 @@
             files: TempDir::new().expect("a directory"),
         };
         for number in 0..servers {
-            let address = SocketAddr::from((ip, 0));
-            let server = BackendServer::start_at(address, script(BackendFault::None)).await;
-            let server = server.expect("a free port");
-            let way = FaultRelay::start(ip, server.address()).await;
-            fleet.servers.push(SoakServer { server, way });
+            fleet.servers.push(SoakServer::start(ip, number).await);
             fleet.enter(number, "ready");
         }
         let peers: Vec<SocketAddr> = (0..hosts).map(|_| free_address(ip)).collect();
@@ -141,8 +190,27 @@
 
     /// Writes the entry of a server.
     pub fn enter(&self, number: usize, state: &str) {
-        let value = entry("till", self.servers[number].way.address(), state, 1);
-        self.store.put(&format!("servers/i-{number}"), &value);
+        let server = &self.servers[number];
+        let value = entry("till", server.way.address(), state, 1);
+        self.store.put(&entry_key(&server.id), &value);
+    }
+
+    /// Removes the entry of a server and the store's history.
+    pub fn compact(&self, number: usize) {
+        self.store.compact(&entry_key(&self.servers[number].id));
+    }
+
+    /// Starts a server again under a new identifier, at its old address. The old entry stays.
+    pub async fn restart_server(&mut self, number: usize, script: BackendScript) {
+        self.servers[number].restart(script).await;
+        self.enter(number, "ready");
+    }
+
+    /// Removes the oldest entry that earlier starts of a server have left.
+    pub fn expire_entry(&mut self, number: usize) {
+        if let Some(id) = self.servers[number].former_ids.pop_front() {
+            self.store.remove(&entry_key(&id));
+        }
     }
 
     /// Publishes another version of the configuration that means the same.
@@ -167,6 +235,11 @@
     }
 }
 
+/// The key of a server's entry.
+fn entry_key(id: &str) -> String {
+    format!("servers/{id}")
+}
+
 /// A configuration whose requests end within the grace of a host that stops: it serves on for some
 /// seconds, and then for as long as a request may take.
 fn short_configuration(version: u64) -> Vec<u8> {
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -5,7 +5,7 @@
     fault::HostTrouble,
     fleet::SoakFleet,
 };
-use kws_standin::backend::{BackendFault, SeenRequest};
+use kws_standin::backend::SeenRequest;
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
@@ -29,7 +29,7 @@
     for server in &fleet.servers {
         for request in server.server.seen() {
             judge_arrival(&request, &mut findings);
-            if request.fault != BackendFault::NotRun {
+            if request.has_run() {
                 let id = request.header("Request-Id").unwrap_or_default().to_owned();
                 *runs.entry(id).or_default() += 1;
             }
--- a/tests/soak/stop_series.rs
+++ b/tests/soak/stop_series.rs
@@ -47,7 +47,7 @@
     let server = rng.random_range(0..SERVERS);
     let set_fault = |fault| {
         let script = server_script(server, fault);
-        fleet.servers[server].server.set_script(script);
+        fleet.servers[server].set_script(script);
     };
     match (rng.random_range(0..5), stopping) {
         (0, _) => fleet.publish(),
@@ -115,10 +115,7 @@
     findings: &mut Vec<String>,
 ) {
     let mut runs: HashMap<&str, usize> = HashMap::new();
-    for one in arrivals
-        .iter()
-        .filter(|one| one.fault != BackendFault::NotRun)
-    {
+    for one in arrivals.iter().filter(|one| one.has_run()) {
         *runs
             .entry(one.header("Request-Id").unwrap_or_default())
             .or_default() += 1;
@@ -159,7 +156,7 @@
     let mut fleet = SoakFleet::start(HOSTS, SERVERS).await;
     for (number, server) in fleet.servers.iter().enumerate() {
         let script = server_script(number, BackendFault::None);
-        server.server.set_script(script);
+        server.set_script(script);
     }
     let addresses: Vec<SocketAddr> = fleet.hosts.iter().map(|host| host.listen).collect();
     let callers = KeptCallers::default();
