Test: a shed request whose next try meets the copy of its refusal

In a fleet of listed hosts a server of an earlier try is tried again by its own name if no other is available. copied_shed plays it as a process: the only server sheds a request by 503, and writes the refusal once more before the answer to the next try. TestFleet takes the number of servers; a single one has the floor 0%, since a higher one would refuse the tree.

--- a/tests/daemon_processes.rs
+++ b/tests/daemon_processes.rs
@@ -4,7 +4,7 @@
 use kws_protocol::StatusReport;
 use kws_standin::{
     PlatformMode, PlatformService,
-    backend::{BackendHandle, BackendScript, BackendServer},
+    backend::{BackendFault, BackendHandle, BackendScript, BackendServer},
     caller::CallerConnection,
 };
 use rstest::rstest;
@@ -30,6 +30,8 @@
 /// No step of a test takes longer on a machine that works at all.
 const PATIENCE: Duration = Duration::from_mins(1);
 const PAUSE: Duration = Duration::from_millis(50);
+/// Number of requests to a server that repeats its refusals.
+const PAYMENTS: usize = 20;
 
 struct DaemonProcess {
     child: Child,
@@ -75,14 +77,18 @@
 
     /// `read_logs` says whether anyone reads the daemons' output.
     async fn start_with(hosts: usize, read_logs: bool) -> Self {
-        let mut servers = Vec::new();
-        for _ in 0..2 {
+        Self::start_servers(hosts, 2, read_logs).await
+    }
+
+    async fn start_servers(hosts: usize, servers: usize, read_logs: bool) -> Self {
+        let mut backends = Vec::new();
+        for _ in 0..servers {
             let server = BackendServer::start(BackendScript::default()).await;
-            servers.push(server.expect("backend server"));
+            backends.push(server.expect("backend server"));
         }
         let mut fleet = Self {
             platform: PlatformService::start(),
-            servers,
+            servers: backends,
             daemons: Vec::new(),
             files: TempDir::new().expect("directory"),
             read_logs,
@@ -163,12 +169,15 @@
         } else {
             "[]".to_owned()
         };
+        // With a higher floor the only server of a service could never be ejected.
+        let floor = if self.servers.len() > 1 { "50%" } else { "0%" };
         format!(
             "freshness: {{lease: 1s, list_lag: 500ms}}\n\
              regions:\n  local: {{weight: 100%, centers: [local-a]}}\n\
-             services:\n  listing:\n    floor: 50%\n    servers:\n{servers}\
+             services:\n  listing:\n    floor: {floor}\n    servers:\n{servers}\
              defaults:\n  service: {{server: {{region: local, center: local-a}}}}\n\
              routes:\n  slots: {{path: /slots, service: listing, deadline: 20s, access: any_team}}\n\
+             \x20 pay: {{path: /pay, service: listing, deadline: 5s, access: any_team, tries: 2}}\n\
              teams:\n  orchard: {{rate: 20/s, burst: 20, keys: {keys}}}\n"
         )
     }
@@ -475,3 +484,37 @@
         }
     }
 }
+
+/// The only server of a service sheds each second request, and writes the refusal once more before
+/// the answer to the next one, which is the next try of the same request. The copy is no promise for
+/// it.
+#[tokio::test]
+async fn copied_shed() {
+    let fleet = TestFleet::start_servers(1, 1, true).await;
+    fleet.wait_admitted().await;
+    let faulty = BackendScript::with_fault(BackendFault::RepeatedRefusal);
+    fleet.servers[0].set_script(faulty);
+    let listen = fleet.daemons[0].listen;
+    let mut broken = Vec::new();
+    for number in 0..PAYMENTS {
+        // The team's rate is 20 requests a second.
+        sleep(PAUSE).await;
+        let mut caller = CallerConnection::connect(listen).await.expect("connects");
+        let line = format!("POST /pay/{number} HTTP/1.1");
+        let request = format!(
+            "{line}\r\nhost: test\r\nauthorization: Bearer {ORCHARD_KEY}\r\ncontent-length: 0\r\n\r\n"
+        );
+        let answer = caller.exchange(&request).await.expect("an answer");
+        let arrivals = fleet.servers[0].seen();
+        let runs = arrivals.iter().filter(|one| one.line() == line);
+        let runs = runs.filter(|one| one.has_run()).count();
+        if runs > 1 || runs > 0 && answer.run() == "not run" {
+            let status = answer.status();
+            broken.push(format!("{line} ran {runs} times and was answered {status}"));
+        }
+    }
+    let arrivals = fleet.servers[0].seen();
+    let was_shed = arrivals.iter().any(|one| !one.has_run());
+    assert!(was_shed, "{arrivals:#?}");
+    assert!(broken.is_empty(), "{broken:#?}");
+}
