A stop answers requests that may outlast its grace

Callers saw: a request that may not be repeated, begun just before or just after SIGTERM on a route whose timeout exceeds the rest of the grace, got no response: the kill closed its connection, also when its last bytes came late in the grace and it was passed on then.

Cause: whether a request may outlast the stop was asked once, when its head was read, and only from the end of the drain lag on. A request taken before kept its whole time limit for a token, a slot, its body, further tries and the response.

Evidence, each on the code before: fault_soak::answers_at_stop (grace 6 s, timeout 20 s, server of 15 s): none of six requests got a response; three had reached the server, a sized and a chunked body of which ended 4 s after SIGTERM; three had waited for a slot. graceful_stop: body_late_in_stop (sized, chunked) was served 1 s into the stop, waiting_request waited past the end, second_try was tried again and ran past it, unended_request outlasted it.

The end of a stop is now announced to the requests in progress. One whose time limit ends later is refused as not run while it waits for a token or a slot, broken off while its body arrives, so that no server gets the whole request, and otherwise broken off with 502 at that end, 1 s before the grace's: earlier would give up requests that end in time. Ruled out: short_limit_body, late_hedge.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -120,8 +120,9 @@
     }
 
     /// Stops in order: turns readiness off, keeps serving for the drain lag while the load balancer
-    /// notices, with responses that close their connections, returns the loans, then waits for all requests in flight. From the end of the drain
-    /// lag on, requests that may not end within the grace period are refused.
+    /// notices, with responses that close their connections, returns the loans, then waits for all
+    /// requests in flight. From the end of the drain lag on, requests that may not end within the
+    /// grace period are refused or broken off.
     pub async fn stop(self) {
         let end = Instant::now() + self.settings.grace.saturating_sub(EXIT_RESERVE);
         self.shared.stopping.store(true, Ordering::Release);
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -18,7 +18,7 @@
     io::IoRef,
 };
 use std::rc::Rc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 /// Serves one request. It is cancelled when the caller disconnects.
 pub(crate) async fn serve(worker: Rc<WorkerState>, request: Request) -> Response {
@@ -126,9 +126,6 @@
         let time_limit = requested.min(route.deadline);
         let deadline = self.started + time_limit;
         self.log.time_limit = Some(time_limit);
-        if self.checks.worker.stops_before(deadline) {
-            return Err(RequestRefusal::not_run(RefusalReason::Stopping));
-        }
         if let Some(team) = &team {
             let admitted = self.admit(team, deadline).await;
             self.log.record_token_wait(self.started);
@@ -147,6 +144,7 @@
         };
         let settings = &view.snapshot.settings;
         let speaks_tls = settings.services.get(service).is_some_and(|one| one.tls);
+        let body = RequestBody::new(payload, self.checks.parts.length, limits);
         let series = TrySeries {
             checks: self.checks,
             route,
@@ -159,16 +157,29 @@
             deadline,
             objective: route.objective.map(|objective| self.started + objective),
             tls: speaks_tls,
-            body: RequestBody::new(payload, self.checks.parts.length, limits),
+            body: body.clone(),
         };
-        series.run(&mut self.log.history).await
+        tokio::select! {
+            biased;
+            result = series.run(&mut self.log.history) => result,
+            () = broken_off(self.checks.worker, deadline, &body) => {
+                Err(RequestRefusal::unknown(RefusalReason::Stopping))
+            }
+        }
     }
 
     async fn admit(&self, team: &TeamName, deadline: Instant) -> Result<(), RequestRefusal> {
-        let control = &self.checks.worker.control;
-        let token = control.admit(truncate_id(self.request_id), team);
-        let admitted = timeout_at(deadline, token).await;
-        let admitted = admitted.unwrap_or(Err(RefusalReason::DeadlineEarly.into()));
-        admitted.map_err(RequestRefusal::from)
+        let worker = self.checks.worker;
+        let token = worker.control.admit(truncate_id(self.request_id), team);
+        worker.decided(token, deadline).await
+    }
+}
+
+/// Waits until a stop that ends before `deadline` breaks off a request at a backend server: at the
+/// begin of the stop if the body hasn't arrived by then, otherwise at its end.
+async fn broken_off(worker: &WorkerState, deadline: Instant, body: &RequestBody) {
+    let end = worker.stop_before(deadline).await;
+    if body.is_received() {
+        sleep_until(end).await;
     }
 }
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -21,7 +21,7 @@
     io,
     net::{SocketAddr, TcpListener},
     sync::{
-        Arc, OnceLock,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -89,7 +89,7 @@
 pub struct ListenerHandle {
     address: SocketAddr,
     draining: Arc<AtomicBool>,
-    stop_end: Arc<OnceLock<Instant>>,
+    stop_end: watch::Sender<Option<Instant>>,
     stop: Option<oneshot::Sender<()>>,
     stopped: Option<oneshot::Receiver<()>>,
 }
@@ -105,11 +105,11 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Like [`Self::stop`], for a process that is killed at `end`: a request whose time limit ends
-    /// later is refused as not run.
+    /// Like [`Self::stop`], with every response to begin by `end`. Of the requests whose time limit
+    /// ends later, those that are not at a backend server yet are refused as not run, those whose
+    /// body is still arriving are broken off, and the others are broken off at `end`.
     pub async fn stop_before(self, end: Instant) {
-        // Only the first stop sets it.
-        let _ = self.stop_end.set(end);
+        self.stop_end.send_replace(Some(end));
         self.stop().await;
     }
 
@@ -148,7 +148,7 @@
     let listener = server::create_tcp_listener(settings.address, MAX_BACKLOG)?;
     let address = listener.local_addr()?;
     let draining = Arc::new(AtomicBool::new(false));
-    let stop_end = Arc::<OnceLock<Instant>>::default();
+    let (stop_end, stop_end_receiver) = watch::channel(None);
     let (stop_phase, phase_receiver) = watch::channel(StopPhase::Serving);
     let (stop, stop_receiver) = oneshot::channel();
     let (stopped_sender, stopped) = oneshot::channel();
@@ -156,7 +156,7 @@
         control,
         draining: Arc::clone(&draining),
         stop_phase: phase_receiver,
-        stop_end: Arc::clone(&stop_end),
+        stop_end: stop_end_receiver,
         unused_connections: LiveCount::default(),
         pending_requests: LiveCount::default(),
         live_workers: LiveCount::default(),
--- a/crates/kws-forward/src/request_body.rs
+++ b/crates/kws-forward/src/request_body.rs
@@ -45,6 +45,8 @@
     length: BodyLength,
     limits: BodyLimits,
     received: u64,
+    /// Whether the end of a chunked body has been read.
+    ended: bool,
     /// A copy of the bytes received so far; empty once they exceed [`MAX_RESEND_BYTES`]. A chunk
     /// itself would keep the whole read buffer that it is a part of.
     kept: Vec<u8>,
@@ -75,6 +77,7 @@
             length,
             limits,
             received: 0,
+            ended: false,
             kept: Vec::new(),
             failure: None,
             silence: SilenceTimer::new(limits.idle),
@@ -91,6 +94,16 @@
         source.received <= MAX_RESEND_BYTES && source.failure.is_none()
     }
 
+    /// Whether the whole body has been read from the caller.
+    pub(crate) fn is_received(&self) -> bool {
+        let source = self.source.borrow();
+        match source.length {
+            BodyLength::None => true,
+            BodyLength::Sized(bytes) => bytes == source.received,
+            BodyLength::Chunked => source.ended,
+        }
+    }
+
     /// The reason why reading the body failed, if it did.
     pub(crate) fn failure(&self) -> Option<RefusalReason> {
         self.source.borrow().failure
@@ -150,7 +163,10 @@
             BodyLength::Sized(bytes) if bytes != self.received => {
                 Some(self.fail(RefusalReason::BadRequest))
             }
-            _ => None,
+            _ => {
+                self.ended = true;
+                None
+            }
         }
     }
 
--- a/crates/kws-forward/src/tries.rs
+++ b/crates/kws-forward/src/tries.rs
@@ -17,7 +17,7 @@
 };
 use ntex::{http::Response, io::IoRef};
 use std::{collections::BTreeSet, future::Future, pin::pin, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 /// The tries of a request made so far.
 #[derive(Debug, Default)]
@@ -226,10 +226,8 @@
             unserved_share: worker.routes.unserved_share(&self.route.name),
             excluded: history.servers.clone(),
         };
-        let granted = timeout_at(self.deadline, control.acquire(request)).await;
-        let grant = granted
-            .unwrap_or(Err(RefusalReason::DeadlineEarly.into()))
-            .map_err(RequestRefusal::from)?;
+        let slot = control.acquire(request);
+        let grant = worker.decided(slot, self.deadline).await?;
         let target = RouteTarget {
             route: &self.route.name,
             service: Some(self.service),
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -1,18 +1,28 @@
 //! State shared by the requests of one worker.
 
 use crate::{
-    connections::StopPhase, control::ForwardControl, live_count::LiveCount, request_id::IdSource,
-    route_history::RouteHistory, tls::BackendTrust, upstream::UpstreamPool,
+    connections::StopPhase,
+    control::{ForwardControl, Refusal},
+    live_count::LiveCount,
+    refusal::RequestRefusal,
+    request_id::IdSource,
+    route_history::RouteHistory,
+    tls::BackendTrust,
+    upstream::UpstreamPool,
 };
-use kws_protocol::HeaderDialect;
+use kws_protocol::{HeaderDialect, RefusalReason};
 use std::{
+    future::{Future, pending},
     rc::Rc,
     sync::{
-        Arc, OnceLock,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout_at},
+};
 
 /// Shared parts that each worker's state is created from.
 #[derive(Clone)]
@@ -24,7 +34,7 @@
     /// Which connections a stop closes.
     pub(crate) stop_phase: watch::Receiver<StopPhase>,
     /// By when every response must have ended; set when a stop with such a limit begins.
-    pub(crate) stop_end: Arc<OnceLock<Instant>>,
+    pub(crate) stop_end: watch::Receiver<Option<Instant>>,
     /// Counts connections on which no byte has arrived yet.
     pub(crate) unused_connections: LiveCount,
     /// Counts requests without a response yet.
@@ -50,7 +60,7 @@
     /// What is known of the routes' requests and responses.
     pub(crate) routes: RouteHistory,
     draining: Arc<AtomicBool>,
-    stop_end: Arc<OnceLock<Instant>>,
+    stop_end: watch::Receiver<Option<Instant>>,
 }
 
 impl WorkerState {
@@ -77,8 +87,34 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Whether the listener stops before `deadline`.
-    pub(crate) fn stops_before(&self, deadline: Instant) -> bool {
-        self.stop_end.get().is_some_and(|end| *end < deadline)
+    /// Waits for a stop that ends before `deadline` to begin, and returns its end.
+    pub(crate) async fn stop_before(&self, deadline: Instant) -> Instant {
+        let mut stop_end = self.stop_end.clone();
+        let is_before = |end: &Option<Instant>| end.is_some_and(|end| end < deadline);
+        let announced = stop_end.wait_for(is_before).await.ok();
+        match announced.and_then(|end| *end) {
+            Some(end) => end,
+            None => pending().await,
+        }
+    }
+
+    /// Waits for `decision` on a request, but not beyond the begin of a stop that ends before its
+    /// `deadline`.
+    ///
+    /// # Errors
+    /// The refusal of the decision, [`RefusalReason::DeadlineEarly`] or [`RefusalReason::Stopping`].
+    pub(crate) async fn decided<T>(
+        &self,
+        decision: impl Future<Output = Result<T, Refusal>>,
+        deadline: Instant,
+    ) -> Result<T, RequestRefusal> {
+        let decided = tokio::select! {
+            biased;
+            _ = self.stop_before(deadline) => Err(RefusalReason::Stopping.into()),
+            decided = timeout_at(deadline, decision) => {
+                decided.unwrap_or(Err(RefusalReason::DeadlineEarly.into()))
+            }
+        };
+        decided.map_err(RequestRefusal::from)
     }
 }
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -191,6 +191,14 @@
     })
 }
 
+fn default_routes() -> [RouteSettings; 3] {
+    [
+        route("/open", |route| route.access = RouteAccess::Open),
+        route("/listing", |_| ()),
+        route("/till", |route| route.repeatable = Some(false)),
+    ]
+}
+
 /// A running listener with its control and backend servers.
 pub struct Fleet {
     pub backends: Vec<BackendHandle>,
@@ -252,12 +260,21 @@
     /// Starts a fleet with the default routes: `/open` without a key, `/listing` repeatable,
     /// `/till` not repeatable.
     pub async fn start(scripts: impl IntoIterator<Item = BackendScript>) -> Self {
-        let routes = [
-            route("/open", |route| route.access = RouteAccess::Open),
-            route("/listing", |_| ()),
-            route("/till", |route| route.repeatable = Some(false)),
-        ];
-        Self::with_routes(routes, scripts).await
+        Self::with_routes(default_routes(), scripts).await
+    }
+
+    /// Starts a fleet with the default routes, one backend server and a number of worker threads.
+    pub async fn with_workers(workers: usize, script: BackendScript) -> Self {
+        let backend = BackendServer::start(script).await.expect("backend starts");
+        let servers = vec![(ServerName::new("server-0"), backend.address())];
+        Self::with_servers(
+            settings(default_routes()),
+            vec![backend],
+            servers,
+            |settings| {
+                settings.workers = workers;
+            },
+        )
     }
 
     /// Sends the bytes on a new connection and reads until the connection ends.
--- a/crates/kws-forward/tests/graceful_stop.rs
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -3,13 +3,23 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
-use fleet::{Fleet, TEST_TIMEOUT, get, read_to_end, request, until};
-use kws_standin::{backend::BackendScript, caller::CallerAnswer};
+use fleet::{Fleet, TEST_TIMEOUT, get, read_to_end, request, route, until};
+use kws_forward::ListenerHandle;
+use kws_standin::{
+    backend::{BackendFault, BackendScript},
+    caller::CallerAnswer,
+};
 use rstest::rstest;
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
 
@@ -102,7 +112,7 @@
     until(|| fleet.arrivals() > 8).await;
     let stopped = timeout(Duration::from_secs(8), fleet.listener.stop()).await;
     assert!(stopped.is_ok(), "still serving");
-    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    callers.iter().for_each(JoinHandle::abort);
 }
 
 /// A caller that connects while a host stops, also while the host waits for requests in flight, is
@@ -286,6 +296,170 @@
         .expect("no panic");
 }
 
+/// Starts a stop that allows `length` until the last response and returns its end.
+fn stop_within(listener: ListenerHandle, length: Duration) -> (Instant, JoinHandle<()>) {
+    let end = Instant::now() + length;
+    (end, tokio::spawn(listener.stop_before(end)))
+}
+
+async fn ended(stopped: JoinHandle<()>) {
+    let ended = timeout(TEST_TIMEOUT, stopped).await;
+    ended.expect("stops").expect("no panic");
+}
+
+/// A request at a server gets an answer that promises nothing at the end of the stop, not before.
+#[rstest]
+#[case::one_worker(1)]
+#[case::two_workers(2)]
+#[tokio::test]
+async fn unended_request(#[case] workers: usize) {
+    let late = BackendScript {
+        delay_ms: 10_000,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::with_workers(workers, late).await;
+    let mut streams = Vec::new();
+    for _ in 0..4 {
+        let mut stream = fleet.connect().await;
+        let text = request("POST", "/till", "content-length: 2\r\n", "ab");
+        stream.write_all(text.as_bytes()).await.expect("writes");
+        streams.push(stream);
+    }
+    until(|| fleet.backends[0].seen().len() == 4).await;
+    let (end, stopped) = stop_within(fleet.listener, Duration::from_secs(2));
+    for mut stream in streams {
+        let response = read_to_end(&mut stream).await;
+        assert_eq!(
+            (response.status(), response.is_whole()),
+            (502, true),
+            "{response:?}"
+        );
+        assert_eq!(response.run(), "unknown");
+        assert!(Instant::now() >= end);
+    }
+    ended(stopped).await;
+}
+
+/// No server gets the rest of a body that arrives late in a stop which the request may outlast.
+#[rstest]
+#[case::sized("content-length: 4\r\n", "ab", "cd")]
+#[case::chunked(
+    "transfer-encoding: chunked\r\n",
+    "2\r\nab\r\n",
+    "2\r\ncd\r\n0\r\n\r\n"
+)]
+#[tokio::test]
+async fn body_late_in_stop(#[case] framing: &str, #[case] first: &str, #[case] rest: &str) {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let mut stream = fleet.connect().await;
+    let text = request("POST", "/till", framing, first);
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    let (end, stopped) = stop_within(fleet.listener, Duration::from_secs(4));
+    sleep(Duration::from_secs(1)).await;
+    let _ = stream.write_all(rest.as_bytes()).await;
+    let response = read_to_end(&mut stream).await;
+    assert!(Instant::now() < end);
+    assert_eq!(
+        (response.status(), response.is_whole()),
+        (502, true),
+        "{response:?}"
+    );
+    assert_eq!(response.run(), "unknown");
+    ended(stopped).await;
+    let arrived: Vec<bool> = fleet.backends[0]
+        .seen()
+        .iter()
+        .map(|one| one.whole)
+        .collect();
+    assert_eq!(arrived, [false]);
+}
+
+/// A body that arrives late in a stop is passed on if its request's time limit ends in time.
+#[tokio::test]
+async fn short_limit_body() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    let mut stream = fleet.connect().await;
+    let lines = "x-knapweedseam-deadline-ms: 3000\r\ncontent-length: 4\r\n";
+    let text = request("POST", "/till", lines, "ab");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    let (_, stopped) = stop_within(fleet.listener, Duration::from_secs(5));
+    sleep(Duration::from_secs(1)).await;
+    stream.write_all(b"cd").await.expect("writes");
+    let response = read_to_end(&mut stream).await;
+    assert_eq!((response.status(), response.is_whole()), (200, true));
+    ended(stopped).await;
+}
+
+/// A request that waits for a slot is refused while its caller can still go elsewhere.
+#[tokio::test]
+async fn waiting_request() {
+    let fleet = Fleet::start([BackendScript::default()]).await;
+    fleet.control.grants_open.send_replace(false);
+    let mut stream = fleet.connect().await;
+    let text = request("POST", "/till", "content-length: 2\r\n", "ab");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    let waiting = Arc::clone(&fleet.control.waiting_acquires);
+    until(|| waiting.load(Ordering::SeqCst) == 1).await;
+    let (end, stopped) = stop_within(fleet.listener, Duration::from_secs(4));
+    let response = read_to_end(&mut stream).await;
+    assert!(Instant::now() < end);
+    assert_eq!((response.status(), response.run()), (503, "not run"));
+    assert_eq!((response.reason(), response.is_whole()), ("stopping", true));
+    assert_eq!(waiting.load(Ordering::SeqCst), 0);
+    fleet.control.grants_open.send_replace(true);
+    ended(stopped).await;
+    assert_eq!(fleet.backends[0].seen().len(), 0);
+}
+
+/// A try that fails during a stop is followed by none that might outlast the stop.
+#[tokio::test]
+async fn second_try() {
+    let sheds = BackendScript {
+        delay_ms: 1_500,
+        ..BackendScript::with_fault(BackendFault::NotRun)
+    };
+    let late = BackendScript {
+        delay_ms: 10_000,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([sheds, late]).await;
+    let mut stream = fleet.connect().await;
+    let text = request("POST", "/till", "content-length: 2\r\n", "ab");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    let (end, stopped) = stop_within(fleet.listener, Duration::from_secs(4));
+    let response = read_to_end(&mut stream).await;
+    assert!(Instant::now() < end);
+    assert_eq!((response.status(), response.run()), (503, "not run"));
+    ended(stopped).await;
+    assert_eq!(fleet.backends[1].seen().len(), 0);
+}
+
+/// No hedge is sent while the host stops if it might outlast the stop.
+#[tokio::test]
+async fn late_hedge() {
+    let late = BackendScript {
+        delay_ms: 1_500,
+        ..BackendScript::default()
+    };
+    let hedged = route("/listing", |route| {
+        route.repeatable = Some(true);
+        route.hedge = Some(Duration::from_secs(1));
+    });
+    let fleet = Fleet::with_routes([hedged], [late.clone(), late]).await;
+    let mut stream = fleet.connect().await;
+    let text = get("/listing");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    let (_, stopped) = stop_within(fleet.listener, Duration::from_secs(4));
+    let response = read_to_end(&mut stream).await;
+    assert_eq!((response.status(), response.is_whole()), (200, true));
+    ended(stopped).await;
+    assert_eq!(fleet.backends[1].seen().len(), 0);
+}
+
 /// A connection counts as idle only when its whole response has left: a caller that reads slowly
 /// while the host stops gets all of it.
 #[rstest]
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -14,6 +14,8 @@
 mod fleet;
 #[path = "soak/kept_caller.rs"]
 mod kept_caller;
+#[path = "soak/late_request.rs"]
+mod late_request;
 #[path = "soak/promise.rs"]
 mod promise;
 #[path = "soak/rebirth_series.rs"]
@@ -32,8 +34,9 @@
 use fleet::SoakFleet;
 use kws_standin::{
     backend::{BackendFault, BackendScript, RefusalCopies},
-    caller::CallerConnection,
+    caller::{CallerAnswer, CallerConnection},
 };
+use late_request::LateRequest;
 use promise::broken_promises;
 use rstest::rstest;
 use seeds::seeds;
@@ -44,6 +47,12 @@
 const SERVERS: usize = 6;
 /// Callers of each host.
 const CALLERS: usize = 3;
+/// A timeout of routes that exceeds the grace of a host by far.
+const LONG_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a host serves on after a signal to stop.
+const DRAIN_LAG: Duration = Duration::from_millis(2_400);
+/// When a late request ends, after the signal.
+const LATE: Duration = Duration::from_secs(4);
 /// How long callers go on after all faults are mended.
 const CALM: Duration = Duration::from_secs(3);
 
@@ -160,6 +169,58 @@
     );
 }
 
+/// Requests that may outlast a stop get a whole answer, and 503 only if no server got them.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_at_stop() {
+    let mut fleet = SoakFleet::with_timeout(1, 1, LONG_TIMEOUT).await;
+    fleet.servers[0].set_script(BackendScript {
+        delay_ms: 15_000,
+        ..script(BackendFault::None)
+    });
+    let listen = fleet.hosts[0].listen;
+    let signalled = Instant::now() + Duration::from_secs(1);
+    let pause = Duration::from_millis(300);
+    let drained = signalled + DRAIN_LAG - Duration::from_millis(800);
+    let requests = [
+        LateRequest::new(1, "Content-Length: 4\r\n", "ab", signalled - pause),
+        LateRequest::new(
+            2,
+            "Transfer-Encoding: chunked\r\n",
+            "2\r\nab\r\n",
+            signalled - pause,
+        )
+        .ending("2\r\ncd\r\n0\r\n\r\n"),
+        LateRequest::new(3, "Content-Length: 2\r\n", "ab", signalled - pause),
+        LateRequest::new(4, "Content-Length: 2\r\n", "ab", signalled),
+        LateRequest::new(5, "Content-Length: 4\r\n", "ab", drained),
+        LateRequest::new(6, "Content-Length: 2\r\n", "ab", drained),
+    ];
+    let callers = requests.map(|request| tokio::spawn(request.send(listen, signalled + LATE)));
+    sleep_until(signalled).await;
+    fleet.hosts[0].signal("-TERM");
+    sleep(fleet::GRACE).await;
+    let ended = fleet.hosts[0].ended();
+    if ended.is_none() {
+        fleet.hosts[0].signal("-KILL");
+    }
+    let mut answers = Vec::new();
+    for caller in callers {
+        answers.push(caller.await.expect("callers don't panic"));
+    }
+    let arrived: Vec<String> = fleet.servers[0]
+        .server
+        .seen()
+        .iter()
+        .filter_map(|one| one.header("Request-Id").map(str::to_owned))
+        .collect();
+    for (id, answer) in &answers {
+        let status = answer.as_ref().map(CallerAnswer::status);
+        let expected = if arrived.contains(id) { 502 } else { 503 };
+        assert_eq!(status, Some(expected), "{id}: {answers:#?}, {arrived:?}");
+    }
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
 /// Hosts stop in turn, also before the previous one has ended, while callers keep their connections
 /// open and send their bodies in parts.
 #[rstest]
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -22,6 +22,8 @@
 
 /// The time from a request to stop until the daemon would be killed.
 pub const GRACE: Duration = Duration::from_secs(6);
+/// The usual timeout of the routes.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A rate that the callers never reach, in requests a second.
 const RATE: u32 = 100_000;
 /// Where the ports of daemons begin.
@@ -158,20 +160,28 @@
     /// The store.
     pub store: MetadataStore,
     version: u64,
+    timeout: Duration,
     files: TempDir,
 }
 
 impl SoakFleet {
-    /// Starts everything and waits until all hosts are ready.
+    /// Starts everything and waits until all hosts are ready. Requests end within the grace of a host
+    /// that stops: it serves on for some seconds, and then for as long as a request may take.
     pub async fn start(hosts: usize, servers: usize) -> Self {
+        Self::with_timeout(hosts, servers, SHORT_TIMEOUT).await
+    }
+
+    /// Like [`Self::start`], with another timeout of the routes.
+    pub async fn with_timeout(hosts: usize, servers: usize, timeout: Duration) -> Self {
         let ip = own_loopback();
         let store = MetadataStore::start();
-        store.put("op/config", &short_configuration(1));
+        store.put("op/config", &timed_configuration(1, timeout));
         let mut fleet = Self {
             hosts: Vec::new(),
             servers: Vec::new(),
             store,
             version: 1,
+            timeout,
             files: TempDir::new().expect("a directory"),
         };
         for number in 0..servers {
@@ -216,8 +226,10 @@
     /// Publishes another version of the configuration that means the same.
     pub fn publish(&mut self) {
         self.version += 1;
-        self.store
-            .put("op/config", &short_configuration(self.version));
+        self.store.put(
+            "op/config",
+            &timed_configuration(self.version, self.timeout),
+        );
     }
 
     /// Waits until every host is ready.
@@ -240,11 +252,11 @@
     format!("servers/{id}")
 }
 
-/// A configuration whose requests end within the grace of a host that stops: it serves on for some
-/// seconds, and then for as long as a request may take.
-fn short_configuration(version: u64) -> Vec<u8> {
+/// A configuration with another timeout of the routes.
+fn timed_configuration(version: u64, timeout: Duration) -> Vec<u8> {
     let text = String::from_utf8(configuration(version, RATE)).expect("text");
-    text.replace("5000ms", "2500ms").into_bytes()
+    text.replace("5000ms", &format!("{}ms", timeout.as_millis()))
+        .into_bytes()
 }
 
 /// A loopback address for this process alone: daemons that an interrupted run left behind must not
