No caller keeps a stopping process alive beyond its grace

Callers saw nothing; the platform saw a process that did not end: one caller with half a head, half a body or an unread response held it until the kill.

Cause: the daemon waited for the listener without a limit of its own: for heads up to 10 s, for the other connections up to an hour.

The daemon now ends 250 ms before the grace does; by then all requests have their responses. A response body that still runs is cut, as it was by the kill.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -29,12 +29,14 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout_at},
 };
 
 /// The end of the grace period that is kept for the process's own exit: the HTTP server takes up to
 /// 750 ms to stop once the last response has ended.
 const EXIT_RESERVE: Duration = Duration::from_secs(1);
+/// The end of the grace period by which the process exits, whatever is still open.
+const EXIT_MARGIN: Duration = Duration::from_millis(250);
 /// Capacity of the channel of platform events.
 const PLATFORM_EVENTS_CAPACITY: usize = 8;
 /// Capacity of the channel of peer messages to the fleet thread.
@@ -122,16 +124,24 @@
     /// Stops in order: turns readiness off, keeps serving for the drain lag while the load balancer
     /// notices, with responses that close their connections, returns the loans, then waits for all
     /// requests in flight. From the end of the drain lag on, requests that may not end within the
-    /// grace period are refused or broken off.
+    /// grace period are refused or broken off. Returns before the grace period ends.
     pub async fn stop(self) {
-        let end = Instant::now() + self.settings.grace.saturating_sub(EXIT_RESERVE);
+        let grace = self.settings.grace;
+        let started = Instant::now();
+        let end = started + grace.saturating_sub(EXIT_RESERVE);
+        let exit = started + grace.saturating_sub(EXIT_MARGIN);
         self.shared.stopping.store(true, Ordering::Release);
         log::info!("stopping");
         // Callers in use of a connection leave it before the stop closes the idle ones.
         self.listener.drain();
         sleep(self.drain_lag).await;
         let _ = self.ledger.send(LedgerEvent::Stop).await;
-        self.listener.stop_before(end).await;
+        let stopped = timeout_at(exit, self.listener.stop_before(end)).await;
+        if stopped.is_err() {
+            log::warn!(
+                "connections of callers are still open shortly before the grace period ends"
+            );
+        }
         log::info!("stopped");
     }
 }
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -221,6 +221,37 @@
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
 }
 
+/// What a caller does or leaves undone keeps no stopping process alive beyond its grace.
+#[rstest]
+#[case::half_head("POST /pay/slot HTTP/1.1\r\nHost: farm.exa", 64)]
+#[case::half_body(
+    "POST /pay/slot HTTP/1.1\r\nHost: farm.example\r\nRequest-Id: 1\r\n\
+    Authorization: Bearer orchard-key\r\nContent-Length: 100000\r\n\r\nab",
+    64
+)]
+#[case::unread_response("POST /pay/slot HTTP/1.1\r\nHost: farm.example\r\nRequest-Id: 1\r\n\
+    Authorization: Bearer orchard-key\r\nContent-Length: 0\r\n\r\n", 1 << 30)]
+#[tokio::test(flavor = "multi_thread")]
+async fn holding_caller(#[case] text: &str, #[case] body_bytes: u64) {
+    let mut fleet = SoakFleet::with_timeout(1, 1, LONG_TIMEOUT).await;
+    fleet.servers[0].server.set_script(BackendScript {
+        body_bytes,
+        ..script(BackendFault::None)
+    });
+    let listen = fleet.hosts[0].listen;
+    fleet.hosts[0].signal("-TERM");
+    let signalled = Instant::now();
+    sleep_until(signalled + DRAIN_LAG - Duration::from_millis(400)).await;
+    let mut connection = CallerConnection::connect(listen).await.expect("connects");
+    connection.send(text).await.expect("sends");
+    while signalled.elapsed() < fleet::GRACE {
+        sleep(Duration::from_millis(100)).await;
+        let _ = connection.send("a").await;
+    }
+    let ended = fleet.hosts[0].ended();
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
 /// Hosts stop in turn, also before the previous one has ended, while callers keep their connections
 /// open and send their bodies in parts.
 #[rstest]
