A pipelined request isn't run after a response that closes its connection

Callers saw: from SIGTERM on each response announces that its connection closes, yet a request that the caller had pipelined behind the first was still run, and answered. A caller must take such a request for not processed (RFC 9112, 9.6) and may send it again: it then runs twice.

Cause: the HTTP server closes the connection only if no further request has been read from it, and decides anew with each request.

Evidence: graceful_stop::pipelined_request, on the code before: two responses with 200, the second after one with "connection: close", and two arrivals at the server.

The connection now remembers that a response has announced its close; a request behind that is refused as not run.

--- a/crates/kws-forward/src/caller_connection.rs
+++ b/crates/kws-forward/src/caller_connection.rs
@@ -31,6 +31,8 @@
     pending_guard: RefCell<Option<LiveGuard>>,
     /// Requests that are being served or whose responses are not complete.
     open_exchanges: Cell<usize>,
+    /// Whether a response has announced that the connection closes after it.
+    announced_close: Cell<bool>,
 }
 
 impl CallerConnection {
@@ -47,6 +49,7 @@
             pending_requests,
             pending_guard: RefCell::new(None),
             open_exchanges: Cell::new(0),
+            announced_close: Cell::new(false),
         }
     }
 
@@ -104,6 +107,17 @@
         open.set(open.get() + 1);
         ExchangeGuard(Rc::clone(&self.0))
     }
+
+    /// Records that a response announces that the connection closes after it.
+    pub(crate) fn announce_close(&self) {
+        self.0.announced_close.set(true);
+    }
+
+    /// Whether an earlier response has announced that the connection closes after it. Callers take
+    /// further requests on it for not processed.
+    pub(crate) fn has_announced_close(&self) -> bool {
+        self.0.announced_close.get()
+    }
 }
 
 /// Marks a connection as busy with a request until dropped.
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -31,7 +31,7 @@
     let response = tokio::select! {
         biased;
         () = disconnected => Response::BadRequest().force_close().finish(),
-        response = serve_connected(&worker, request, caller) => response,
+        response = serve_connected(&worker, request, caller, connection.as_ref()) => response,
     };
     response.map_body(|_, body| TrackedBody::wrap(body, exchange))
 }
@@ -50,13 +50,20 @@
     checks.check_head().err()
 }
 
-async fn serve_connected(worker: &WorkerState, mut request: Request, caller: IoRef) -> Response {
+async fn serve_connected(
+    worker: &WorkerState,
+    mut request: Request,
+    caller: IoRef,
+    connection: Option<&ConnectionHandle>,
+) -> Response {
     let trace_id = worker.ids.next_id();
     let request_id =
         caller_request_id(&request, &worker.dialect).unwrap_or_else(|| trace_id.clone());
     let payload = request.take_payload();
     let mut entry = AccessEntry::new(worker, &request, truncate_id(&request_id));
+    let is_closing = connection.is_some_and(ConnectionHandle::has_announced_close);
     let result = match read_head(&request, &worker.dialect) {
+        Ok(_) if is_closing => Err(RequestRefusal::not_run(RefusalReason::Stopping)),
         Ok(parts) => {
             entry.log.path.clone_from(&parts.path);
             let mut exchange = Exchange {
@@ -88,6 +95,9 @@
         &request_id,
     );
     if worker.is_draining() || requests_close(request.headers()) {
+        if let Some(connection) = connection {
+            connection.announce_close();
+        }
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
--- a/crates/kws-forward/tests/graceful_stop.rs
+++ b/crates/kws-forward/tests/graceful_stop.rs
@@ -460,6 +460,28 @@
     assert_eq!(fleet.backends[1].seen().len(), 0);
 }
 
+/// A pipelined request isn't run once a response before it has announced the end of its connection.
+#[tokio::test]
+async fn pipelined_request() {
+    let slow = BackendScript {
+        delay_ms: 1_000,
+        ..BackendScript::default()
+    };
+    let fleet = Fleet::start([slow]).await;
+    let mut stream = fleet.connect().await;
+    let text = request("POST", "/till", "content-length: 2\r\n", "ab");
+    let text = text.replace("connection: close\r\n", "").repeat(2);
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    until(|| fleet.arrivals() == 1).await;
+    fleet.listener.drain();
+    let responses = read_to_end(&mut stream).await;
+    assert_eq!(responses.header("connection"), Some("close"));
+    let statuses = ["HTTP/1.1 200", "HTTP/1.1 503", "knapweedseam-run: not run"];
+    let counts = statuses.map(|text| responses.text.matches(text).count());
+    assert_eq!(counts, [1, 1, 1], "{responses:?}");
+    assert_eq!(fleet.arrivals(), 1);
+}
+
 /// A connection counts as idle only when its whole response has left: a caller that reads slowly
 /// while the host stops gets all of it.
 #[rstest]
