A paused host no longer cuts a response that has arrived

Callers saw: after a pause of their host beyond a request's deadline, a response whose last bytes had reached the host before the deadline ended with a closed connection.

Cause: a process that wakes late sees its timers before the bytes that came meanwhile: the body's deadline aborted the connection at once, and so did the watch for callers that don't read.

Both timers now start a short grace when they notice the passed deadline, 50 ms for reading and 100 ms for a caller that doesn't read, so that a body that follows its head just after the deadline also passes. Ruled out: the idle timeout of a body, since bytes are read before it is asked (paused_wait); a body that can't end in time still doesn't look whole (unended_body).

--- a/crates/kws-forward/src/response_body.rs
+++ b/crates/kws-forward/src/response_body.rs
@@ -26,11 +26,14 @@
 };
 use tokio::{
     sync::oneshot,
-    time::{Instant, Sleep, sleep_until, timeout_at},
+    time::{Instant, Sleep, sleep_until, timeout, timeout_at},
 };
 
 /// The grace after the deadline before the connection of a caller that does not read is closed.
 const STALL_GRACE: Duration = Duration::from_millis(100);
+/// The grace after the deadline for reading what has arrived by then. A process that wakes late sees
+/// its timers before the bytes that came meanwhile.
+const READ_GRACE: Duration = Duration::from_millis(50);
 
 /// The largest part of a body that is read before the head goes out to the caller, in bytes.
 const MAX_EARLY_BYTES: usize = 32 * 1024;
@@ -136,6 +139,8 @@
     class: TryClass,
     silence: SilenceTimer,
     deadline: Pin<Box<Sleep>>,
+    /// Whether the deadline has passed and the grace for reading runs.
+    past_deadline: bool,
     aborted: bool,
     _deadline_watch: oneshot::Sender<()>,
 }
@@ -156,16 +161,28 @@
         Self {
             source,
             remaining,
-            _deadline_watch: watch_deadline(caller.clone(), timeouts.deadline + STALL_GRACE),
+            _deadline_watch: watch_deadline(caller.clone(), timeouts.deadline),
             caller,
             guard,
             class,
             silence: SilenceTimer::new(timeouts.idle),
             deadline: Box::pin(sleep_until(timeouts.deadline)),
+            past_deadline: false,
             aborted: false,
         }
     }
 
+    /// Ready once the grace after the deadline has passed. It begins when the passed deadline is noticed.
+    fn poll_overdue(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        std::task::ready!(self.deadline.as_mut().poll(context));
+        if self.past_deadline {
+            return Poll::Ready(());
+        }
+        self.past_deadline = true;
+        self.deadline.as_mut().reset(Instant::now() + READ_GRACE);
+        self.deadline.as_mut().poll(context)
+    }
+
     fn abort(&mut self, class: TryClass) -> Poll<Option<Bytes>> {
         self.aborted = true;
         self.source.payload.close();
@@ -178,7 +195,7 @@
         if self.aborted {
             return Poll::Pending;
         }
-        if self.deadline.as_mut().poll(context).is_ready() {
+        if self.poll_overdue(context).is_ready() {
             return self.abort(TryClass::TimedOut);
         }
         match self.source.payload.poll_recv(context) {
@@ -217,14 +234,18 @@
     }
 }
 
-/// Closes the connection at `deadline` unless the returned sender is dropped before.
+/// Closes the connection [`STALL_GRACE`] after `deadline` unless the returned sender is dropped
+/// before. The grace begins when the passed deadline is noticed.
 ///
 /// The HTTP server doesn't poll the body while the caller does not read, so the body can't enforce
 /// the deadline itself.
 fn watch_deadline(caller: IoRef, deadline: Instant) -> oneshot::Sender<()> {
-    let (sender, dropped) = oneshot::channel();
+    let (sender, mut dropped) = oneshot::channel();
     rt::spawn(async move {
-        if timeout_at(deadline, dropped).await.is_err() {
+        if timeout_at(deadline, &mut dropped).await.is_ok() {
+            return;
+        }
+        if timeout(STALL_GRACE, dropped).await.is_err() {
             caller.terminate();
         }
     });
--- a/crates/kws-forward/tests/common/fleet.rs
+++ b/crates/kws-forward/tests/common/fleet.rs
@@ -24,6 +24,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    thread,
     time::Duration,
 };
 use tokio::{
@@ -57,6 +58,8 @@
     pub retries: Mutex<Vec<RetryReason>>,
     pub extra_responses: Mutex<Vec<ExtraResponse>>,
     pub records: Mutex<Vec<AccessRecord>>,
+    /// How long the worker is paused when the head of a response is ready.
+    pub pause: Mutex<Duration>,
 }
 
 impl ForwardControl for FakeControl {
@@ -121,6 +124,7 @@
 
     fn record_access(&self, record: AccessRecord) {
         self.records.lock().unwrap().push(record);
+        thread::sleep(*self.pause.lock().unwrap());
     }
 }
 
@@ -246,6 +250,7 @@
             retries: Mutex::default(),
             extra_responses: Mutex::default(),
             records: Mutex::default(),
+            pause: Mutex::default(),
         });
         let mut listener_settings = ListenerSettings::new((Ipv4Addr::LOCALHOST, 0).into(), 1);
         change(&mut listener_settings);
