A body may arrive in the first part of the grace

Callers saw, since requests that may outlast a stop are answered: a request whose body was on its way at the end of the drain lag was broken off at once, also with most of the grace left, as on a host with a grace of 30 s and a drain lag of 5 s.

Cause: the cut for bodies was the moment at which the stop is announced to requests.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -16,7 +16,7 @@
 use eyre::{Result, WrapErr};
 use kws_admin::FleetMetrics;
 use kws_forward::{
-    BackendTrust, CertificateFiles, CertificateStore, ListenerHandle, ListenerSettings,
+    BackendTrust, CertificateFiles, CertificateStore, ListenerHandle, ListenerSettings, StopTimes,
     run_listener,
 };
 use kws_platform::WatchTiming;
@@ -37,6 +37,9 @@
 const EXIT_RESERVE: Duration = Duration::from_secs(1);
 /// The end of the grace period by which the process exits, whatever is still open.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Part of the grace period in which a request must arrive that may last longer than the rest. Those that
+/// arrive in the first half may be cut at its end; the signal can take a while.
+const ARRIVAL_RATIO: f64 = 0.45;
 /// Capacity of the channel of platform events.
 const PLATFORM_EVENTS_CAPACITY: usize = 8;
 /// Capacity of the channel of peer messages to the fleet thread.
@@ -128,7 +131,10 @@
     pub async fn stop(self) {
         let grace = self.settings.grace;
         let started = Instant::now();
-        let end = started + grace.saturating_sub(EXIT_RESERVE);
+        let times = StopTimes {
+            arrival: started + grace.mul_f64(ARRIVAL_RATIO),
+            end: started + grace.saturating_sub(EXIT_RESERVE),
+        };
         let exit = started + grace.saturating_sub(EXIT_MARGIN);
         self.shared.stopping.store(true, Ordering::Release);
         log::info!("stopping");
@@ -136,7 +142,7 @@
         self.listener.drain();
         sleep(self.drain_lag).await;
         let _ = self.ledger.send(LedgerEvent::Stop).await;
-        let stopped = timeout_at(exit, self.listener.stop_before(end)).await;
+        let stopped = timeout_at(exit, self.listener.stop_before(times)).await;
         if stopped.is_err() {
             log::warn!(
                 "connections of callers are still open shortly before the grace period ends"
--- a/crates/kws-forward/src/exchange.rs
+++ b/crates/kws-forward/src/exchange.rs
@@ -185,11 +185,11 @@
     }
 }
 
-/// Waits until a stop that ends before `deadline` breaks off a request at a backend server: at the
-/// begin of the stop if the body hasn't arrived by then, otherwise at its end.
+/// Waits until a stop that ends before `deadline` breaks off a request at a backend server.
 async fn broken_off(worker: &WorkerState, deadline: Instant, body: &RequestBody) {
-    let end = worker.stop_before(deadline).await;
+    let times = worker.stop_before(deadline).await;
+    sleep_until(times.arrival).await;
     if body.is_received() {
-        sleep_until(end).await;
+        sleep_until(times.end).await;
     }
 }
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -41,6 +41,6 @@
     AccessOutcome, AccessRecord, ExtraResponse, ExtraResponseKind, ForwardControl, GrantTicket,
     Refusal, RetryPermission, ServerGrant, ServerRequest, TryClass, TryOutcome,
 };
-pub use listener::{ListenerHandle, ListenerSettings, run_listener};
+pub use listener::{ListenerHandle, ListenerSettings, StopTimes, run_listener};
 pub use routing::RoutingView;
 pub use tls::{BackendTrust, CertificateFiles, CertificateStore, TlsError};
--- a/crates/kws-forward/src/listener.rs
+++ b/crates/kws-forward/src/listener.rs
@@ -84,12 +84,21 @@
     }
 }
 
+/// By when requests must arrive and end at a stop of a process that is killed later.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopTimes {
+    /// The latest arrival of the last byte of a request that may last longer than until `end`.
+    pub arrival: Instant,
+    /// When every response must have begun.
+    pub end: Instant,
+}
+
 /// A running listener. Dropping the handle stops it like [`ListenerHandle::stop`], without waiting.
 #[derive(Debug)]
 pub struct ListenerHandle {
     address: SocketAddr,
     draining: Arc<AtomicBool>,
-    stop_end: watch::Sender<Option<Instant>>,
+    stop_times: watch::Sender<Option<StopTimes>>,
     stop: Option<oneshot::Sender<()>>,
     stopped: Option<oneshot::Receiver<()>>,
 }
@@ -105,11 +114,12 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Like [`Self::stop`], with every response to begin by `end`. Of the requests whose time limit
-    /// ends later, those that are not at a backend server yet are refused as not run, those whose
-    /// body is still arriving are broken off, and the others are broken off at `end`.
-    pub async fn stop_before(self, end: Instant) {
-        self.stop_end.send_replace(Some(end));
+    /// Like [`Self::stop`], with every response to begin by [`StopTimes::end`]. Of the requests whose
+    /// time limit ends later, those that are not at a backend server yet are refused as not run.
+    /// Those whose body is still arriving at [`StopTimes::arrival`] are broken off then, and the
+    /// others at the end.
+    pub async fn stop_before(self, times: StopTimes) {
+        self.stop_times.send_replace(Some(times));
         self.stop().await;
     }
 
@@ -148,7 +158,7 @@
     let listener = server::create_tcp_listener(settings.address, MAX_BACKLOG)?;
     let address = listener.local_addr()?;
     let draining = Arc::new(AtomicBool::new(false));
-    let (stop_end, stop_end_receiver) = watch::channel(None);
+    let (stop_times, stop_times_receiver) = watch::channel(None);
     let (stop_phase, phase_receiver) = watch::channel(StopPhase::Serving);
     let (stop, stop_receiver) = oneshot::channel();
     let (stopped_sender, stopped) = oneshot::channel();
@@ -156,7 +166,7 @@
         control,
         draining: Arc::clone(&draining),
         stop_phase: phase_receiver,
-        stop_end: stop_end_receiver,
+        stop_times: stop_times_receiver,
         unused_connections: LiveCount::default(),
         pending_requests: LiveCount::default(),
         live_workers: LiveCount::default(),
@@ -177,7 +187,7 @@
     Ok(ListenerHandle {
         address,
         draining,
-        stop_end,
+        stop_times,
         stop: Some(stop),
         stopped: Some(stopped),
     })
--- a/crates/kws-forward/src/worker.rs
+++ b/crates/kws-forward/src/worker.rs
@@ -3,6 +3,7 @@
 use crate::{
     connections::StopPhase,
     control::{ForwardControl, Refusal},
+    listener::StopTimes,
     live_count::LiveCount,
     refusal::RequestRefusal,
     request_id::IdSource,
@@ -33,8 +34,8 @@
     pub(crate) draining: Arc<AtomicBool>,
     /// Which connections a stop closes.
     pub(crate) stop_phase: watch::Receiver<StopPhase>,
-    /// By when every response must have ended; set when a stop with such a limit begins.
-    pub(crate) stop_end: watch::Receiver<Option<Instant>>,
+    /// By when requests must end; set when a stop with such a limit begins.
+    pub(crate) stop_times: watch::Receiver<Option<StopTimes>>,
     /// Counts connections on which no byte has arrived yet.
     pub(crate) unused_connections: LiveCount,
     /// Counts requests without a response yet.
@@ -60,7 +61,7 @@
     /// What is known of the routes' requests and responses.
     pub(crate) routes: RouteHistory,
     draining: Arc<AtomicBool>,
-    stop_end: watch::Receiver<Option<Instant>>,
+    stop_times: watch::Receiver<Option<StopTimes>>,
 }
 
 impl WorkerState {
@@ -78,7 +79,7 @@
             dialect: parts.dialect,
             routes: RouteHistory::default(),
             draining: parts.draining,
-            stop_end: parts.stop_end,
+            stop_times: parts.stop_times,
         }
     }
 
@@ -87,13 +88,13 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Waits for a stop that ends before `deadline` to begin, and returns its end.
-    pub(crate) async fn stop_before(&self, deadline: Instant) -> Instant {
-        let mut stop_end = self.stop_end.clone();
-        let is_before = |end: &Option<Instant>| end.is_some_and(|end| end < deadline);
-        let announced = stop_end.wait_for(is_before).await.ok();
-        match announced.and_then(|end| *end) {
-            Some(end) => end,
+    /// Waits for a stop that ends before `deadline` to begin, and returns its times.
+    pub(crate) async fn stop_before(&self, deadline: Instant) -> StopTimes {
+        let mut stop_times = self.stop_times.clone();
+        let is_before = |times: &Option<StopTimes>| times.is_some_and(|times| times.end < deadline);
+        let announced = stop_times.wait_for(is_before).await.ok();
+        match announced.and_then(|times| *times) {
+            Some(times) => times,
             None => pending().await,
         }
     }
