--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -234,7 +234,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn holding_caller(#[case] text: &str, #[case] body_bytes: u64) {
     let mut fleet = SoakFleet::with_timeout(1, 1, LONG_TIMEOUT).await;
-    fleet.servers[0].server.set_script(BackendScript {
+    fleet.servers[0].set_script(BackendScript {
         body_bytes,
         ..script(BackendFault::None)
     });
