--- a/crates/kws-forward/tests/refusal_promise.rs
+++ b/crates/kws-forward/tests/refusal_promise.rs
@@ -136,6 +136,13 @@
     told
 }
 
+fn run_count(servers: &[FaultyServer], id: &str) -> usize {
+    let arrivals = servers.iter().flat_map(FaultyServer::arrivals);
+    arrivals
+        .filter(|one| one.id == id && one.behavior.runs())
+        .count()
+}
+
 fn check_promises(told: &[Told], servers: &[FaultyServer]) {
     let arrivals: Vec<Arrival> = servers.iter().flat_map(FaultyServer::arrivals).collect();
     let mut broken = Vec::new();
@@ -195,6 +202,37 @@
     check_shared_addresses(seed).await;
 }
 
+/// Guards against the same where a caller sends a refused request once more with its id.
+#[rstest]
+#[case::first_seed(1)]
+#[case::second_seed(2)]
+#[case::third_seed(3)]
+#[tokio::test]
+async fn repeated_id(#[case] seed: u64) {
+    let servers = start_servers(seed).await;
+    let fleet = start_fleet(servers.iter().map(|one| one.address).collect());
+    *fleet.control.retry_permission.lock().expect("not poisoned") = RetryPermission::Denied;
+    let address = fleet.listener.address();
+    let mut kept = None;
+    let mut repeated = 0;
+    for round in 0..ROUNDS * 2 {
+        let id = format!("r{round}-{}", round % CALLERS);
+        if !pay(&mut kept, address, &id).await.is_promise() {
+            continue;
+        }
+        assert_eq!(run_count(&servers, &id), 0, "{id} had run");
+        repeated += 1;
+        let again = pay(&mut kept, address, &id).await;
+        sleep(DEADLINE).await;
+        let runs = run_count(&servers, &id);
+        assert!(
+            runs <= 1 && !(runs > 0 && again.is_promise()),
+            "{again:?}, {runs} runs"
+        );
+    }
+    assert!(repeated > 0, "some requests were refused");
+}
+
 /// By hand: `PROMISE_SEEDS=1..101 cargo test -p kws-forward --test refusal_promise long_series --
 /// --ignored`.
 #[tokio::test]
