Tests: TLS callers and further signals at a stop

Ruled out: a stop that cuts requests of TLS callers or is held by an open handshake (tls_stop), and one that further SIGTERM, SIGINT or SIGHUP signals cut short (further_signals, as a process).

--- a/crates/kws-forward/tests/tls_connections.rs
+++ b/crates/kws-forward/tests/tls_connections.rs
@@ -3,9 +3,10 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
-use fleet::{Fleet, get, route, settings};
-use kws_forward::{BackendTrust, CertificateFiles, CertificateStore};
+use fleet::{Fleet, TEST_TIMEOUT, get, request, route, settings, until};
+use kws_forward::{BackendTrust, CertificateFiles, CertificateStore, StopTimes};
 use kws_protocol::{FleetSettings, ServerName};
+use kws_standin::backend::{BackendScript, BackendServer};
 use rstest::rstest;
 use rustls::{
     ClientConfig, ClientConnection, RootCertStore, ServerConfig, ServerConnection, Stream,
@@ -19,7 +20,9 @@
     path::{Path, PathBuf},
     sync::Arc,
     thread,
+    time::Duration,
 };
+use tokio::time::{Instant, timeout};
 
 fn file(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -32,7 +35,7 @@
 }
 
 /// Sends a request over TLS; returns the certificate that the listener presents and its response.
-fn send_request(address: SocketAddr) -> (CertificateDer<'static>, String) {
+fn send_request(address: SocketAddr, text: &str) -> (CertificateDer<'static>, String) {
     let mut roots = RootCertStore::empty();
     roots.add(certificate("root.pem")).expect("is a root");
     let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
@@ -45,7 +48,7 @@
     let mut tcp = TcpStream::connect(address).expect("connects");
     let mut response = Vec::new();
     let mut stream = Stream::new(&mut tls, &mut tcp);
-    stream.write_all(get("/open").as_bytes()).expect("writes");
+    stream.write_all(text.as_bytes()).expect("writes");
     let _ = stream.read_to_end(&mut response);
     let presented = tls.peer_certificates().expect("presents a certificate")[0]
         .clone()
@@ -104,7 +107,7 @@
         listener_settings.certificate = Some(presented);
     });
     let address = fleet.listener.address();
-    let request = || tokio::task::spawn_blocking(move || send_request(address));
+    let request = || tokio::task::spawn_blocking(move || send_request(address, &get("/open")));
     let (first, response) = request().await.expect("asks");
     assert_eq!(
         (first, response.contains("404")),
@@ -120,6 +123,45 @@
     fs::remove_dir_all(&directory).expect("removes");
 }
 
+/// A stop ends requests of TLS callers like others, and no open handshake holds it.
+#[rstest]
+#[case::ends_in_time(500, "HTTP/1.1 200", "")]
+#[case::unended(10_000, "HTTP/1.1 502", "knapweedseam-run: unknown")]
+#[tokio::test]
+async fn tls_stop(#[case] delay_ms: u64, #[case] status: &str, #[case] run: &str) {
+    let files = CertificateFiles {
+        chain: file("first.pem"),
+        key: file("first.key"),
+    };
+    let store = Arc::new(CertificateStore::load(files).expect("loads"));
+    let script = BackendScript {
+        delay_ms,
+        ..BackendScript::default()
+    };
+    let backend = BackendServer::start(script).await.expect("starts");
+    let servers = vec![(ServerName::new("server"), backend.address())];
+    let settings = settings([route("/till", |route| route.repeatable = Some(false))]);
+    let fleet = Fleet::with_servers(settings, vec![backend], servers, |listener_settings| {
+        listener_settings.certificate = Some(store);
+    });
+    let handshake = fleet.connect().await;
+    let address = fleet.listener.address();
+    let text = request("POST", "/till", "content-length: 2\r\n", "ab");
+    let caller = tokio::task::spawn_blocking(move || send_request(address, &text).1);
+    until(|| fleet.arrivals() == 1).await;
+    let now = Instant::now();
+    let times = StopTimes {
+        arrival: now + Duration::from_secs(1),
+        end: now + Duration::from_secs(2),
+    };
+    let stopped = timeout(TEST_TIMEOUT, fleet.listener.stop_before(times)).await;
+    stopped.expect("stops");
+    let response = caller.await.expect("asks");
+    assert!(response.starts_with(status), "{response}");
+    assert!(response.contains(run), "{response}");
+    drop(handshake);
+}
+
 #[rstest]
 #[case::trusted(Some("root.pem"), 200, "")]
 #[case::other_authority(Some("other-root.pem"), 503, "not run")]
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -221,6 +221,32 @@
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
 }
 
+/// Further signals to a stopping host cut no request.
+#[tokio::test(flavor = "multi_thread")]
+async fn further_signals() {
+    let mut fleet = SoakFleet::with_timeout(1, 1, LONG_TIMEOUT).await;
+    fleet.servers[0].server.set_script(BackendScript {
+        delay_ms: 3_500,
+        ..script(BackendFault::None)
+    });
+    let mut connection = CallerConnection::connect(fleet.hosts[0].listen)
+        .await
+        .expect("connects");
+    let request = caller::request("0000000000000001", true);
+    connection.send(&request).await.expect("sends");
+    let signalled = Instant::now();
+    for signal in ["-TERM", "-TERM", "-HUP", "-INT", "-TERM"] {
+        fleet.hosts[0].signal(signal);
+        sleep(Duration::from_millis(600)).await;
+    }
+    let answer = connection.receive().await;
+    let status = answer.as_ref().map(CallerAnswer::status).ok();
+    assert_eq!(status, Some(200), "{answer:?}");
+    sleep_until(signalled + fleet::GRACE).await;
+    let ended = fleet.hosts[0].ended();
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
 /// What a caller does or leaves undone keeps no stopping process alive beyond its grace.
 #[rstest]
 #[case::half_head("POST /pay/slot HTTP/1.1\r\nHost: farm.exa", 64)]
