--- a/crates/kws-standin/src/backend/script.rs
+++ b/crates/kws-standin/src/backend/script.rs
@@ -137,7 +137,7 @@
             echo_id: true,
             id_header: "x-request-id".to_owned(),
             instance: None,
-            instance_header: "expected-instance".to_owned(),
+            instance_header: "x-expected-server".to_owned(),
             healthy: true,
             headers: BTreeMap::new(),
             refusal_headers: BTreeMap::new(),
--- a/crates/kws-standin/tests/backend_server.rs
+++ b/crates/kws-standin/tests/backend_server.rs
@@ -65,7 +65,7 @@
 /// A request of which the server must be `instance`.
 fn expecting(id: u32, instance: &str) -> String {
     format!(
-        "POST / HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\nexpected-instance: {instance}\r\n\
+        "POST / HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\nx-expected-server: {instance}\r\n\
          content-length: 0\r\n\r\n"
     )
 }
@@ -101,7 +101,7 @@
         .expect("connects");
     let expected = [("old", 421), ("new", 200), ("old", 421)];
     for (instance, status) in expected {
-        let request = expecting(7, instance).replace("expected-instance", "wanted");
+        let request = expecting(7, instance).replace("x-expected-server", "wanted");
         let answer = caller.exchange(&request).await.expect("an answer");
         assert_eq!(answer.status(), status);
     }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -333,6 +333,7 @@
         refusal_headers,
         delay_ms: 5,
         id_header: "request-id".to_owned(),
+        instance_header: "expected-instance".to_owned(),
         ..BackendScript::default()
     }
 }
