An extra response is never joined with the next one

Callers could have seen: '503 not run' for a request that runs.

Cause: of bytes that arrive while no response is due, up to 1 KiB were passed on, so that the client discards the connection. If they come between its check of the connection and the write of the next request, the client reads them as that request's response. A copy with a head of more than 1 KiB was cut in its head, and the head of the next response, with the right id, completed it: a refusal that names the request.

Evidence: response_surplus::joined_heads, which failed on the code before.

Only two bytes are passed on, enough for the client to discard the connection. Together with a response they are no head, and an empty line is still harmless.

--- a/crates/kws-forward/src/response_guard.rs
+++ b/crates/kws-forward/src/response_guard.rs
@@ -18,6 +18,9 @@
 /// Maximum number of bytes after the end of a response. The client discards the connection when it
 /// wants to use it again; until then it would read them without end.
 const MAX_SURPLUS: usize = 1024;
+/// Number of these bytes that are passed on: the client sees them, and together with the head of a
+/// response they are no head. An empty line is harmless.
+const PASSED_SURPLUS: usize = 2;
 /// Maximum number of copies that are dropped before the expected response.
 const MAX_DROPPED: u32 = 4;
 /// Maximum total size of these copies, in bytes. While bytes are dropped the connection is read without
@@ -280,7 +283,7 @@
                 status: 0,
             });
         }
-        let passed = input.len().min(MAX_SURPLUS - self.surplus);
+        let passed = input.len().min(PASSED_SURPLUS.saturating_sub(self.surplus));
         output.extend_from_slice(&input[..passed]);
         self.surplus += input.len();
         Ok(input.len())
