--- a/crates/kws-forward/src/sent_requests.rs
+++ b/crates/kws-forward/src/sent_requests.rs
@@ -1,4 +1,5 @@
-//! Remembers which requests were sent to which backend server.
+//! Remembers which requests were sent to which backend server, so that none is sent twice on one
+//! connection.
 
 use std::{
     collections::{HashSet, hash_map::RandomState},
@@ -9,7 +10,7 @@
 };
 use tokio::time::Instant;
 
-/// The requests sent to backend servers, each remembered for at least a period and at most two.
+/// The requests sent to backend servers, each remembered for at least a period.
 ///
 /// Only hashes are kept: two requests with the same hash count as one.
 #[derive(Debug)]
--- a/crates/kws-forward/src/single_try.rs
+++ b/crates/kws-forward/src/single_try.rs
@@ -155,14 +155,14 @@
     let address = context.grant.address;
     let repeatable = context.route.is_repeatable(context.parts.method.as_str());
     let pool = &context.worker.pool;
-    let connection_use = pool.record_request(address, context.request_id, repeatable);
+    let connection_use = pool.choose_connection(address, context.request_id, repeatable);
     let client = pool.client(context.upstream(), connection_use).await;
     let mut request = build_request(context, &client.ok_or(SendError::Connect)?);
     // If the server doesn't echo the request id, a late response to this request can't be told from
     // the response to the next one. After a chunked body the guard can't tell where the next
-    // request begins.
-    let is_shared = connection_use != ConnectionUse::Single;
-    if !is_shared || !pool.echoes_request_id(address) || body.is_chunked() {
+    // request begins. A single connection exists to carry no other request.
+    let is_single = connection_use == ConnectionUse::Single;
+    if is_single || !pool.echoes_request_id(address) || body.is_chunked() {
         request = request.force_close();
     }
     let body = if body.is_absent() {
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -39,6 +39,7 @@
 const CONNECTION_LIFETIME: Seconds = Seconds(60);
 /// How long requests sent to a server are remembered, longer than [`CONNECTION_LIFETIME`].
 const SENT_PERIOD: Duration = Duration::from_secs(65);
+const _: () = assert!(SENT_PERIOD.as_secs() > CONNECTION_LIFETIME.0 as u64);
 /// The maximum number of connections of one worker to one server. Slots limit their use further.
 const CONNECTION_LIMIT: usize = 1024;
 
@@ -142,11 +143,11 @@
         }
     }
 
-    /// Records that a request is sent to `address` and returns the connections that it may use.
+    /// Chooses the connections that a request to `address` may use, and records that it is sent there.
     ///
-    /// A response names the request, not the try, so that no connection carries two requests with the
-    /// same id: the copy of a response to one of them couldn't be told from the response to the other.
-    pub(crate) fn record_request(
+    /// A response names the request, not the try. So no connection carries two requests with the same
+    /// id: the copy of a response to one of them couldn't be told from the response to the other.
+    pub(crate) fn choose_connection(
         &self,
         address: SocketAddr,
         request_id: &str,
