Bytes after the end of a TLS session end the connection

A server behind TLS that ended its session and went on sending bytes filled the memory of the host: one worker took 4 GiB (`buffer capacity exceeds maximum`), panicked, and took the next one; in between it answered nobody. A caller of a TLS listener did the same to it with any request.

Cause: the TLS filter of the HTTP library takes no more bytes once the peer has ended the session, and asks for the connection to be closed. The loop that reads the connection goes on until nothing is there, and leaves the bytes in the buffer below the filter. That buffer isn't limited: the limits of the library and of the response guard count what comes out above.

`SessionLayer` stands below TLS, to servers and to callers, and ends a connection of which 64 KiB wait for the session. An open session takes all bytes at once, a part of a record as well.

--- a/crates/kws-forward/src/caller_service.rs
+++ b/crates/kws-forward/src/caller_service.rs
@@ -6,6 +6,7 @@
     exchange::serve,
     guard_layer::GuardLayer,
     protocol_control::handle_control,
+    session_layer::SessionLayer,
     worker::{WorkerParts, WorkerState},
 };
 use ntex::{
@@ -32,9 +33,13 @@
     max_head: usize,
     parts: WorkerParts,
 ) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = DispatchError, InitError = ()> {
-    chain_factory(TlsAcceptor::new(config))
-        .map_err(|error| DispatchError::Control(Rc::new(error) as Rc<dyn Error>))
-        .and_then(guarded_service(max_head, parts))
+    chain_factory(fn_service(async |io: Io| {
+        Ok::<_, io::Error>(io.add_filter(SessionLayer))
+    }))
+    .map_init_err(|(): ()| ())
+    .and_then(TlsAcceptor::new(config))
+    .map_err(|error| DispatchError::Control(Rc::new(error) as Rc<dyn Error>))
+    .and_then(guarded_service(max_head, parts))
 }
 
 /// Puts the framing checks before the HTTP server.
--- a/crates/kws-forward/src/lib.rs
+++ b/crates/kws-forward/src/lib.rs
@@ -26,6 +26,7 @@
 mod route_history;
 mod routing;
 mod sent_requests;
+mod session_layer;
 mod silence;
 mod single_try;
 mod target;
--- a/crates/kws-forward/src/tls.rs
+++ b/crates/kws-forward/src/tls.rs
@@ -1,17 +1,26 @@
 //! TLS configuration for callers and backend servers.
 
+use crate::session_layer::SessionLayer;
 use arc_swap::ArcSwap;
+use ntex::{
+    SharedCfg,
+    connect::{Connect, ConnectError, Connector as TcpConnector, rustls::TlsClientFilter},
+    http::Uri,
+    io::{Io, Layer},
+    service::{ServiceFactory, apply_fn_factory},
+};
 use rustls::{
     ClientConfig, RootCertStore, ServerConfig,
     crypto::{CryptoProvider, ring},
     pki_types::{
-        CertificateDer, PrivateKeyDer,
+        CertificateDer, PrivateKeyDer, ServerName,
         pem::{self, PemObject},
     },
     server::{ClientHello, ResolvesServerCert},
     sign::CertifiedKey,
 };
 use std::{
+    error::Error,
     path::{Path, PathBuf},
     sync::Arc,
 };
@@ -100,9 +109,27 @@
         Ok(Self(Arc::new(config)))
     }
 
-    /// Returns the client configuration for connections to backend servers.
-    pub(crate) fn config(&self) -> Arc<ClientConfig> {
-        Arc::clone(&self.0)
+    /// Creates a connector to backend servers.
+    pub(crate) fn connector(
+        &self,
+    ) -> impl ServiceFactory<
+        Connect<Uri>,
+        SharedCfg,
+        Response = Io<Layer<TlsClientFilter, Layer<SessionLayer>>>,
+        Error = ConnectError,
+        InitError: Error,
+    > + use<> {
+        let config = Arc::clone(&self.0);
+        apply_fn_factory(
+            TcpConnector::<Uri>::new(),
+            async move |request: Connect<Uri>, service| {
+                let name = ServerName::try_from(request.host().to_owned());
+                let name = name.map_err(|_| ConnectError::InvalidInput)?;
+                let io = service.call(request).await?.add_filter(SessionLayer);
+                let connected = TlsClientFilter::create(io, Arc::clone(&config), name).await;
+                connected.map_err(ConnectError::from)
+            },
+        )
     }
 }
 
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -11,7 +11,7 @@
         Client, Connector,
         error::{ClientError, ConnectError as ClientConnectError},
     },
-    connect::{Connect, ConnectError, Connector as TcpConnector, rustls::TlsConnector},
+    connect::{Connect, ConnectError, Connector as TcpConnector},
     http::Uri,
     io::{Filter, Io, Layer},
     service::{ServiceFactory, apply_fn_factory},
@@ -227,8 +227,7 @@
             .keep_alive(idle)
             .lifetime(CONNECTION_LIFETIME);
         if let Some(trust) = trust {
-            let tls_connector = TlsConnector::from(trust.config());
-            connector = connector.secure_connector(guarded(tls_connector, layer));
+            connector = connector.secure_connector(guarded(trust.connector(), layer));
         }
         Client::builder()
             .connector::<()>(connector)
