Strangers can't fill a host's memory over the address for daemons

A connection to the address for other daemons may send frames of up to 4 MiB, the largest message, before either end has proved that it knows the fleet's secret. Up to 64 such connections are read at once: 256 MiB.

`LinkSocket` fails the link once more than 64 KiB have been read before authentication, at both ends. The WebSocket library can't change its limits on a link that is open. Garbage and endless heads instead of a handshake passed before, and are ruled out.

--- a/crates/kws-peer/src/lib.rs
+++ b/crates/kws-peer/src/lib.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod handshake;
 mod link;
+mod link_socket;
 mod liveness;
 mod observer;
 mod queue;
--- a/crates/kws-peer/src/link.rs
+++ b/crates/kws-peer/src/link.rs
@@ -5,6 +5,7 @@
     handshake::{
         HandshakeError, PeerSecret, WireHello, WireProof, WireWelcome, decode_frame, encode_frame,
     },
+    link_socket::LinkSocket,
     liveness::LivenessState,
 };
 use futures_util::{
@@ -40,7 +41,7 @@
 /// Initial size of a link's read buffer, in bytes; most messages are far smaller.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
-pub(crate) type LinkStream = WebSocketStream<TcpStream>;
+pub(crate) type LinkStream = WebSocketStream<LinkSocket>;
 
 /// Reason why a link ended.
 #[derive(Debug, Error)]
@@ -92,13 +93,14 @@
     let stream = with_step_timeout(TcpStream::connect(address)).await?;
     stream.set_nodelay(true)?;
     let url = format!("ws://{address}/peer");
-    let connect = client_async_with_config(url, stream, Some(socket_config()));
+    let connect = client_async_with_config(url, LinkSocket::new(stream), Some(socket_config()));
     let (mut link, _) = with_step_timeout(connect).await?;
     let hello = WireHello::new(host);
     send_frame(&mut link, encode_frame(&hello)?).await?;
     let welcome: WireWelcome = decode_frame(&receive_frame(&mut link).await?)?;
     let proof = welcome.verify_acceptor(secret, &hello, wanted)?;
     send_frame(&mut link, encode_frame(&proof)?).await?;
+    link.get_mut().set_authenticated();
     Ok((link, welcome.host))
 }
 
@@ -109,13 +111,14 @@
     stream: TcpStream,
 ) -> Result<(LinkStream, HostName), LinkError> {
     stream.set_nodelay(true)?;
-    let mut link =
-        with_step_timeout(accept_async_with_config(stream, Some(socket_config()))).await?;
+    let accept = accept_async_with_config(LinkSocket::new(stream), Some(socket_config()));
+    let mut link = with_step_timeout(accept).await?;
     let hello: WireHello = decode_frame(&receive_frame(&mut link).await?)?;
     let welcome = WireWelcome::reply(secret, host, &hello)?;
     send_frame(&mut link, encode_frame(&welcome)?).await?;
     let proof: WireProof = decode_frame(&receive_frame(&mut link).await?)?;
     welcome.verify_dialler(secret, &hello, &proof)?;
+    link.get_mut().set_authenticated();
     Ok((link, hello.host))
 }
 
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -43,6 +43,12 @@
 const FLOOD_TIME: Duration = Duration::from_secs(1);
 /// The begin of a request.
 const GET: &str = "GET /well/rows HTTP/1.1\r\nHost: farm.example\r\n";
+/// The handshake of a WebSocket.
+const HANDSHAKE: &[u8] = b"GET /peer HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\n\
+     Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n\
+     Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+/// The begin of a frame of 4 MiB.
+const LARGE_FRAME: &[u8] = b"\x82\xff\x00\x00\x00\x00\x00\x40\x00\x00\x00\x00\x00\x00";
 
 /// Requests the service that is well again and again. A refusal for want of a connection in time is true,
 /// as on a busy machine; once the others have ended, it must be served.
@@ -158,3 +164,14 @@
     let targets = [host.listen, host.admin];
     flood(&mut host, &targets, &[start.as_bytes()], forever).await;
 }
+
+#[rstest]
+#[case::garbage(&[], "garbage")]
+#[case::header_value(&[b"GET /peer HTTP/1.1\r\nHost: peer\r\nx-a: ".as_slice()], "b")]
+#[case::large_frame(&[HANDSHAKE, LARGE_FRAME], "\0")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_peers(#[case] start: &[&[u8]], #[case] forever: &str) {
+    let mut host = EndlessHost::start(&[], CONNECTIONS).await;
+    let targets = [host.peer];
+    flood(&mut host, &targets, start, forever).await;
+}
