--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -41,6 +41,7 @@
 use rstest::rstest;
 use seeds::seeds;
 use std::{env, time::Duration};
+use stop_series::SeriesLoad;
 use tokio::time::{Instant, sleep, sleep_until};
 
 const HOSTS: usize = 4;
@@ -285,7 +286,7 @@
 #[case(426)]
 #[tokio::test(flavor = "multi_thread")]
 async fn short_stops(#[case] seed: u64) {
-    stop_series::keep_requests(seed, 3).await;
+    stop_series::keep_requests(SeriesLoad::SHORT, seed, 3).await;
 }
 
 /// A server that starts again under a new id refuses the requests that expect its old id, and writes
@@ -314,7 +315,22 @@
 #[ignore = "takes minutes; run by hand"]
 async fn long_stops() {
     for seed in seeds() {
-        stop_series::keep_requests(seed, 8).await;
+        stop_series::keep_requests(SeriesLoad::SHORT, seed, 8).await;
+    }
+}
+
+/// A stop answers requests that may last longer than its grace.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_requests() {
+    stop_series::keep_requests(SeriesLoad::LONG, 701, 2).await;
+}
+
+/// Many seeds of stops with long requests, by hand.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; run by hand"]
+async fn long_request_stops() {
+    for seed in seeds() {
+        stop_series::keep_requests(SeriesLoad::LONG, seed, 8).await;
     }
 }
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -23,7 +23,7 @@
 /// The time from a request to stop until the daemon would be killed.
 pub const GRACE: Duration = Duration::from_secs(6);
 /// The usual timeout of the routes.
-const SHORT_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub const SHORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A rate that the callers never reach, in requests a second.
 const RATE: u32 = 100_000;
 /// Where the ports of daemons begin.
--- a/tests/soak/kept_caller.rs
+++ b/tests/soak/kept_caller.rs
@@ -17,14 +17,21 @@
     time::{Instant, sleep, timeout},
 };
 
-/// How long a caller waits for a response, longer than the route's timeout.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
+/// How long a caller waits for a response beyond its time limit.
+const RESPONSE_MARGIN: Duration = Duration::from_secs(5);
 /// The longest pause between two requests of a busy caller, in milliseconds.
 const BUSY_PAUSE_MS: u64 = 60;
 /// The longest pause of a caller that leaves its connection idle, in milliseconds.
 const IDLE_PAUSE_MS: u64 = 4_000;
-/// The longest pause between two parts of a body, in milliseconds.
-const PART_PAUSE_MS: u64 = 150;
+
+/// How long the requests of callers may take.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerPace {
+    /// The time limit that each request states.
+    pub time_limit: Duration,
+    /// The longest pause between two parts of a body, in milliseconds.
+    pub part_pause_ms: u64,
+}
 
 /// How the body of a request is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -70,14 +77,25 @@
 }
 
 /// The callers of a run.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct KeptCallers {
+    pace: CallerPace,
     requests: Arc<Mutex<Vec<KeptRequest>>>,
     stopping: Arc<AtomicBool>,
     next: Arc<AtomicU64>,
 }
 
 impl KeptCallers {
+    /// Creates callers; none is started yet.
+    pub fn new(pace: CallerPace) -> Self {
+        Self {
+            pace,
+            requests: Arc::default(),
+            stopping: Arc::default(),
+            next: Arc::default(),
+        }
+    }
+
     /// Starts a caller that connects to `addresses`, beginning with `first`, and to the next one when a
     /// connection is refused.
     pub fn start(&self, seed: u64, first: usize, addresses: &[SocketAddr]) -> JoinHandle<()> {
@@ -132,8 +150,9 @@
                 ended: Instant::now(),
                 status: None,
             };
-            let exchanged = exchange(&mut connection, &mut request, rng);
-            let answer = timeout(RESPONSE_TIMEOUT, exchanged).await.ok().flatten();
+            let exchanged = exchange(self.pace, &mut connection, &mut request, rng);
+            let limit = self.pace.time_limit + RESPONSE_MARGIN;
+            let answer = timeout(limit, exchanged).await.ok().flatten();
             request.ended = Instant::now();
             request.status = answer.as_ref().map(CallerAnswer::status);
             self.requests
@@ -158,6 +177,7 @@
 }
 
 async fn exchange(
+    pace: CallerPace,
     connection: &mut CallerConnection,
     request: &mut KeptRequest,
     rng: &mut SmallRng,
@@ -175,14 +195,18 @@
         ),
     };
     let head = format!(
-        "POST /pay/slot HTTP/1.1\r\nHost: farm.example\r\nRequest-Id: {}\r\nDeadline-Ms: 3000\r\n\
+        "POST /pay/slot HTTP/1.1\r\nHost: farm.example\r\nRequest-Id: {}\r\nDeadline-Ms: {}\r\n\
          Authorization: Bearer {TEAM_KEY}\r\n{framing}\r\n",
-        request.id
+        request.id,
+        pace.time_limit.as_millis(),
     );
     let (first, rest) = parts.split_first()?;
     connection.send(&format!("{head}{first}")).await.ok()?;
     for part in rest {
-        sleep(Duration::from_millis(rng.random_range(0..PART_PAUSE_MS))).await;
+        sleep(Duration::from_millis(
+            rng.random_range(0..pace.part_pause_ms),
+        ))
+        .await;
         connection.send(part).await.ok()?;
     }
     request.sent = Some(Instant::now());
--- a/tests/soak/stop_series.rs
+++ b/tests/soak/stop_series.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     fault::script,
-    fleet::{GRACE, SoakFleet},
-    kept_caller::{KeptCallers, KeptRequest},
+    fleet::{GRACE, SHORT_TIMEOUT, SoakFleet},
+    kept_caller::{CallerPace, KeptCallers, KeptRequest},
     promise::NOT_RUN,
 };
 use kws_standin::backend::{BackendFault, BackendScript, SeenRequest};
@@ -18,6 +18,48 @@
 /// How long a connection may stay open after an unserved request whose last byte was sent.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
+/// How long requests may take and do take.
+#[derive(Clone, Copy, Debug)]
+pub struct SeriesLoad {
+    timeout: Duration,
+    pace: CallerPace,
+    /// The delay of the fastest server, in milliseconds.
+    min_delay_ms: u64,
+    /// By how much the delay grows from one server to the next, in milliseconds.
+    delay_step_ms: u64,
+}
+
+impl SeriesLoad {
+    /// Requests that end within the grace of a host that stops.
+    pub const SHORT: Self = Self {
+        timeout: SHORT_TIMEOUT,
+        pace: CallerPace {
+            time_limit: Duration::from_secs(3),
+            part_pause_ms: 150,
+        },
+        min_delay_ms: 200,
+        delay_step_ms: 250,
+    };
+    /// Requests that may take longer than the grace.
+    pub const LONG: Self = Self {
+        timeout: Duration::from_secs(20),
+        pace: CallerPace {
+            time_limit: Duration::from_secs(12),
+            part_pause_ms: 900,
+        },
+        min_delay_ms: 300,
+        delay_step_ms: 900,
+    };
+
+    /// The script of a server; the servers differ in speed.
+    fn server_script(&self, number: usize, fault: BackendFault) -> BackendScript {
+        BackendScript {
+            delay_ms: self.min_delay_ms + self.delay_step_ms * number as u64,
+            ..script(fault)
+        }
+    }
+}
+
 /// A stop of a host, from the signal to the end of the process.
 #[derive(Clone, Copy, Debug)]
 struct HostStop {
@@ -33,20 +75,12 @@
     served: usize,
 }
 
-/// The script of a server; the servers differ in speed.
-fn server_script(number: usize, fault: BackendFault) -> BackendScript {
-    BackendScript {
-        delay_ms: 200 + 250 * number as u64,
-        ..script(fault)
-    }
-}
-
 /// Disturbs the fleet in a way that excuses no lost request: another configuration, a server that sheds
 /// requests and repeats its refusals, further signals for a stopping host.
-fn disturb(fleet: &mut SoakFleet, rng: &mut SmallRng, stopping: Option<usize>) {
+fn disturb(load: SeriesLoad, fleet: &mut SoakFleet, rng: &mut SmallRng, stopping: Option<usize>) {
     let server = rng.random_range(0..SERVERS);
     let set_fault = |fault| {
-        let script = server_script(server, fault);
+        let script = load.server_script(server, fault);
         fleet.servers[server].set_script(script);
     };
     match (rng.random_range(0..5), stopping) {
@@ -61,6 +95,7 @@
 
 /// Stops hosts one after the other; at times a second one before the first has ended.
 async fn stop_hosts(
+    load: SeriesLoad,
     fleet: &mut SoakFleet,
     rng: &mut SmallRng,
     count: usize,
@@ -83,7 +118,7 @@
             next = now + Duration::from_millis(rng.random_range(300..4_000));
         }
         if now >= next_disturbance {
-            disturb(fleet, rng, running.keys().min().copied());
+            disturb(load, fleet, rng, running.keys().min().copied());
             next_disturbance = now + Duration::from_millis(rng.random_range(50..800));
         }
         let hosts: Vec<(usize, Instant)> = running.iter().map(|(host, at)| (*host, *at)).collect();
@@ -151,20 +186,20 @@
     }
 }
 
-async fn series(seed: u64, stops: usize) -> SeriesReport {
+async fn series(load: SeriesLoad, seed: u64, stops: usize) -> SeriesReport {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut fleet = SoakFleet::start(HOSTS, SERVERS).await;
+    let mut fleet = SoakFleet::with_timeout(HOSTS, SERVERS, load.timeout).await;
     for (number, server) in fleet.servers.iter().enumerate() {
-        let script = server_script(number, BackendFault::None);
+        let script = load.server_script(number, BackendFault::None);
         server.set_script(script);
     }
     let addresses: Vec<SocketAddr> = fleet.hosts.iter().map(|host| host.listen).collect();
-    let callers = KeptCallers::default();
+    let callers = KeptCallers::new(load.pace);
     let tasks: Vec<_> = (0..HOSTS * CALLERS)
         .map(|number| callers.start(rng.random(), number % HOSTS, &addresses))
         .collect();
     let mut report = SeriesReport::default();
-    let stops = stop_hosts(&mut fleet, &mut rng, stops, &mut report.findings).await;
+    let stops = stop_hosts(load, &mut fleet, &mut rng, stops, &mut report.findings).await;
     callers.stop();
     for task in tasks {
         task.await.expect("callers don't panic");
@@ -188,8 +223,8 @@
 ///
 /// # Panics
 /// When a request was lost, ran twice or ran although it was refused as not run.
-pub async fn keep_requests(seed: u64, stops: usize) {
-    let report = series(seed, stops).await;
+pub async fn keep_requests(load: SeriesLoad, seed: u64, stops: usize) {
+    let report = series(load, seed, stops).await;
     println!(
         "seed {seed}: {} of {} served",
         report.served, report.requests
