--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -2,8 +2,8 @@
 //! callers and backend servers saw.
 //!
 //! By hand, fifty seeds of ten seconds: `SOAK_SEEDS=1..51 SOAK_SECONDS=10 cargo test --release
-//! --test fault_soak long_soak -- --ignored --nocapture`; `long_stops` takes fifty seeds of stops,
-//! `long_rebirths` fifty with servers that start again under new ids.
+//! --test fault_soak long_soak -- --ignored --nocapture`; `long_stops` and `long_request_stops` take fifty
+//! seeds of stops, `long_rebirths` fifty with servers that start again under new ids.
 //! `SOAK_DAEMON` names the daemon of another build.
 
 #[path = "soak/caller.rs"]
