Small parts of waiting bodies no longer keep whole read buffers

While a request waits for a slot, its body waits in the HTTP library in the parts in which it was read. Each part kept the read buffer of 16 KB that it came in: 100 callers whose bodies of 16 KB come in pieces of 40 bytes made the process grow by 76,944 KiB (`kept_bodies::small_pieces`, without a free server, failed). The library's limit of 32 KB a body counts the bytes only.

The filter of callers' connections now copies input of up to 4 KiB into a buffer of its size. After the change: 3,168 KiB, and 10,544 KiB with a free server.

--- a/crates/kws-forward/src/caller_connection.rs
+++ b/crates/kws-forward/src/caller_connection.rs
@@ -10,6 +10,10 @@
     rc::Rc,
 };
 
+/// Input up to this size is copied into a buffer of its size, in bytes. Bodies wait in parts of the
+/// buffers that they were read into, and a small part would keep a whole one of 16 KiB.
+const MAX_COPY: usize = 4 * 1024;
+
 /// What happens on a connection at the moment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ConnectionActivity {
@@ -75,7 +79,11 @@
             pending_guard.get_or_insert_with(|| self.pending_requests.track());
         }
         self.unused_guard.take();
-        if target.is_empty() && guard.skip_body(source.len()) {
+        let is_small = source.len() <= MAX_COPY;
+        if target.is_empty() && is_small {
+            *target = BytesMut::with_capacity(source.len());
+        }
+        if target.is_empty() && !is_small && guard.skip_body(source.len()) {
             *target = source;
             return Ok(());
         }
--- a/crates/kws-forward/tests/kept_bodies.rs
+++ b/crates/kws-forward/tests/kept_bodies.rs
@@ -10,6 +10,7 @@
 use futures_util::future::join_all;
 use kws_protocol::{RouteAccess, ServerName};
 use raw_server::{RawServer, RawStep};
+use rstest::rstest;
 use std::{fs, time::Duration};
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
@@ -43,12 +44,15 @@
     stream
 }
 
+/// With and without a server that is free.
+#[rstest]
 #[tokio::test]
-async fn small_pieces() {
+async fn small_pieces(#[values(true, false)] granted: bool) {
     let server = RawServer::start(vec![vec![RawStep::Wait(TEST_TIMEOUT)]]).await;
     let servers = vec![(ServerName::new("server-0"), server.address)];
     let routes = [route("/open", |route| route.access = RouteAccess::Open)];
     let fleet = Fleet::with_servers(settings(routes), Vec::new(), servers, |_| ());
+    fleet.control.grants_open.send_replace(granted);
     let before = peak_kib();
     let open = join_all((0..CALLERS).map(|_| upload(&fleet))).await;
     let growth = peak_kib() - before;
