Tests: connections to endless servers end with the route's timeout

`endless_bytes` now waits until every endless server has seen all of its connections end, whatever the caller does: no answer without an end holds a connection beyond the route's timeout.

--- a/tests/endless/host.rs
+++ b/tests/endless/host.rs
@@ -131,6 +131,23 @@
         }
     }
 
+    /// Waits until no server sends bytes without end, which is when their connections have been closed.
+    pub async fn wait_closed(&self) {
+        let end = Instant::now() + PATIENCE;
+        // A server without bytes doesn't notice the end of its connections.
+        let servers = self.servers.iter();
+        for server in servers.filter(|one| !one.shape.forever.is_empty()) {
+            while server.sending.load(Ordering::SeqCst) > 0 {
+                assert!(
+                    Instant::now() < end,
+                    "a connection stays open: {:?}",
+                    server.shape
+                );
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
     /// The largest resident memory of the daemon so far, in KiB.
     ///
     /// # Panics
--- a/tests/endless/server.rs
+++ b/tests/endless/server.rs
@@ -1,6 +1,13 @@
 //! Servers that send bytes without end.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -34,6 +41,8 @@
     pub address: SocketAddr,
     /// What it sends.
     pub shape: EndlessShape,
+    /// Connections on which it sends bytes without end.
+    pub sending: Arc<AtomicUsize>,
 }
 
 impl EndlessServer {
@@ -43,10 +52,13 @@
         let server = Self {
             address: listener.local_addr().expect("has an address"),
             shape,
+            sending: Arc::default(),
         };
+        let sending = Arc::clone(&server.sending);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, shape));
+                let sending = Arc::clone(&sending);
+                tokio::spawn(async move { serve(stream, shape, &sending).await });
             }
         });
         server
@@ -54,7 +66,11 @@
 }
 
 /// Answers one request on a connection with `shape`.
-pub async fn serve(mut stream: TcpStream, shape: EndlessShape) -> Option<()> {
+pub async fn serve(
+    mut stream: TcpStream,
+    shape: EndlessShape,
+    sending: &AtomicUsize,
+) -> Option<()> {
     let mut previous = String::new();
     if shape.second {
         previous = read_head(&mut stream).await?;
@@ -65,7 +81,9 @@
     let text = shape.start.replace("{id}", &id);
     let text = text.replace("{previous}", &previous);
     stream.write_all(text.as_bytes()).await.ok()?;
+    sending.fetch_add(1, Ordering::SeqCst);
     send_forever(&mut stream, shape.forever).await;
+    sending.fetch_sub(1, Ordering::SeqCst);
     None
 }
 
--- a/tests/endless/store_way.rs
+++ b/tests/endless/store_way.rs
@@ -1,7 +1,7 @@
 //! The daemon's way to the store, on which the store's responses can become endless.
 
 use crate::server::{EndlessShape, serve};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::atomic::AtomicUsize};
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
@@ -42,7 +42,7 @@
 ) {
     let shape = *changes.borrow_and_update();
     if let Some(shape) = shape {
-        serve(stream, shape).await;
+        serve(stream, shape, &AtomicUsize::new(0)).await;
         return;
     }
     let Ok(mut onward) = TcpStream::connect(store).await else {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -73,6 +73,7 @@
     let wrong = ends.iter().position(|end| !end.is_true(kind));
     let wrong = wrong.map(|at| (&shapes[at % shapes.len()], ends[at]));
     assert!(wrong.is_none(), "{wrong:?}");
+    host.wait_closed().await;
     host.wait_served().await;
     let peak = host.peak_kib();
     assert!(peak < HOST_KIB, "{peak} KiB, {before} KiB before");
