--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -37,8 +37,9 @@
 const EXIT_RESERVE: Duration = Duration::from_secs(1);
 /// The end of the grace period by which the process exits, whatever is still open.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
-/// Part of the grace period in which a request must arrive that may last longer than the rest. Those that
-/// arrive in the first half may be cut at its end; the signal can take a while.
+/// Part of the grace period in which the whole of a request must arrive whose time limit ends after it.
+/// A request that arrives in the first half may still be at a server at the end; a little less than
+/// half allows for a signal that is handled late.
 const ARRIVAL_RATIO: f64 = 0.45;
 /// Capacity of the channel of platform events.
 const PLATFORM_EVENTS_CAPACITY: usize = 8;
--- a/crates/kws-forward/src/upstream.rs
+++ b/crates/kws-forward/src/upstream.rs
@@ -146,7 +146,7 @@
     /// Chooses the connections that a request to `address` may use, and records that it is sent there.
     ///
     /// A response names the request, not the try. So no connection carries two requests with the same
-    /// id: the copy of a response to one of them couldn't be told from the response to the other.
+    /// id: the copy of the response to one of them would pass for the response to the other.
     pub(crate) fn choose_connection(
         &self,
         address: SocketAddr,
--- a/crates/kws-forward/tests/endless_tls.rs
+++ b/crates/kws-forward/tests/endless_tls.rs
@@ -33,7 +33,7 @@
 /// The route's timeout.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
 /// No step takes longer on a machine that works at all.
-const PATIENCE: Duration = Duration::from_secs(20);
+const MAX_WAIT: Duration = Duration::from_secs(20);
 /// Growth of the peak memory, in KiB, with the buffers of the test's own servers. A host of 160 MB has it
 /// to spare.
 const MAX_GROWTH_KIB: u64 = 64 << 10;
@@ -173,7 +173,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     };
-    let ended = timeout(PATIENCE, async { tokio::join!(calls, others) }).await;
+    let ended = timeout(MAX_WAIT, async { tokio::join!(calls, others) }).await;
     assert!(ended.is_ok(), "{bytes:?}");
     let growth = peak_kib() - before;
     println!("{bytes:?}, {uploads}: {growth} KiB");
@@ -213,7 +213,7 @@
     let address = fleet.listener.address();
     let before = peak_kib();
     let callers = (0..CONNECTIONS).map(|_| spawn_blocking(move || flood(address)));
-    let ended = timeout(PATIENCE, join_all(callers)).await;
+    let ended = timeout(MAX_WAIT, join_all(callers)).await;
     assert!(ended.is_ok(), "a connection stays open");
     let growth = peak_kib() - before;
     println!("callers: {growth} KiB");
--- a/crates/kws-forward/tests/refusal_promise.rs
+++ b/crates/kws-forward/tests/refusal_promise.rs
@@ -1,4 +1,4 @@
-//! A caller is told "not run" only if no server ran its request, whatever the servers answer.
+//! A caller receives "not run" only if no server ran its request, whatever the servers answer.
 
 #[path = "common/faulty_server.rs"]
 mod faulty_server;
@@ -41,15 +41,15 @@
     promise: "not-executed: 1\r\n",
 };
 
-/// What one caller was told.
+/// What one caller received.
 #[derive(Debug)]
-struct Told {
+struct CallerReply {
     id: String,
     /// Absent if the connection ended without an answer.
     answer: Option<CallerAnswer>,
 }
 
-impl Told {
+impl CallerReply {
     /// Whether the caller may conclude that its request did not run.
     fn is_promise(&self) -> bool {
         self.answer.as_ref().is_some_and(|answer| {
@@ -87,7 +87,7 @@
 }
 
 /// Sends a request on a kept connection of its caller, which is replaced when it has ended.
-async fn pay(kept: &mut Option<CallerConnection>, address: SocketAddr, id: &str) -> Told {
+async fn pay(kept: &mut Option<CallerConnection>, address: SocketAddr, id: &str) -> CallerReply {
     let body = if id.ends_with(['0', '1']) { "slot" } else { "" };
     let length = body.len();
     let text = format!(
@@ -106,17 +106,17 @@
     if closes {
         *kept = None;
     }
-    Told {
+    CallerReply {
         id: id.to_owned(),
         answer,
     }
 }
 
-/// Plays random rounds and returns what each caller was told.
-async fn play(seed: u64, fleet: &Fleet) -> Vec<Told> {
+/// Plays random rounds and returns what each caller received.
+async fn play(seed: u64, fleet: &Fleet) -> Vec<CallerReply> {
     let mut random = SmallRng::seed_from_u64(seed);
     let address = fleet.listener.address();
-    let mut told = Vec::new();
+    let mut replies = Vec::new();
     let mut callers: Vec<_> = (0..CALLERS).map(|_| None).collect();
     for round in 0..ROUNDS {
         let permission = if random.random_bool(0.8) {
@@ -130,10 +130,10 @@
         let requests = requests.map(|(caller, kept)| async move {
             pay(kept, address, &format!("r{round}-{caller}")).await
         });
-        told.extend(futures_util::future::join_all(requests).await);
+        replies.extend(futures_util::future::join_all(requests).await);
     }
     sleep(SETTLE_TIME).await;
-    told
+    replies
 }
 
 fn run_count(servers: &[FaultyServer], id: &str) -> usize {
@@ -143,11 +143,11 @@
         .count()
 }
 
-fn check_promises(told: &[Told], servers: &[FaultyServer]) {
+fn check_promises(replies: &[CallerReply], servers: &[FaultyServer]) {
     let arrivals: Vec<Arrival> = servers.iter().flat_map(FaultyServer::arrivals).collect();
     let mut broken = Vec::new();
     let mut promises = 0;
-    for one in told {
+    for one in replies {
         let of_this: Vec<&Arrival> = arrivals.iter().filter(|two| two.id == one.id).collect();
         let runs = of_this.iter().filter(|two| two.behavior.runs()).count();
         promises += usize::from(one.is_promise());
@@ -157,7 +157,7 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
     assert!(promises > 0, "some requests were refused as not run");
-    let served = told.iter().filter(|one| {
+    let served = replies.iter().filter(|one| {
         let answer = one.answer.as_ref();
         answer.is_some_and(|answer| answer.status() == 200)
     });
@@ -169,8 +169,8 @@
     let mut addresses: Vec<SocketAddr> = servers.iter().map(|one| one.address).collect();
     addresses.insert(1, SocketAddr::from(([127, 0, 0, 1], DEAD_PORT)));
     let fleet = start_fleet(addresses);
-    let told = play(seed, &fleet).await;
-    check_promises(&told, &servers);
+    let replies = play(seed, &fleet).await;
+    check_promises(&replies, &servers);
 }
 
 /// The same with two names for each server.
@@ -178,8 +178,8 @@
     let servers = start_servers(seed).await;
     let addresses = servers.iter().flat_map(|one| [one.address; 2]);
     let fleet = start_fleet(addresses.collect());
-    let told = play(seed, &fleet).await;
-    check_promises(&told, &servers);
+    let replies = play(seed, &fleet).await;
+    check_promises(&replies, &servers);
 }
 
 /// Guards against a refused request that runs and against one that runs twice.
--- a/tests/endless/caller.rs
+++ b/tests/endless/caller.rs
@@ -16,7 +16,7 @@
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 64 * 1024;
 /// How long a caller waits for the end of its response, longer than the route's timeout.
-const PATIENCE: Duration = Duration::from_secs(30);
+const MAX_WAIT: Duration = Duration::from_secs(30);
 
 /// What a caller does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,7 +34,7 @@
 /// How a request ended for its caller.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct CallEnd {
-    /// Whether the connection ended before the caller's patience did.
+    /// Whether the connection ended before the caller gave up.
     closed: bool,
     /// Whether the response is complete, by its framing.
     whole: bool,
@@ -76,7 +76,7 @@
         }
         false
     };
-    let whole = timeout(PATIENCE, act).await;
+    let whole = timeout(MAX_WAIT, act).await;
     CallEnd {
         closed: whole.is_ok(),
         whole: whole.unwrap_or_default(),
--- a/tests/endless/host.rs
+++ b/tests/endless/host.rs
@@ -32,7 +32,7 @@
 /// The timeout of the route to the server that is well.
 const WELL_TIMEOUT: Duration = Duration::from_secs(10);
 /// No step takes longer on a machine that works at all.
-const PATIENCE: Duration = Duration::from_secs(30);
+const MAX_WAIT: Duration = Duration::from_secs(30);
 
 /// The daemon and everything around it.
 pub struct EndlessHost {
@@ -115,13 +115,13 @@
         let mut stream = self.connect().await;
         let request = request("GET", WELL, "Connection: close\r\n");
         let _ = stream.write_all(request.as_bytes()).await;
-        let answer = timeout(PATIENCE, caller::read_to_end(&mut stream)).await;
+        let answer = timeout(MAX_WAIT, caller::read_to_end(&mut stream)).await;
         answer.unwrap_or_default()
     }
 
     /// Waits until the service that is well has served a request.
     pub async fn wait_served(&self) {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + MAX_WAIT;
         while self.ask_well().await.status() != 200 {
             assert!(
                 Instant::now() < end,
@@ -133,7 +133,7 @@
 
     /// Waits until no server sends bytes without end, which is when their connections have been closed.
     pub async fn wait_closed(&self) {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + MAX_WAIT;
         // A server without bytes doesn't notice the end of its connections.
         let servers = self.servers.iter();
         for server in servers.filter(|one| !one.shape.forever.is_empty()) {
@@ -163,7 +163,7 @@
     }
 
     async fn wait_ready(&mut self) {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + MAX_WAIT;
         loop {
             let answer = self.ask_ready().await;
             if answer.status() == 200 {
@@ -183,7 +183,7 @@
         };
         let request = b"GET /ready HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n";
         let _ = stream.write_all(request).await;
-        let answer = timeout(PATIENCE, caller::read_to_end(&mut stream)).await;
+        let answer = timeout(MAX_WAIT, caller::read_to_end(&mut stream)).await;
         answer.unwrap_or_default()
     }
 }
