Tests: a probed port is free when the daemon binds it

Cause: the tests look for a free port by listening on it and closing the socket. A process that another test starts at that moment holds a copy of the listening socket until it executes its program, so that the port is still in use when the daemon binds it.

The probe no longer listens: a copy of a socket that is bound with the reuse option keeps nobody from listening.

--- a/tests/common/address.rs
+++ b/tests/common/address.rs
@@ -1,9 +1,10 @@
 //! Addresses for the peer listeners of daemon processes.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     sync::atomic::{AtomicU16, Ordering},
 };
+use tokio::net::TcpSocket;
 
 /// The first port that is tried.
 const FIRST_PORT: u16 = 20_000;
@@ -23,8 +24,17 @@
     loop {
         let port = NEXT.fetch_add(1, Ordering::Relaxed);
         let address = SocketAddr::from((own_loopback(), port));
-        if TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
 }
+
+/// Whether no socket listens on the address. The probe doesn't listen: a process that another thread
+/// starts at this moment holds a copy of it until it executes its program, and one that listens would
+/// keep the address in use.
+fn is_free(address: SocketAddr) -> bool {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("an option of sockets");
+    socket.bind(address).is_ok()
+}
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -6,6 +6,8 @@
 //! seeds of stops, `long_rebirths` fifty with servers that start again under new ids.
 //! `SOAK_DAEMON` names the daemon of another build.
 
+#[path = "common/address.rs"]
+mod address;
 #[path = "soak/caller.rs"]
 mod caller;
 #[path = "soak/fault.rs"]
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The programs of a soak: daemons as separate processes before stand-ins, each behind relays.
 
 use crate::{
+    address::{free_address, own_loopback},
     fault::script,
     relay::FaultRelay,
     store::{MetadataStore, configuration, entry},
@@ -9,9 +10,8 @@
 use std::{
     collections::VecDeque,
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
     time::Duration,
 };
 use tempfile::TempDir;
@@ -26,8 +26,6 @@
 pub const SHORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A rate that the callers never reach, in requests a second.
 const RATE: u32 = 100_000;
-/// Where the ports of daemons begin.
-const FIRST_PORT: u16 = 20_000;
 /// A bound for what must happen at all.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -188,7 +186,7 @@
             fleet.servers.push(SoakServer::start(ip, number).await);
             fleet.enter(number, "ready");
         }
-        let peers: Vec<SocketAddr> = (0..hosts).map(|_| free_address(ip)).collect();
+        let peers: Vec<SocketAddr> = (0..hosts).map(|_| free_address()).collect();
         for (number, peer) in peers.iter().enumerate() {
             let store_way = FaultRelay::start(ip, fleet.store.address()).await;
             let host = start_host(fleet.files.path(), number, *peer, &peers, store_way);
@@ -259,25 +257,6 @@
         .into_bytes()
 }
 
-/// A loopback address for this process alone: daemons that an interrupted run left behind must not
-/// find those of another run at their old addresses.
-fn own_loopback() -> Ipv4Addr {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 64 + high % 64, low, 1)
-}
-
-/// A port below those that the system gives to outgoing connections: a daemon that is started again
-/// must find its address free.
-fn free_address(ip: Ipv4Addr) -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
-    loop {
-        let address = SocketAddr::from((ip, NEXT.fetch_add(1, Ordering::Relaxed)));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn start_host(
     files: &std::path::Path,
     number: usize,
@@ -285,8 +264,7 @@
     peers: &[SocketAddr],
     store_way: FaultRelay,
 ) -> SoakHost {
-    let free = || free_address(own_loopback());
-    let (listen, ready, admin) = (free(), free(), free());
+    let (listen, ready, admin) = (free_address(), free_address(), free_address());
     let seeds: Vec<String> = peers
         .iter()
         .take(3)
