Stand-in: a server that restarts waits until its address is free

The cause is that of the probed ports: a process that another test started at that moment held a copy of the closed listener.

--- a/crates/kws-standin/src/backend/server.rs
+++ b/crates/kws-standin/src/backend/server.rs
@@ -13,14 +13,21 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 use tokio::{
     io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::oneshot,
     task::{AbortHandle, JoinSet, spawn, yield_now},
+    time::{Instant, sleep},
 };
 
+/// Time limit for an address to be free again.
+const REBIND_TIMEOUT: Duration = Duration::from_secs(5);
+/// The pause between two attempts to bind it.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
 /// Starts backend servers.
 #[derive(Debug)]
 pub struct BackendServer;
@@ -114,7 +121,7 @@
         self.end_task().await;
         lock(&self.bound).take();
         self.set_script(script);
-        let listener = TcpListener::bind(self.address).await?;
+        let listener = bind_again(self.address).await?;
         let task = spawn(accept(listener, Arc::clone(&self.state))).abort_handle();
         *lock(&self.task) = task;
         Ok(())
@@ -139,6 +146,20 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Binds an address whose listener has just closed. A process that another thread starts at this moment
+/// holds a copy of the listener until it executes its program.
+async fn bind_again(address: SocketAddr) -> io::Result<TcpListener> {
+    let end = Instant::now() + REBIND_TIMEOUT;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < end => {
+                sleep(REBIND_PAUSE).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 fn bind_only(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
