--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -14,7 +14,7 @@
 const PAUSE_MS: u64 = 600;
 /// How long a fault lasts, at the most, in milliseconds.
 const LENGTH_MS: u64 = 2_500;
-/// How long the old entry of a server that has started again stays, at the most.
+/// How long the old entry of a server that has started again stays at most.
 const OLD_ENTRY_TIME: Duration = Duration::from_secs(2);
 /// Number of fault kinds that are drawn by default.
 const DEFAULT_KINDS: i32 = 17;
