--- a/review/standin-2/base.rs
+++ b/review/standin-2/base.rs
@@ -22,7 +22,9 @@
 pub const HOST: &str = "shop.example";
 
 pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 pub fn nap(ms: u64) {
@@ -35,10 +37,17 @@
 
 impl Record {
     pub fn new(path: &str) -> Self {
-        Self(Arc::new((Instant::now(), Mutex::new(File::create(path).expect("record.txt")))))
+        Self(Arc::new((
+            Instant::now(),
+            Mutex::new(File::create(path).expect("record.txt")),
+        )))
     }
     pub fn line(&self, text: &str) {
-        let _ = writeln!(locked(&self.0.1), "{:9.3} {text}", self.0.0.elapsed().as_secs_f64());
+        let _ = writeln!(
+            locked(&self.0.1),
+            "{:9.3} {text}",
+            self.0.0.elapsed().as_secs_f64()
+        );
     }
     pub fn say(&self, text: &str) {
         println!("{text}");
@@ -71,7 +80,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         if let Some(byte) = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             out.push(byte);
             at += 3;
@@ -93,11 +104,18 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
     pub fn method(&self) -> &str {
         self.start.split(' ').next().unwrap_or_default()
@@ -129,7 +147,9 @@
             return Ok(Some(message));
         }
         let (name, value) = line.split_once(':').ok_or_else(|| bad("no colon"))?;
-        message.headers.push((name.to_owned(), value.trim().to_owned()));
+        message
+            .headers
+            .push((name.to_owned(), value.trim().to_owned()));
     }
 }
 
@@ -149,13 +169,17 @@
             message.body.extend_from_slice(&chunk[..size]);
         }
     }
-    let length = message.header("content-length").and_then(|text| text.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
     message.body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut message.body)
 }
 
 pub fn read_message(reader: &mut impl BufRead) -> io::Result<Option<Message>> {
-    let Some(mut message) = read_head(reader)? else { return Ok(None) };
+    let Some(mut message) = read_head(reader)? else {
+        return Ok(None);
+    };
     read_body(reader, &mut message)?;
     Ok(Some(message))
 }
@@ -194,7 +218,10 @@
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("the store's port");
         let address = listener.local_addr().expect("address");
-        let store = Self { address, state: Arc::default() };
+        let store = Self {
+            address,
+            state: Arc::default(),
+        };
         let shared = store.clone();
         serve(listener, move |stream| {
             let _ = shared.serve_connection(stream);
@@ -208,8 +235,12 @@
         state.revision += 1;
         let revision = state.revision;
         let created = state.items.get(key).map_or(revision, |item| item.2);
-        state.items.insert(key.to_owned(), (value.to_vec(), revision, created));
-        state.log.push((revision, key.to_owned(), Some(value.to_vec())));
+        state
+            .items
+            .insert(key.to_owned(), (value.to_vec(), revision, created));
+        state
+            .log
+            .push((revision, key.to_owned(), Some(value.to_vec())));
         self.state.1.notify_all();
     }
 
@@ -291,7 +322,10 @@
             if after < state.gone {
                 return (410, "{}".to_owned());
             }
-            let news = state.log.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+            let news = state
+                .log
+                .iter()
+                .filter(|(at, key, _)| *at > after && key.starts_with(prefix));
             let events: Vec<String> = news
                 .map(|(at, key, value)| match value {
                     Some(value) => item_text(key, value, *at, *at),
@@ -301,7 +335,10 @@
             let now = Instant::now();
             if !events.is_empty() || now >= end {
                 let revision = state.revision;
-                let body = format!("{{\"events\":[{}],\"currentRev\":{revision}}}", events.join(","));
+                let body = format!(
+                    "{{\"events\":[{}],\"currentRev\":{revision}}}",
+                    events.join(",")
+                );
                 return (200, body);
             }
             let waited = self.state.1.wait_timeout(state, end - now);
@@ -345,17 +382,38 @@
 }
 
 impl Upstream {
-    pub fn start(id: &str, service: &str, zone: &str, work_ms: u64, runs: &Runs, record: &Record) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work_ms: u64,
+        runs: &Runs,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("an upstream's port");
         let address = listener.local_addr().expect("address");
         let work = Arc::new(AtomicU64::new(work_ms));
-        let (runs, record, name, time) = (Arc::clone(runs), record.clone(), id.to_owned(), Arc::clone(&work));
+        let (runs, record, name, time) = (
+            Arc::clone(runs),
+            record.clone(),
+            id.to_owned(),
+            Arc::clone(&work),
+        );
         serve(listener, move |stream| {
             let _ = serve_upstream(stream, &name, &time, &runs, &record);
         });
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970");
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time after 1970");
         let born = now.as_millis() as u64;
-        Self { id: id.to_owned(), service: service.to_owned(), zone: zone.to_owned(), address, work, born }
+        Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address,
+            work,
+            born,
+        }
     }
 
     /// What the upstream writes of itself into the store.
@@ -368,18 +426,32 @@
     }
 
     pub fn register(&self, store: &Store, state: &str) {
-        store.put(&format!("servers/{}", self.id), self.entry(state).as_bytes());
+        store.put(
+            &format!("servers/{}", self.id),
+            self.entry(state).as_bytes(),
+        );
     }
 }
 
-fn serve_upstream(stream: TcpStream, name: &str, work: &AtomicU64, runs: &Runs, record: &Record) -> io::Result<()> {
+fn serve_upstream(
+    stream: TcpStream,
+    name: &str,
+    work: &AtomicU64,
+    runs: &Runs,
+    record: &Record,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_message(&mut reader)? {
         let id = request.header("request-id").unwrap_or_default().to_owned();
-        if request.header("expected-instance").is_some_and(|wanted| wanted != name) {
-            let head = format!("HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n");
+        if request
+            .header("expected-instance")
+            .is_some_and(|wanted| wanted != name)
+        {
+            let head = format!(
+                "HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+            );
             writer.write_all(head.as_bytes())?;
             continue;
         }
@@ -429,19 +501,41 @@
 }
 
 /// Sends one request on a connection of its own.
-pub fn send(to: SocketAddr, method: &str, target: &str, key: Option<&str>, deadline_ms: u64) -> (String, Outcome) {
+pub fn send(
+    to: SocketAddr,
+    method: &str,
+    target: &str,
+    key: Option<&str>,
+    deadline_ms: u64,
+) -> (String, Outcome) {
     let id = new_id();
     let outcome = exchange(to, method, target, key, deadline_ms, &id);
-    (id, outcome.unwrap_or_else(|error| Outcome::Broken(error.to_string())))
+    (
+        id,
+        outcome.unwrap_or_else(|error| Outcome::Broken(error.to_string())),
+    )
 }
 
-fn exchange(to: SocketAddr, method: &str, target: &str, key: Option<&str>, deadline_ms: u64, id: &str) -> io::Result<Outcome> {
+fn exchange(
+    to: SocketAddr,
+    method: &str,
+    target: &str,
+    key: Option<&str>,
+    deadline_ms: u64,
+    id: &str,
+) -> io::Result<Outcome> {
     let limit = Duration::from_millis(deadline_ms);
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(limit + Duration::from_millis(500)))?;
-    let key = key.map_or(String::new(), |key| format!("Authorization: Bearer {key}\r\n"));
-    let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+    let key = key.map_or(String::new(), |key| {
+        format!("Authorization: Bearer {key}\r\n")
+    });
+    let length = if method == "POST" {
+        "Content-Length: 0\r\n"
+    } else {
+        ""
+    };
     let head = format!(
         "{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n{key}{length}\r\n"
     );
@@ -471,7 +565,9 @@
         if !self.is_running() {
             return;
         }
-        let _ = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        let _ = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
     }
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -495,8 +591,13 @@
 }
 
 fn start_process(settings: &PathBuf, log: &PathBuf) -> Child {
-    let program = std::env::var("KNAPWEEDSEAMD").unwrap_or_else(|_| "target/release/knapweedseamd".to_owned());
-    let log = File::options().append(true).create(true).open(log).expect("log");
+    let program = std::env::var("KNAPWEEDSEAMD")
+        .unwrap_or_else(|_| "target/release/knapweedseamd".to_owned());
+    let log = File::options()
+        .append(true)
+        .create(true)
+        .open(log)
+        .expect("log");
     Command::new(program)
         .args(["--workers", "1"])
         .env_clear()
@@ -526,7 +627,11 @@
             [(); 4].map(|()| free_address(&ip))
         })
         .collect();
-    let seeds: Vec<String> = places.iter().take(3).map(|place| format!("  - \"{}\"\n", place[3])).collect();
+    let seeds: Vec<String> = places
+        .iter()
+        .take(3)
+        .map(|place| format!("  - \"{}\"\n", place[3]))
+        .collect();
     let mut daemons = Vec::new();
     for (at, (zone, [front, ready, admin, peer])) in zones.iter().zip(&places).enumerate() {
         let text = format!(
@@ -540,7 +645,15 @@
         std::fs::write(&settings, text).expect("settings");
         let log = folder.join(format!("{name}.log"));
         let child = start_process(&settings, &log);
-        daemons.push(Daemon { name, front: *front, ready: *ready, peer: *peer, settings, log, child });
+        daemons.push(Daemon {
+            name,
+            front: *front,
+            ready: *ready,
+            peer: *peer,
+            settings,
+            log,
+            child,
+        });
     }
     daemons
 }
@@ -602,8 +715,20 @@
 
 /// Sends requests to a daemon at a steady rate until told to stop, each on a thread and a connection of its
 /// own, and keeps when each was sent.
-pub fn press(to: SocketAddr, name: &str, per_s: u64, stop: &Arc<AtomicBool>, sent: &Arc<Mutex<BTreeMap<String, Instant>>>, record: &Record) {
-    let (name, stop, sent, record) = (name.to_owned(), Arc::clone(stop), Arc::clone(sent), record.clone());
+pub fn press(
+    to: SocketAddr,
+    name: &str,
+    per_s: u64,
+    stop: &Arc<AtomicBool>,
+    sent: &Arc<Mutex<BTreeMap<String, Instant>>>,
+    record: &Record,
+) {
+    let (name, stop, sent, record) = (
+        name.to_owned(),
+        Arc::clone(stop),
+        Arc::clone(sent),
+        record.clone(),
+    );
     thread::spawn(move || {
         let begin = Instant::now();
         for at in 0_u64.. {
@@ -618,7 +743,11 @@
                 locked(&sent).insert(id.clone(), Instant::now());
                 let outcome = exchange(to, "POST", "/pay/1", Some(KEY), 3_000, &id);
                 let text = match outcome {
-                    Ok(Outcome::Answer(answer)) => format!("{} {}", answer.status(), answer.header("knapweedseam-reason").unwrap_or("")),
+                    Ok(Outcome::Answer(answer)) => format!(
+                        "{} {}",
+                        answer.status(),
+                        answer.header("knapweedseam-reason").unwrap_or("")
+                    ),
                     Ok(Outcome::Broken(text)) => text,
                     Err(error) => error.to_string(),
                 };
@@ -629,10 +758,25 @@
 }
 
 /// The largest number of requests that were both sent and run within one span of this length.
-pub fn most_in_window(runs: &Runs, sent: &Mutex<BTreeMap<String, Instant>>, window: Duration) -> usize {
+pub fn most_in_window(
+    runs: &Runs,
+    sent: &Mutex<BTreeMap<String, Instant>>,
+    window: Duration,
+) -> usize {
     let sent = locked(sent);
-    let spans: Vec<(Instant, Instant)> =
-        locked(runs).iter().filter_map(|run| Some((*sent.get(&run.id)?, run.at))).collect();
-    let count = |from: Instant| spans.iter().filter(|(sent, ran)| *sent >= from && *ran <= from + window).count();
-    spans.iter().map(|(from, _)| count(*from)).max().unwrap_or(0)
+    let spans: Vec<(Instant, Instant)> = locked(runs)
+        .iter()
+        .filter_map(|run| Some((*sent.get(&run.id)?, run.at)))
+        .collect();
+    let count = |from: Instant| {
+        spans
+            .iter()
+            .filter(|(sent, ran)| *sent >= from && *ran <= from + window)
+            .count()
+    };
+    spans
+        .iter()
+        .map(|(from, _)| count(*from))
+        .max()
+        .unwrap_or(0)
 }
--- a/review/standin-2/blip.rs
+++ b/review/standin-2/blip.rs
@@ -3,7 +3,11 @@
 #[allow(dead_code)]
 mod base;
 use base::*;
-use std::{collections::BTreeMap, sync::{Arc, Mutex, atomic::Ordering}, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
+};
 
 const RATE: u32 = 46;
 const BURST: u32 = 46;
@@ -14,14 +18,22 @@
     let runs: Runs = Arc::default();
     let store = Store::start();
     let names = ["i-31f0", "i-77a2", "i-9c5e", "i-b804"];
-    let upstreams: Vec<Upstream> =
-        names.iter().map(|name| Upstream::start(name, "till", "north", 20, &runs, &record)).collect();
+    let upstreams: Vec<Upstream> = names
+        .iter()
+        .map(|name| Upstream::start(name, "till", "north", 20, &runs, &record))
+        .collect();
     for upstream in &upstreams {
         upstream.register(&store, "ready");
     }
     store.put("op/config", till_config(1, RATE, BURST).as_bytes());
-    let mut daemons = start_daemons(&["north", "south", "north", "south", "north", "south"], store.address, &folder);
-    if !wait_for(Duration::from_secs(15), || daemons.iter().all(Daemon::is_ready)) {
+    let mut daemons = start_daemons(
+        &["north", "south", "north", "south", "north", "south"],
+        store.address,
+        &folder,
+    );
+    if !wait_for(Duration::from_secs(15), || {
+        daemons.iter().all(Daemon::is_ready)
+    }) {
         record.say("the daemons did not become ready");
         finish(&record, daemons, &folder, 2);
     }
@@ -51,6 +63,8 @@
     stop.store(true, Ordering::Relaxed);
     nap(3_500);
     let most = most_in_window(&runs, &sent, Duration::from_secs(5));
-    record.say(&format!("at most {most} requests of the tenant were sent and run in 5 s; allowed are {limit}"));
+    record.say(&format!(
+        "at most {most} requests of the tenant were sent and run in 5 s; allowed are {limit}"
+    ));
     finish(&record, daemons, &folder, i32::from(most as f64 > limit));
 }
--- a/review/standin-2/odd_key.rs
+++ b/review/standin-2/odd_key.rs
@@ -12,14 +12,18 @@
     let runs: Runs = Arc::default();
     let store = Store::start();
     let names = ["i-31f0", "i-77a2", "i-9c5e", "i-b804"];
-    let upstreams: Vec<Upstream> =
-        names.iter().map(|name| Upstream::start(name, "till", "north", 20, &runs, &record)).collect();
+    let upstreams: Vec<Upstream> = names
+        .iter()
+        .map(|name| Upstream::start(name, "till", "north", 20, &runs, &record))
+        .collect();
     for upstream in &upstreams {
         upstream.register(&store, "ready");
     }
     store.put("op/config", till_config(1, 46, 46).as_bytes());
     let mut daemons = start_daemons(&["north", "north", "south"], store.address, &folder);
-    if !wait_for(Duration::from_secs(15), || daemons.iter().all(Daemon::is_ready)) {
+    if !wait_for(Duration::from_secs(15), || {
+        daemons.iter().all(Daemon::is_ready)
+    }) {
         record.say("the daemons did not become ready");
         finish(&record, daemons, &folder, 2);
     }
@@ -32,7 +36,9 @@
     }
     nap(3_000);
     let before = served(&daemons, &record, "before");
-    record.say(&format!("before the restart: {before} of 60 requests served"));
+    record.say(&format!(
+        "before the restart: {before} of 60 requests served"
+    ));
     for daemon in &mut daemons {
         daemon.kill();
     }
@@ -45,8 +51,14 @@
     // `recovery` is 15 s.
     nap(16_000);
     let after = served(&daemons, &record, "after");
-    record.say(&format!("later than `recovery` after the restart: {after} of 60 requests served"));
-    let code = if before < 15 { 2 } else { i32::from(after < 15) };
+    record.say(&format!(
+        "later than `recovery` after the restart: {after} of 60 requests served"
+    ));
+    let code = if before < 15 {
+        2
+    } else {
+        i32::from(after < 15)
+    };
     finish(&record, daemons, &folder, code);
 }
 
@@ -63,5 +75,7 @@
         }));
         nap(50);
     }
-    sent.into_iter().map(|sender| sender.join().unwrap_or(0)).sum()
+    sent.into_iter()
+        .map(|sender| sender.join().unwrap_or(0))
+        .sum()
 }
