--- a/crates/kws-platform/src/consul.rs
+++ b/crates/kws-platform/src/consul.rs
@@ -1,6 +1,9 @@
 //! Reads the published values over the read side of Consul's key-value HTTP protocol.
 
-use crate::{PlatformError, PlatformReader, PlatformResponse, ReadFuture, reader::reading_client};
+use crate::{
+    PlatformError, PlatformReader, PlatformResponse, ReadFuture, path_segments,
+    reader::reading_client,
+};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use kws_protocol::{PublishedValues, TreeRevision};
 use ntex::client::{Client, ClientResponse};
@@ -60,7 +63,7 @@
         let url = format!(
             "{}/v1/kv/{}?recurse=true&index={index}&wait={}ms",
             self.address,
-            self.prefix,
+            path_segments(&self.prefix),
             wait.as_millis()
         );
         let client = self.client().await?;
--- a/crates/kws-platform/tests/consul_reader.rs
+++ b/crates/kws-platform/tests/consul_reader.rs
@@ -4,15 +4,20 @@
 use kws_protocol::TreeRevision;
 use kws_standin::{PlatformMode, PlatformService};
 use ntex::rt::{DefaultRuntime, System};
+use rstest::rstest;
 use std::{thread, time::Duration};
 use tokio::sync::mpsc::{Receiver, channel};
 
 fn watch(service: &PlatformService) -> Receiver<PlatformEvent> {
+    watch_prefix(service, "fleet")
+}
+
+fn watch_prefix(service: &PlatformService, prefix: &'static str) -> Receiver<PlatformEvent> {
     let (events, received) = channel(8);
     let url = service.url();
     thread::spawn(move || {
         System::new("watch", DefaultRuntime).block_on(async move {
-            let mut reader = ConsulReader::new(&url, "fleet");
+            let mut reader = ConsulReader::new(&url, prefix);
             let timing = || WatchTiming {
                 wait: Duration::from_millis(200),
                 grace: Duration::from_millis(50),
@@ -53,6 +58,23 @@
     assert_eq!(service.writes(), 0);
 }
 
+/// Guards against a prefix that changes the address of the read: no host gets a configuration.
+#[rstest]
+#[case::fragment("fleet#1")]
+#[case::query("fleet?1")]
+#[case::space("all fleets/one")]
+#[case::escape("fleet%31")]
+fn odd_prefix(#[case] prefix: &'static str) {
+    let service = PlatformService::start();
+    service.publish("root.yaml", "a: 1");
+    let read = watch_prefix(&service, prefix).blocking_recv();
+    let read = read.expect("the watch runs");
+    let PlatformEvent::Values { values, .. } = read else {
+        panic!("{read:?}");
+    };
+    assert_eq!(values.values.len(), 1);
+}
+
 #[test]
 fn unchanged_confirmed() {
     let service = PlatformService::start();
--- a/crates/kws-standin/src/platform.rs
+++ b/crates/kws-standin/src/platform.rs
@@ -6,6 +6,7 @@
     rt::{DefaultRuntime, System},
     web::{self, App, HttpRequest, HttpResponse, HttpServer, types::State},
 };
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use std::{
     collections::BTreeMap,
@@ -208,6 +209,7 @@
 }
 
 fn answer(path: &str, published: &PublishedValues) -> HttpResponse {
+    let path = percent_decode_str(path).decode_utf8_lossy();
     let prefix = path.trim_start_matches("/v1/kv/");
     let mut entries: Vec<BTreeMap<&str, String>> = published
         .values
