Log and count who decides on tokens

Which hosts take themselves for the owner of a team's tokens could only be seen in the refusals. 'owned token partitions' logs the partitions of a host at each change of the hosts that it knows; token_decisions_total counts its decisions by role, and token_partitions sums to 32 over a region's hosts while they agree.

--- a/crates/kws-admin/src/metrics.rs
+++ b/crates/kws-admin/src/metrics.rs
@@ -64,6 +64,30 @@
     lease_left: Gauge,
     log_dropped: IntCounter,
     extra_responses: IntCounterVec,
+    tokens: TokenMetrics,
+}
+
+/// Metrics of the decisions on the tokens of teams.
+#[derive(Clone, Debug)]
+struct TokenMetrics {
+    decisions: IntCounterVec,
+    partitions: IntGauge,
+}
+
+impl TokenMetrics {
+    fn new() -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            decisions: counters(
+                "token_decisions_total",
+                "Decisions of this host on tokens",
+                &["role", "result"],
+            )?,
+            partitions: IntGauge::with_opts(options(
+                "token_partitions",
+                "Partitions of the teams that this host owns",
+            ))?,
+        })
+    }
 }
 
 impl FleetMetrics {
@@ -112,6 +136,7 @@
                 "Responses of servers without a request for them",
                 &["kind"],
             )?,
+            tokens: TokenMetrics::new()?,
             servers: IntGaugeVec::new(
                 options("servers", "Backend servers by state"),
                 &["service", "state"],
@@ -134,7 +159,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 21] = [
+        let collectors: [Box<dyn Collector>; 23] = [
             Box::new(self.requests.clone()),
             Box::new(self.stages.clone()),
             Box::new(self.routes.clone()),
@@ -156,6 +181,8 @@
             Box::new(self.lease_left.clone()),
             Box::new(self.log_dropped.clone()),
             Box::new(self.extra_responses.clone()),
+            Box::new(self.tokens.decisions.clone()),
+            Box::new(self.tokens.partitions.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector)?;
@@ -218,6 +245,20 @@
         self.extra_responses.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a decision on a token that this host made as `role`, and whether it was granted.
+    pub fn record_token(&self, role: &str, granted: bool) {
+        let result = if granted { "granted" } else { "refused" };
+        self.tokens
+            .decisions
+            .with_label_values(&[role, result])
+            .inc();
+    }
+
+    /// Sets the number of partitions of the teams that this host owns.
+    pub fn set_token_partitions(&self, count: usize) {
+        self.tokens.partitions.set(gauge_value(count));
+    }
+
     /// Counts a message sent to a peer.
     pub fn record_peer_sent(&self, class: &str, bytes: usize) {
         self.record_peer_traffic("sent", class, bytes);
--- a/crates/kws-admin/tests/metrics_names.rs
+++ b/crates/kws-admin/tests/metrics_names.rs
@@ -26,6 +26,8 @@
         metrics.record_platform_read(result, 10);
     }
     metrics.record_extra_response("copy");
+    metrics.record_token("owner", true);
+    metrics.set_token_partitions(2);
     metrics.record_peer_sent("mesh", 20);
     metrics.record_peer_received("mesh", 30);
     metrics.record_peer_dropped("mesh");
@@ -143,6 +145,8 @@
 # HELP knapweedseam_route_seconds Time of a whole request
 # HELP knapweedseam_servers Backend servers by state
 # HELP knapweedseam_stage_seconds Time of a request in one stage
+# HELP knapweedseam_token_decisions_total Decisions of this host on tokens
+# HELP knapweedseam_token_partitions Partitions of the teams that this host owns
 # HELP knapweedseam_trees_refused_total Refused revisions
 # TYPE knapweedseam_current gauge
 # TYPE knapweedseam_extra_responses_total counter
@@ -164,6 +168,8 @@
 # TYPE knapweedseam_route_seconds histogram
 # TYPE knapweedseam_servers gauge
 # TYPE knapweedseam_stage_seconds histogram
+# TYPE knapweedseam_token_decisions_total counter
+# TYPE knapweedseam_token_partitions gauge
 # TYPE knapweedseam_trees_refused_total counter
 knapweedseam_current
 knapweedseam_extra_responses_total{kind="copy"}
@@ -239,4 +245,6 @@
 knapweedseam_stage_seconds_count{service="till",stage="wait"}
 knapweedseam_stage_seconds_sum{service="till",stage="server"}
 knapweedseam_stage_seconds_sum{service="till",stage="wait"}
+knapweedseam_token_decisions_total{result="granted",role="owner"}
+knapweedseam_token_partitions
 knapweedseam_trees_refused_total{reason="malformed"}"#;
--- a/crates/kws-daemon/src/tokens.rs
+++ b/crates/kws-daemon/src/tokens.rs
@@ -11,7 +11,8 @@
 use kws_limits::{TokenDecision, TokenOwner, TokenPartition};
 use kws_membership::{OwnerTable, SharedTask};
 use kws_protocol::{
-    FleetSnapshot, HostName, PeerMessage, RefusalReason, RegionName, TeamName, TicketMessage,
+    FleetSettings, FleetSnapshot, HostName, PeerMessage, RefusalReason, RegionName, TeamName,
+    TicketMessage,
 };
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
@@ -167,6 +168,40 @@
             .collect();
         self.owned
             .set_owned(|partition| owned[partition.index()], now);
+        let count = owned.iter().filter(|is_owned| **is_owned).count();
+        log::info!(
+            partitions = count,
+            hosts = self.owners.host_count(&self.shared.identity.region);
+            "owned token partitions"
+        );
+        self.shared.metrics.set_token_partitions(count);
+    }
+
+    /// Takes a token from the buckets of this host, which owns the team's tokens or was asked as if it
+    /// did.
+    fn take_owned(
+        &mut self,
+        settings: &FleetSettings,
+        team: &TeamName,
+        now: Instant,
+    ) -> TokenDecision {
+        let role = if self.owned.owns(TokenPartition::of(team)) {
+            "owner"
+        } else {
+            "asked"
+        };
+        let decision = self.owned.take(settings, team, 1.0, now);
+        self.record_decision(role, decision);
+        decision
+    }
+
+    fn record_decision(&self, role: &str, decision: TokenDecision) {
+        let granted = match decision {
+            TokenDecision::Granted | TokenDecision::GrantedAfter(_) => true,
+            TokenDecision::Refused { .. } => false,
+            TokenDecision::UnknownTeam => return,
+        };
+        self.shared.metrics.record_token(role, granted);
     }
 
     fn admit(&mut self, team: TeamName, waiter: OwnWaiter, now: Instant) {
@@ -180,7 +215,7 @@
         }
         let waiter = TokenWaiter::Own(waiter);
         let Some(owner) = self.other_owner(&team, now) else {
-            let decision = self.owned.take(&snapshot.settings, &team, 1.0, now);
+            let decision = self.take_owned(&snapshot.settings, &team, now);
             return self.handle_decision(decision, &team, waiter, now);
         };
         self.send_request(PendingToken {
@@ -329,7 +364,7 @@
             let decision = self.owned.lend(&snapshot.settings, team, now);
             return self.send_reply(from, id, decision);
         }
-        let decision = self.owned.take(&snapshot.settings, team, 1.0, now);
+        let decision = self.take_owned(&snapshot.settings, team, now);
         self.handle_decision(decision, team, TokenWaiter::Peer(from.clone(), id), now);
     }
 
@@ -370,13 +405,14 @@
                 pending.is_second = true;
                 return self.send_request(pending);
             }
-            let decision = self.owned.take(&snapshot.settings, &pending.team, 1.0, now);
+            let decision = self.take_owned(&snapshot.settings, &pending.team, now);
             return self.handle_decision(decision, &pending.team, pending.waiter, now);
         }
         let share = 1.0 / self.owners.host_count(&self.shared.identity.region).max(1) as f64;
         let decision = self
             .uncoordinated
             .take(&snapshot.settings, &pending.team, share, now);
+        self.record_decision(UNCOORDINATED, decision);
         self.deliver(decision, &pending.team, pending.waiter, UNCOORDINATED);
     }
 }
--- a/crates/kws-limits/src/owner.rs
+++ b/crates/kws-limits/src/owner.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether this host owns `partition`.
+    pub fn owns(&self, partition: TokenPartition) -> bool {
+        self.owned_since[partition.index()].is_some()
+    }
+
     /// Records that the region's hosts changed; this host knows `count` of them, itself included.
     ///
     /// A host that has just started knows few others and takes itself for the owner of too much, as
