Dial seeds without a live member in each round

Cause: the restarted seeds and the other hosts were two fleets for up to 10 s, each with an owner of the team's tokens. The others knew the seeds by the names of their earlier lives, which a handshake refuses, and only each tenth heartbeat went to a seed's address.

A seed at whose address no member answers is now dialled by address in each round, by four hosts of the fleet on average, so the parts meet within about a second. A seed that stays down costs as much in a fleet of any size.

Before: mesh_view::restarted_seeds failed with 6 and with 60 hosts (2 members instead of 5 and 59).

--- a/crates/kws-membership/src/mesh/heartbeats.rs
+++ b/crates/kws-membership/src/mesh/heartbeats.rs
@@ -8,7 +8,7 @@
 use crate::FleetAction;
 use kws_protocol::{HostName, MeshMember, MeshMessage};
 use rand::RngExt;
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
 /// The interval between heartbeats of a host that knows peers: three heartbeats fit into a lease of
@@ -28,6 +28,10 @@
 /// Every n-th heartbeat also goes to a seed, so that a partitioned fleet merges again.
 const SEED_ROUNDS: u64 = 10;
 
+/// Heartbeats that all hosts together send to seeds without a live member, in each round. A seed that
+/// starts anew is found by one of them, and the hosts of a large fleet don't all dial one that is down.
+const MISSING_SEED_CONTACTS: f64 = 4.0;
+
 impl MeshView {
     /// The targets of this round of heartbeats: a reader, which has the most recent data, and a
     /// random host of the region. The hosts that would read next contact all readers; readers also
@@ -58,11 +62,33 @@
             let seed = self.seeds[index];
             targets.push(known(seed).map_or(seed_name(seed), |member| member.name.clone()));
         }
+        targets.extend(self.pick_missing_seed(&live, now));
         targets.sort();
         targets.dedup();
         targets
     }
 
+    /// A seed at whose address no member answers, for this host's part of the contacts with such seeds. A
+    /// daemon that started anew there has another name, and may know others that started with it only.
+    fn pick_missing_seed(&mut self, live: &[MeshMember], now: Instant) -> Option<HostName> {
+        let answers = |seed: &SocketAddr| {
+            let mut members = live.iter().filter(|member| member.address == *seed);
+            members.any(|member| !self.table.is_silent(&member.name, now))
+        };
+        let missing: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| !answers(seed))
+            .collect();
+        let share = MISSING_SEED_CONTACTS / (live.len() + 1) as f64;
+        if missing.is_empty() || self.rng.random::<f64>() >= share {
+            return None;
+        }
+        let index = self.rng.random_range(0..missing.len());
+        Some(seed_name(missing[index]))
+    }
+
     pub(super) fn pick_random(&mut self, members: &[&MeshMember]) -> Option<HostName> {
         if members.is_empty() {
             return None;
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -334,6 +334,27 @@
     assert_eq!(mesh.members(5), 2);
 }
 
+/// Guards against two fleets after the seeds have restarted together: each would own all shared tasks.
+#[rstest]
+#[case::small(6)]
+#[case::large(60)]
+#[tokio::test(start_paused = true)]
+async fn restarted_seeds(#[case] hosts: usize) {
+    let mut mesh = TestMesh::new(hosts);
+    mesh.run(Duration::from_secs(6)).await;
+    for number in 0..3 {
+        mesh.hosts.remove(&number);
+    }
+    mesh.run(Duration::from_secs(2)).await;
+    for number in 0..3 {
+        mesh.start(number);
+    }
+    mesh.run(Duration::from_millis(2_500)).await;
+    for number in 0..hosts {
+        assert_eq!(mesh.members(number), hosts - 1, "host {number}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn change_propagates() {
     let mut mesh = TestMesh::new(12);
