A host that has announced its stop leaves its own list of hosts

And a host that stopped later told only the live members, not those that stop as well and still serve.

The list of hosts leaves out a host that has announced its stop, and the announcement goes to those that stop too. The partitions then have the same owner for all.

Before: mesh_view::leaving_hosts failed, a stopping host still listed itself and the two that stopped after it.

--- a/crates/kws-membership/src/mesh.rs
+++ b/crates/kws-membership/src/mesh.rs
@@ -438,10 +438,17 @@
     }
 
     fn leave(&mut self, now: Instant) -> Vec<FleetAction> {
-        let members = self.table.live(now);
-        members
-            .map(|member| Self::send(&member.name, MeshMessage::Leave))
-            .collect()
+        self.table.leave();
+        let live = self.table.live(now).map(|member| &member.name);
+        // Hosts that stop at the same time still serve, and would go on taking this one for an owner.
+        let names = live.chain(self.table.left());
+        let mut actions: Vec<FleetAction> = names
+            .map(|name| Self::send(name, MeshMessage::Leave))
+            .collect();
+        self.published_members = None;
+        self.next_publication = now;
+        self.publish_members(now, &mut actions);
+        actions
     }
 
     fn set_seeds(&mut self, seeds: &[SocketAddr]) {
--- a/crates/kws-membership/src/mesh/members.rs
+++ b/crates/kws-membership/src/mesh/members.rs
@@ -67,9 +67,11 @@
         self.table.mark_heard(from, now);
     }
 
+    /// The hosts that share the region's work. One that has announced its stop is no longer among them by
+    /// its own view either: the others have given its work to another host.
     pub(super) fn host_list(&self, now: Instant) -> HostList {
-        let own = self.table.own();
-        let members = self.table.live(now).chain([own]);
+        let own = (!self.table.has_left()).then(|| self.table.own());
+        let members = self.table.live(now).chain(own);
         HostList {
             hosts: members.map(to_listed_host).collect(),
             servers: Vec::new(),
--- a/crates/kws-membership/src/mesh/table.rs
+++ b/crates/kws-membership/src/mesh/table.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MemberTable {
     own: MeshMember,
+    /// Whether this host has announced its stop.
+    has_left: bool,
     records: BTreeMap<HostName, MemberRecord>,
     left: BTreeMap<HostName, Instant>,
     /// Hash of the names of all members, this host included, until these change.
@@ -65,6 +67,7 @@
     pub(crate) fn new(own: MeshMember) -> Self {
         Self {
             own,
+            has_left: false,
             records: BTreeMap::new(),
             left: BTreeMap::new(),
             digest: OnceCell::new(),
@@ -75,6 +78,16 @@
         &self.own
     }
 
+    /// Records that this host has announced its stop.
+    pub(crate) fn leave(&mut self) {
+        self.has_left = true;
+    }
+
+    /// Whether this host has announced its stop.
+    pub(crate) fn has_left(&self) -> bool {
+        self.has_left
+    }
+
     /// Adds or refreshes a member last heard at `heard`. Returns whether the set of members
     /// changed.
     pub(crate) fn upsert(&mut self, member: &MeshMember, heard: Instant, now: Instant) -> bool {
@@ -188,6 +201,11 @@
         self.records.remove(name).is_some()
     }
 
+    /// The names of the members that announced their stop in the last [`LEFT_RETENTION`].
+    pub(crate) fn left(&self) -> impl Iterator<Item = &HostName> {
+        self.left.keys()
+    }
+
     /// Merges the ages in a peer's table with the same members, in the order of their names. The
     /// peer itself is among them.
     pub(crate) fn merge_ages(&mut self, ages: &[Duration], reported_at: Instant) {
--- a/crates/kws-membership/tests/mesh_view.rs
+++ b/crates/kws-membership/tests/mesh_view.rs
@@ -66,6 +66,8 @@
     name: HostName,
     /// The revisions of all published snapshots.
     adopted: Vec<u64>,
+    /// The hosts of the last published snapshot.
+    hosts: BTreeSet<HostName>,
     contacts: BTreeMap<HostName, SocketAddr>,
     next_read: Instant,
 }
@@ -134,6 +136,7 @@
             view: MeshView::new(own, &seeds, Box::new(TestChecker), seed, now),
             name,
             adopted: Vec::new(),
+            hosts: BTreeSet::new(),
             contacts: BTreeMap::new(),
             next_read: now,
         };
@@ -189,7 +192,11 @@
                         .map(|contact| (contact.name, contact.peer));
                     host.contacts = contacts.collect();
                 }
-                FleetAction::Publish(snapshot) => host.adopted.push(snapshot.revision.0),
+                FleetAction::Publish(snapshot) => {
+                    host.adopted.push(snapshot.revision.0);
+                    let hosts = snapshot.hosts.hosts.iter();
+                    host.hosts = hosts.map(|listed| listed.name.clone()).collect();
+                }
                 _ => {}
             }
         }
@@ -334,6 +341,26 @@
     assert_eq!(mesh.members(5), 2);
 }
 
+/// Guards against hosts that stop one after the other and go on sharing work among themselves, beside
+/// the hosts that stay.
+#[tokio::test(start_paused = true)]
+async fn leaving_hosts() {
+    let mut mesh = TestMesh::new(8);
+    mesh.run(Duration::from_secs(6)).await;
+    let all: BTreeSet<HostName> = mesh.hosts.values().map(|host| host.name.clone()).collect();
+    let mut staying = all.clone();
+    for number in [3, 4, 5] {
+        let host = mesh.hosts.get_mut(&number).expect("a host");
+        staying.remove(&host.name);
+        let actions = host.view.leave(Instant::now());
+        mesh.carry_out(number, actions);
+        mesh.run(Duration::from_millis(400)).await;
+    }
+    for (number, host) in &mesh.hosts {
+        assert_eq!(host.hosts, staying, "host {number}");
+    }
+}
+
 /// Guards against two fleets after the seeds have restarted together: each would own all shared tasks.
 #[rstest]
 #[case::small(6)]
