Dial again at once after a link that worked is lost

Cause: after any lost link the peer was not dialled again for 0.25 s to 0.75 s, and messages to it were dropped meanwhile. The delay is meant for dials that fail. A link that was up for half a second or longer is now replaced by the next message, and the observer is told of the loss, so that what was under way can be sent again.

Before: peer_exchange::reset_link lost the message that followed the reset.

--- a/crates/kws-peer/src/exchange.rs
+++ b/crates/kws-peer/src/exchange.rs
@@ -135,20 +135,34 @@
     (mut queue, liveness): (Receiver<PeerMessage>, Arc<LinkLiveness>),
 ) {
     let settings = &state.settings;
-    let error = match dial_link(&settings.secret, &settings.host, &peer, address).await {
+    let dialled = dial_link(&settings.secret, &settings.host, &peer, address).await;
+    let opened = Instant::now();
+    let (error, found) = match dialled {
         Ok((link, found)) => {
             alias_link(&state, &peer, &found);
             let ends = (&mut queue, &*liveness);
-            run_link(link, &found, ends, &state.inbound, &*state.observer).await
+            let error = run_link(link, &found, ends, &state.inbound, &*state.observer).await;
+            (error, Some(found))
         }
-        Err(error) => error,
+        Err(error) => (error, None),
     };
     close_link(&state, &peer, &mut queue, &error);
-    let delay = match &error {
-        LinkError::Io(error) if error.kind() == ErrorKind::ConnectionRefused => {
+    // A link that was lost after it worked for a while says nothing against a new one.
+    let has_worked = found.is_some() && opened.elapsed() >= REDIAL_DELAY;
+    set_redial_delay(&state, peer, (!has_worked).then_some(&error));
+    if let Some(found) = found {
+        state.observer.link_closed(&found);
+    }
+}
+
+/// Sets from when a peer may be dialled again after `error`; from now on if there is none.
+fn set_redial_delay(state: &ExchangeState, peer: HostName, error: Option<&LinkError>) {
+    let delay = match error {
+        None => Duration::ZERO,
+        Some(LinkError::Io(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             REFUSED_REDIAL_DELAY
         }
-        _ => REDIAL_DELAY,
+        Some(_) => REDIAL_DELAY,
     };
     let delay = delay.mul_f64(rand::rng().random_range(0.5..=1.5));
     let until = Instant::now() + delay;
@@ -205,6 +219,7 @@
     let error = run_link(link, peer, ends, &state.inbound, &*state.observer).await;
     drop(queue);
     close_link(state, peer, &mut receiver, &error);
+    state.observer.link_closed(peer);
 }
 
 /// Registers a link also under the name that the peer gave, if it was dialled by address alone.
--- a/crates/kws-peer/tests/peer_exchange.rs
+++ b/crates/kws-peer/tests/peer_exchange.rs
@@ -15,17 +15,23 @@
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
-    sync::mpsc::{Receiver, Sender, channel},
+    sync::{
+        Notify,
+        mpsc::{Receiver, Sender, channel},
+    },
     time::{sleep, timeout},
 };
 
 #[derive(Default)]
-struct LossLog(Mutex<Vec<String>>);
+struct LossLog(Mutex<Vec<String>>, Notify);
 
 impl PeerObserver for LossLog {
     fn sent(&self, _: MessageClass, _: usize) {}
     fn received(&self, _: MessageClass, _: usize) {}
     fn dropped(&self, _: MessageClass) {}
+    fn link_closed(&self, _: &HostName) {
+        self.1.notify_one();
+    }
     fn link_lost(&self, reason: &str) {
         self.0.lock().expect("log").push(reason.to_owned());
     }
@@ -185,6 +191,31 @@
     assert!(timeout(time_limit, redialling).await.is_ok(), "no new dial");
 }
 
+/// Guards against messages that are dropped for up to 0.75 s since a link that worked was reset.
+#[tokio::test]
+async fn reset_link() {
+    let left = start_peer("left", "a secret of the fleet").await;
+    let mut right = start_peer("right", "a secret of the fleet").await;
+    let relay = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let (target, address) = (right.address, relay.local_addr().expect("address"));
+    right.address = address;
+    tokio::spawn(async move {
+        loop {
+            let (mut from, _) = relay.accept().await.expect("a dial");
+            let mut to = TcpStream::connect(target).await.expect("a peer");
+            // Longer than the delay before a failed dial is repeated.
+            let relaying = copy_bidirectional(&mut from, &mut to);
+            let _ = timeout(Duration::from_secs(1), relaying).await;
+        }
+    });
+    left.send(&right, &fetch(1)).await;
+    assert!(right.receive().await.is_some());
+    let told = timeout(Duration::from_secs(5), left.losses.1.notified()).await;
+    assert!(told.is_ok(), "the observer isn't told of the lost link");
+    left.send(&right, &fetch(2)).await;
+    assert_eq!(right.receive().await, Some((left.name.clone(), fetch(2))));
+}
+
 /// One end finds the link lost and dials again. The other end must reply over the new link and not
 /// over the old one, on which nothing has arrived since.
 #[tokio::test]
