Let only the owner of a team's tokens grant the region's share

Cause: a host acted as the owner without knowing that no other did. One that had met no other owned everything; one that was asked granted the rate whether it owned or not, and one message without a reply within 250 ms sent the asker to another host for 4 s.

TokenCoordinator holds one set of rules (docs/PLATFORM.md, "Who may grant"): the owner by the list grants, others pass on; one next host stands in for an owner that replies to neither of two; what a host grants without owning is told to the owner, which charges it; a host that has met no other waits 0.6 s and then uses a part that stays within the region's share if all are as alone. Requests on a lost link are sent again at once.

Why it works: at most two hosts use the region's share, one of them only while its own probes fail each 250 ms, and its grants are charged.

--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -243,7 +243,12 @@
     let peers = PeerSender::new(Arc::clone(shared), outbound);
 
     if has_shared_placement(&options.settings) {
-        start_tokens(Arc::clone(shared), ledger_events, peers.clone())?;
+        start_tokens(
+            Arc::clone(shared),
+            &options.settings,
+            ledger_events,
+            peers.clone(),
+        )?;
         start_placement(Arc::clone(shared), dispatch_events, peers.clone())?;
     } else {
         start_ledger(Arc::clone(shared), ledger_events, peers.clone())?;
--- a/crates/kws-daemon/src/ledger.rs
+++ b/crates/kws-daemon/src/ledger.rs
@@ -36,6 +36,8 @@
     },
     ApplySettings(Arc<FleetSnapshot>),
     Lease(Option<Instant>),
+    /// The link to a host was lost.
+    LostLink(HostName),
     Loan {
         from: HostName,
         message: LoanMessage,
@@ -122,7 +124,7 @@
             LedgerEvent::RejectRevision(revision) => self.ledger.reject_revision(revision, now),
             LedgerEvent::Stop => self.ledger.stop(now),
             // Only hosts that discover each other request single tokens, from the token thread.
-            LedgerEvent::Token { .. } => {}
+            LedgerEvent::LostLink(_) | LedgerEvent::Token { .. } => {}
         }
     }
 
--- a/crates/kws-daemon/src/peers.rs
+++ b/crates/kws-daemon/src/peers.rs
@@ -9,7 +9,7 @@
     ExchangeSettings, InboundMessage, MessageClass, OutboundMessage, PeerObserver, PeerSecret,
     run_exchange,
 };
-use kws_protocol::{LeaseMessage, PeerMessage, TicketMessage};
+use kws_protocol::{HostName, LeaseMessage, PeerMessage, TicketMessage};
 use std::{net, sync::Arc};
 use tokio::{
     net::TcpListener,
@@ -26,24 +26,35 @@
     pub(crate) dispatch: Sender<DispatchEvent>,
 }
 
-/// Records the messages of the peer exchange in the daemon's metrics.
-struct MetricObserver(Arc<DaemonShared>);
+/// Records the messages of the peer exchange in the daemon's metrics, and reports lost links to the token
+/// thread.
+struct ExchangeObserver {
+    shared: Arc<DaemonShared>,
+    ledger: Sender<LedgerEvent>,
+}
 
-impl PeerObserver for MetricObserver {
+impl PeerObserver for ExchangeObserver {
     fn sent(&self, class: MessageClass, bytes: usize) {
-        self.0.metrics.record_peer_sent(class.as_str(), bytes);
+        self.shared.metrics.record_peer_sent(class.as_str(), bytes);
     }
 
     fn received(&self, class: MessageClass, bytes: usize) {
-        self.0.metrics.record_peer_received(class.as_str(), bytes);
+        self.shared
+            .metrics
+            .record_peer_received(class.as_str(), bytes);
     }
 
     fn dropped(&self, class: MessageClass) {
-        self.0.metrics.record_peer_dropped(class.as_str());
+        self.shared.metrics.record_peer_dropped(class.as_str());
+    }
+
+    fn link_closed(&self, peer: &HostName) {
+        let event = LedgerEvent::LostLink(peer.clone());
+        send_or_drop(&self.shared, "ledger", &self.ledger, event);
     }
 
     fn link_lost(&self, reason: &str) {
-        self.0.metrics.record_peer_link_lost();
+        self.shared.metrics.record_peer_link_lost();
         log::debug!(reason = reason; "peer link lost");
     }
 }
@@ -68,7 +79,10 @@
             host: shared.identity.host.clone(),
             secret,
         };
-        let observer = Arc::new(MetricObserver(Arc::clone(&shared)));
+        let observer = Arc::new(ExchangeObserver {
+            shared: Arc::clone(&shared),
+            ledger: outputs.ledger.clone(),
+        });
         let (inbound, received) = channel(INBOUND_MESSAGES_CAPACITY);
         tokio::join!(
             run_exchange(settings, listener, outbound, inbound, observer),
--- a/crates/kws-limits/src/owner.rs
+++ b/crates/kws-limits/src/owner.rs
@@ -73,7 +73,10 @@
     /// By partition, the instant since which it is owned; `None` if another host owns it. New
     /// buckets fill from this instant; before it, another host may have owned them.
     owned_since: [Option<Instant>; PARTITION_COUNT as usize],
+    /// Since when this host gets to know others: its start, or when it met the first one.
     started: Instant,
+    /// The most hosts that the region may have, while this host has met no other; 1 afterwards.
+    assumed_hosts: usize,
     /// The number of hosts of the region that this host knew, itself included, and since when;
     /// reaches back by [`GROWTH_PERIOD`].
     host_counts: VecDeque<(Instant, usize)>,
@@ -81,13 +84,16 @@
 }
 
 impl TokenOwner {
-    /// Empty buckets for `region`, with all partitions owned since `now`.
-    pub fn new(region: RegionName, now: Instant) -> Self {
+    /// Empty buckets for `region`, with all partitions owned since `now`. Until this host meets another, it
+    /// uses an equal part for each of `most_hosts` of the region's share; 1 stands for a host that is told
+    /// of no other.
+    pub fn new(region: RegionName, most_hosts: usize, now: Instant) -> Self {
         Self {
             region,
             buckets: HashMap::new(),
             owned_since: [Some(now); PARTITION_COUNT as usize],
             started: now,
+            assumed_hosts: most_hosts.max(1),
             host_counts: [(now, 1)].into(),
             next_sweep: now + SWEEP_PERIOD,
         }
@@ -113,6 +119,14 @@
         self.owned_since[partition.index()].is_some()
     }
 
+    /// Records that this host has met another one of the fleet.
+    pub fn record_met(&mut self, now: Instant) {
+        if self.assumed_hosts > 1 {
+            self.assumed_hosts = 1;
+            self.started = now;
+        }
+    }
+
     /// Records that the region's hosts changed; this host knows `count` of them, itself included.
     ///
     /// A host that has just started knows few others and takes itself for the owner of too much, as
@@ -140,10 +154,14 @@
         }
     }
 
-    /// The fraction of the region's share that this host may use: less than 1 only while it still
-    /// gets to know the others, and then the part of them that it knew [`GROWTH_PERIOD`] ago. The
+    /// The fraction of the region's share that this host may use. While it has met no other although it was
+    /// told of some, each of them may be as alone and grant as much: it is an equal part of the most hosts
+    /// that there may be. Otherwise it is less than 1 only while it still gets to know the others, and then the part of them that it knew [`GROWTH_PERIOD`] ago. The
     /// faster its view grows, the more other hosts may take themselves for the owner.
     fn joining_fraction(&self, now: Instant) -> f64 {
+        if self.assumed_hosts > 1 {
+            return 1.0 / self.assumed_hosts as f64;
+        }
         if now >= self.started + JOINING_PERIOD {
             return 1.0;
         }
@@ -188,6 +206,16 @@
         TokenDecision::Refused { retry_after: wait }
     }
 
+    /// Takes `count` tokens of the team that other hosts of the region have granted in place of this one.
+    /// What the bucket doesn't hold is owed from later ones.
+    pub fn charge(&mut self, settings: &FleetSettings, team: &TeamName, count: u32, now: Instant) {
+        let Some(limit) = settings.teams.get(team) else {
+            return;
+        };
+        let bucket = self.fill(limit, region_share(settings, &self.region), now);
+        bucket.level -= f64::from(count);
+    }
+
     /// Gives one token to the owner in another region, if one is available now.
     pub fn lend(
         &mut self,
--- a/crates/kws-limits/tests/token_keeper.rs
+++ b/crates/kws-limits/tests/token_keeper.rs
@@ -19,7 +19,7 @@
 }
 
 fn owner() -> TokenOwner {
-    TokenOwner::new("vidzemes".into(), Instant::now())
+    TokenOwner::new("vidzemes".into(), 1, Instant::now())
 }
 
 fn orchard() -> TeamName {
--- a/crates/kws-membership/src/owner_table.rs
+++ b/crates/kws-membership/src/owner_table.rs
@@ -83,6 +83,18 @@
         owner
     }
 
+    /// The owner of a task in `region` and the hosts that own it after it, at most `count`, by the list of
+    /// hosts, whether they reply or not.
+    pub fn listed_owners(
+        &self,
+        region: &RegionName,
+        task: SharedTask<'_>,
+        count: usize,
+    ) -> Vec<HostName> {
+        let order = rank(self.hosts.get(region).into_iter().flatten(), task);
+        order.into_iter().take(count).cloned().collect()
+    }
+
     /// The hosts that become owners of a task in `region` when its owner stops to reply, the next one
     /// first, at most `count`.
     pub fn successors(
@@ -103,11 +115,7 @@
     fn rank(&self, region: &RegionName, task: SharedTask<'_>) -> Vec<&HostName> {
         let hosts = self.hosts.get(region).into_iter().flatten();
         let responsive = hosts.filter(|host| !self.unresponsive.contains_key(&host.name));
-        let candidates = responsive.map(|host| HostCandidate {
-            name: &host.name,
-            millicores: host.millicores,
-        });
-        rank_hosts(task.name, task.millicores, candidates)
+        rank(responsive, task)
     }
 
     fn end_cooldowns(&mut self, now: Instant) {
@@ -118,3 +126,15 @@
         }
     }
 }
+
+/// The hosts in the order in which they own a task.
+fn rank<'a>(
+    hosts: impl Iterator<Item = &'a ListedHost>,
+    task: SharedTask<'_>,
+) -> Vec<&'a HostName> {
+    let candidates = hosts.map(|host| HostCandidate {
+        name: &host.name,
+        millicores: host.millicores,
+    });
+    rank_hosts(task.name, task.millicores, candidates)
+}
--- a/crates/kws-protocol/src/message.rs
+++ b/crates/kws-protocol/src/message.rs
@@ -12,7 +12,9 @@
 pub use lease::{LeaseMessage, RevisionView};
 pub use loan::{LoanId, LoanMessage};
 pub use mesh::{HashedAge, MemberReport, MeshMember, MeshMessage, ValuesDelta, ValuesView};
-pub use ticket::{ServerLoad, SlotGrant, SlotOutcome, SlotRequest, TicketMessage, TryKind};
+pub use ticket::{
+    ServerLoad, SlotGrant, SlotOutcome, SlotRequest, TicketMessage, TokenRequestKind, TryKind,
+};
 
 /// A message exchanged between two daemons.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/kws-protocol/src/message/ticket.rs
+++ b/crates/kws-protocol/src/message/ticket.rs
@@ -88,6 +88,18 @@
     pub evidence: f64,
 }
 
+/// On whose behalf a host requests a token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TokenRequestKind {
+    /// The requesting host manages the team's tokens in its own region, has none left, and asks another
+    /// region for a loan.
+    Loan,
+    /// A request of its own.
+    Own,
+    /// A request of another host, which is not passed on again.
+    Passed,
+}
+
 /// Messages between the hosts that serve requests and the hosts that grant slots and tokens.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TicketMessage {
@@ -149,9 +161,11 @@
         id: u64,
         /// Team that owns the token.
         team: TeamName,
-        /// Whether the token is requested as a loan: the requesting host manages the team's tokens
-        /// in its own region and has none left.
-        loan: bool,
+        /// On whose behalf it is requested.
+        kind: TokenRequestKind,
+        /// Tokens of the team that the requesting host has granted without owning them, and that no owner
+        /// has charged yet.
+        owed: u32,
     },
     /// Reply to [`TicketMessage::RequestToken`].
     TokenReply {
--- a/crates/kws-protocol/src/wire/ticket.rs
+++ b/crates/kws-protocol/src/wire/ticket.rs
@@ -3,7 +3,7 @@
 use super::WireError;
 use crate::{
     CenterName, RefusalReason, ServerLoad, ServerName, ServiceName, SlotGrant, SlotOutcome,
-    SlotRequest, TeamName, TicketMessage, TryKind,
+    SlotRequest, TeamName, TicketMessage, TokenRequestKind, TryKind,
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -95,7 +95,15 @@
         d: Vec<(ServerName, u32, f32)>,
     },
     #[serde(rename = "k")]
-    RequestToken { i: u64, t: TeamName, f: bool },
+    RequestToken {
+        i: u64,
+        t: TeamName,
+        f: bool,
+        #[serde(default, skip_serializing_if = "is_unset")]
+        p: bool,
+        #[serde(default, skip_serializing_if = "is_zero_count")]
+        o: u32,
+    },
     #[serde(rename = "o")]
     TokenReply { i: u64, w: Option<u64> },
 }
@@ -126,6 +134,14 @@
     Cancelled
 );
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature that serde asks for"
+)]
+fn is_zero_count(count: &u32) -> bool {
+    *count == 0
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "signature that serde asks for"
@@ -240,10 +256,17 @@
                     .map(|load| (load.server.clone(), load.placed, load.evidence as f32))
                     .collect(),
             },
-            TicketMessage::RequestToken { id, team, loan } => Self::RequestToken {
+            TicketMessage::RequestToken {
+                id,
+                team,
+                kind,
+                owed,
+            } => Self::RequestToken {
                 i: *id,
                 t: team.clone(),
-                f: *loan,
+                f: *kind == TokenRequestKind::Loan,
+                p: *kind == TokenRequestKind::Passed,
+                o: *owed,
             },
             TicketMessage::TokenReply { id, retry_after } => Self::TokenReply {
                 i: *id,
@@ -302,10 +325,15 @@
                     loads: d.into_iter().map(load).collect(),
                 }
             }
-            WireTicket::RequestToken { i, t, f } => Self::RequestToken {
+            WireTicket::RequestToken { i, t, f, p, o } => Self::RequestToken {
                 id: i,
                 team: t,
-                loan: f,
+                kind: match (f, p) {
+                    (true, _) => TokenRequestKind::Loan,
+                    (false, true) => TokenRequestKind::Passed,
+                    (false, false) => TokenRequestKind::Own,
+                },
+                owed: o,
             },
             WireTicket::TokenReply { i, w } => Self::TokenReply {
                 id: i,
--- a/crates/kws-protocol/tests/peer_codec.rs
+++ b/crates/kws-protocol/tests/peer_codec.rs
@@ -3,8 +3,8 @@
 use kws_protocol::{
     ConfigMessage, HashedAge, HealthMessage, HealthReport, LeaseMessage, LoanId, LoanMessage,
     MemberReport, MeshMember, MeshMessage, PeerMessage, RefusalReason, RegionName, RevisionView,
-    ServerLoad, SlotGrant, SlotOutcome, SlotRequest, TeamName, TicketMessage, TreeRevision,
-    TryKind, ValuesDelta, ValuesView, decode_message, encode_message,
+    ServerLoad, SlotGrant, SlotOutcome, SlotRequest, TeamName, TicketMessage, TokenRequestKind,
+    TreeRevision, TryKind, ValuesDelta, ValuesView, decode_message, encode_message,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -174,7 +174,8 @@
 #[case::request_token(PeerMessage::Ticket(TicketMessage::RequestToken {
     id: 4,
     team: "orchard".into(),
-    loan: true,
+    kind: TokenRequestKind::Loan,
+    owed: 0,
 }))]
 fn round_trip(#[case] message: PeerMessage) {
     let frame = encode_message(&message).expect("encodes");
--- a/crates/kws-protocol/tests/wire_frames.rs
+++ b/crates/kws-protocol/tests/wire_frames.rs
@@ -6,8 +6,8 @@
 use kws_protocol::{
     ConfigMessage, HealthMessage, HealthReport, LeaseMessage, LoanId, LoanMessage, MemberReport,
     MeshMember, MeshMessage, PeerMessage, RefusalReason, RevisionView, ServerLoad, SlotGrant,
-    SlotOutcome, SlotRequest, TicketMessage, TreeRevision, TryKind, ValuesDelta, ValuesView,
-    decode_message, encode_message,
+    SlotOutcome, SlotRequest, TicketMessage, TokenRequestKind, TreeRevision, TryKind, ValuesDelta,
+    ValuesView, decode_message, encode_message,
 };
 use rstest::rstest;
 use std::{
@@ -298,10 +298,20 @@
     PeerMessage::Ticket(TicketMessage::RequestToken {
         id: 4,
         team: "orchard".into(),
-        loan: true,
+        kind: TokenRequestKind::Loan,
+    owed: 0,
     }),
     b"\xa2av\x01am\xa1fTicket\xa1ak\xa3ai\x04atgorchardaf\xf5"
 )]
+#[case::ticket_pass_token_request(
+    PeerMessage::Ticket(TicketMessage::RequestToken {
+        id: 4,
+        team: "orchard".into(),
+        kind: TokenRequestKind::Passed,
+    owed: 3,
+    }),
+    b"\xa2av\x01am\xa1fTicket\xa1ak\xa5ai\x04atgorchardaf\xf4ap\xf5ao\x03"
+)]
 #[case::ticket_token_refused(
     PeerMessage::Ticket(TicketMessage::TokenReply {
         id: 4,
