Leave the slash in the addresses of reads as it is

late_response::repeated_response failed since keys are escaped: its store doesn't decode addresses, as a simple stand-in may not. A slash needs no escape in a query, so the addresses of ordinary keys are again what they were. One function serves paths and queries.

--- a/crates/kws-platform/src/address.rs
+++ b/crates/kws-platform/src/address.rs
@@ -2,23 +2,16 @@
 
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
-/// The bytes that mean something other than themselves in an address: all but the unreserved characters
-/// of RFC 3986.
+/// The bytes that mean something other than themselves in a path or in a value of a query: all but the
+/// unreserved characters of RFC 3986 and the slash.
 const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
     .remove(b'.')
+    .remove(b'/')
     .remove(b'_')
     .remove(b'~');
 
-/// The same for a path, whose slashes separate segments.
-const RESERVED_IN_PATH: &AsciiSet = &RESERVED.remove(b'/');
-
-/// Escapes `text` as one value of a query.
-pub fn query_value(text: &str) -> String {
+/// Escapes `text` as a path or as one value of a query.
+pub fn escape_text(text: &str) -> String {
     utf8_percent_encode(text, RESERVED).to_string()
 }
-
-/// Escapes `text` as a path; its slashes stay.
-pub fn path_segments(text: &str) -> String {
-    utf8_percent_encode(text, RESERVED_IN_PATH).to_string()
-}
--- a/crates/kws-platform/src/consul.rs
+++ b/crates/kws-platform/src/consul.rs
@@ -1,7 +1,7 @@
 //! Reads the published values over the read side of Consul's key-value HTTP protocol.
 
 use crate::{
-    PlatformError, PlatformReader, PlatformResponse, ReadFuture, path_segments,
+    PlatformError, PlatformReader, PlatformResponse, ReadFuture, escape_text,
     reader::reading_client,
 };
 use base64::{Engine, engine::general_purpose::STANDARD};
@@ -63,7 +63,7 @@
         let url = format!(
             "{}/v1/kv/{}?recurse=true&index={index}&wait={}ms",
             self.address,
-            path_segments(&self.prefix),
+            escape_text(&self.prefix),
             wait.as_millis()
         );
         let client = self.client().await?;
--- a/crates/kws-platform/src/lib.rs
+++ b/crates/kws-platform/src/lib.rs
@@ -8,7 +8,7 @@
 mod reader;
 mod watch;
 
-pub use address::{path_segments, query_value};
+pub use address::escape_text;
 pub use consul::ConsulReader;
 pub use directory::DirectoryReader;
 pub use reader::{PlatformError, PlatformReader, PlatformResponse, ReadFuture, reading_client};
