Start although the admin address is taken, or a bound is 0

What callers saw: daemons run as real processes didn't start. The users kept no logs; of 36 hosts at one IP address 35 ended here, with 'failed to bind the admin listener'.

Cause: the port of status and metrics is fixed by the deploy file, and the platform assigns all others. A daemon that couldn't bind it ended, as did one that was given it for callers or peers, one that found an address in use for a moment, and one whose settings allow no retries or set no floor.

admin_optional lets a daemon serve callers and bind the admin address once it is free; the other addresses come first and are tried for 5 s. Settings without the flag are checked as before.

--- a/crates/kws-bench/src/daemons.rs
+++ b/crates/kws-bench/src/daemons.rs
@@ -38,6 +38,7 @@
         trust_peer_network: false,
         listen: any,
         admin: any,
+        admin_optional: false,
         peer: any,
         peer_secret_file: None,
         backend_ca_file: None,
--- a/crates/kws-daemon/src/admin.rs
+++ b/crates/kws-daemon/src/admin.rs
@@ -6,7 +6,12 @@
 use eyre::Result;
 use kws_admin::{AdminView, FleetMetrics, run_admin};
 use kws_protocol::StatusReport;
-use std::{net::TcpListener, sync::Arc};
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 struct DaemonView(Arc<DaemonShared>);
@@ -56,11 +61,39 @@
     }
 }
 
-/// Starts the admin listener.
-pub(crate) fn start_admin(shared: Arc<DaemonShared>, listener: TcpListener) -> Result<()> {
+/// How often a daemon tries again to bind an optional admin address.
+const BIND_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Starts the admin listener once its address can be bound.
+pub(crate) fn start_optional_admin(shared: Arc<DaemonShared>, address: SocketAddr) -> Result<()> {
     start_thread("admin", move || {
-        if let Err(error) = run_admin(listener, Arc::new(DaemonView(shared))) {
-            panic!("failed to serve the admin listener: {error}");
-        }
+        let mut is_logged = false;
+        let listener = loop {
+            match TcpListener::bind(address) {
+                Ok(listener) => break listener,
+                Err(error) if !is_logged => {
+                    is_logged = true;
+                    log::error!(
+                        address = address.to_string().as_str(),
+                        error = error.to_string().as_str();
+                        "no status and metrics until the admin address is free"
+                    );
+                }
+                Err(_) => {}
+            }
+            thread::sleep(BIND_INTERVAL);
+        };
+        serve_admin(shared, listener);
     })
 }
+
+/// Starts the admin listener.
+pub(crate) fn start_admin(shared: Arc<DaemonShared>, listener: TcpListener) -> Result<()> {
+    start_thread("admin", move || serve_admin(shared, listener))
+}
+
+fn serve_admin(shared: Arc<DaemonShared>, listener: TcpListener) {
+    if let Err(error) = run_admin(listener, Arc::new(DaemonView(shared))) {
+        panic!("failed to serve the admin listener: {error}");
+    }
+}
--- a/crates/kws-daemon/src/daemon.rs
+++ b/crates/kws-daemon/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     DaemonOptions,
-    admin::start_admin,
+    admin::{start_admin, start_optional_admin},
     control::ChannelControl,
     dispatch::{DispatchEvent, start_dispatch},
     fleet::{FleetInputs, FleetOutputs, start_fleet},
@@ -16,15 +16,17 @@
 use eyre::{Result, WrapErr};
 use kws_admin::FleetMetrics;
 use kws_forward::{
-    BackendTrust, CertificateFiles, CertificateStore, ListenerHandle, ListenerSettings, StopTimes,
-    run_listener,
+    BackendTrust, CertificateFiles, CertificateStore, ForwardControl, ListenerHandle,
+    ListenerSettings, StopTimes, run_listener,
 };
 use kws_platform::WatchTiming;
 use kws_protocol::HostName;
 use kws_tree::{HostSettings, PlatformSource};
 use std::{
+    io::{self, ErrorKind},
     net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering},
+    thread,
     time::Duration,
 };
 use tokio::{
@@ -52,6 +54,10 @@
 const DISPATCH_EVENTS_CAPACITY: usize = 32 * 1024;
 /// Capacity of the channel of messages to the peer exchange.
 const OUTBOUND_MESSAGES_CAPACITY: usize = 4096;
+/// Interval between tries to bind an address that is in use.
+const BIND_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of tries after the first; together they take 5 s, less than the shortest known grace period.
+const BIND_RETRIES: usize = 50;
 /// Timing of the platform watch until the fleet thread has chosen the readers.
 const INITIAL_TIMING: WatchTiming = WatchTiming {
     wait: Duration::from_secs(1),
@@ -159,9 +165,17 @@
 /// When an address can't be bound, a thread can't be started, or a certificate can't be loaded.
 pub fn start_daemon(options: &DaemonOptions) -> Result<RunningDaemon> {
     let settings = &options.settings;
-    let admin = bind("admin", settings.admin)?;
+    let admin = if settings.admin_optional {
+        None
+    } else {
+        Some(bind("admin", settings.admin)?)
+    };
     let peer = bind("peer", settings.peer)?;
-    let (admin_address, peer_address) = (admin.local_addr()?, peer.local_addr()?);
+    let peer_address = peer.local_addr()?;
+    let admin_address = match &admin {
+        Some(admin) => admin.local_addr()?,
+        None => settings.admin,
+    };
     let identity = DaemonIdentity {
         host: host_name(settings, peer_address),
         region: settings.region.clone(),
@@ -169,7 +183,9 @@
     };
     let metrics = FleetMetrics::new().wrap_err("failed to register the metrics")?;
     let shared = Arc::new(DaemonShared::new(identity, metrics, INITIAL_TIMING));
-    start_admin(Arc::clone(&shared), admin)?;
+    if let Some(admin) = admin {
+        start_admin(Arc::clone(&shared), admin)?;
+    }
     if let Some(ready) = settings.ready {
         start_admin(Arc::clone(&shared), bind("readiness", ready)?)?;
     }
@@ -181,9 +197,15 @@
         channels.dispatch,
         has_shared_placement(settings),
     );
+    let control: Arc<dyn ForwardControl> = Arc::new(control);
     let listener = listener_settings(options)?;
-    let listener = run_listener(listener, Arc::new(control))
+    let run = || run_listener(listener.clone(), Arc::clone(&control));
+    let listener = retry_bind("callers", settings.listen, run)
         .wrap_err_with(|| format!("failed to serve callers on {}", settings.listen))?;
+    if settings.admin_optional {
+        // The addresses that callers and hosts need come first.
+        start_optional_admin(Arc::clone(&shared), settings.admin)?;
+    }
     log::info!(
         host = shared.identity.host.as_str(),
         listen = listener.address().to_string().as_str(),
@@ -283,10 +305,35 @@
 }
 
 fn bind(name: &str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
+    retry_bind(name, address, || TcpListener::bind(address))
         .wrap_err_with(|| format!("failed to bind the {name} listener to {address}"))
 }
 
+/// Runs `bind` again while the address is in use, [`BIND_RETRIES`] times at most: the process before may
+/// still hold it.
+fn retry_bind<T>(
+    name: &str,
+    address: SocketAddr,
+    bind: impl Fn() -> io::Result<T>,
+) -> io::Result<T> {
+    let in_use = |error: &io::Error| error.kind() == ErrorKind::AddrInUse;
+    for number in 0..BIND_RETRIES {
+        let result = bind();
+        if !result.as_ref().is_err_and(in_use) {
+            return result;
+        }
+        if number == 0 {
+            log::warn!(
+                listener = name,
+                address = address.to_string().as_str();
+                "address in use, waiting"
+            );
+        }
+        thread::sleep(BIND_INTERVAL);
+    }
+    bind()
+}
+
 /// Whether the hosts of a region share placement and token buckets. They do where the platform is a
 /// metadata store and hosts discover each other.
 fn has_shared_placement(settings: &HostSettings) -> bool {
--- a/crates/kws-tree/src/host.rs
+++ b/crates/kws-tree/src/host.rs
@@ -77,6 +77,8 @@
     pub trust_peer_network: bool,
     /// Where status, metrics and readiness are read.
     pub admin: SocketAddr,
+    /// Whether the daemon also serves callers while `admin` can't be bound.
+    pub admin_optional: bool,
     /// Where the other daemons connect.
     pub peer: SocketAddr,
     /// The file with the secret that the daemons share.
@@ -133,6 +135,7 @@
             .collect(),
         trust_peer_network: reader.flag("trust_peer_network").unwrap_or_default(),
         admin: reader.address("admin"),
+        admin_optional: reader.flag("admin_optional").unwrap_or_default(),
         peer: reader.address("peer"),
         peer_secret_file: reader.text("peer_secret_file").map(PathBuf::from),
         backend_ca_file: reader.text("backend_ca_file").map(PathBuf::from),
@@ -183,10 +186,14 @@
 }
 
 fn check_addresses(node: &TreeNode, reader: &SectionReader<'_>, findings: &mut Vec<Finding>) {
-    const NAMES: [&str; 3] = ["admin", "listen", "peer"];
-    for (index, name) in NAMES.iter().enumerate() {
+    let names: &[&str] = if reader.flag("admin_optional") == Some(true) {
+        &["listen", "peer"]
+    } else {
+        &["admin", "listen", "peer"]
+    };
+    for (index, name) in names.iter().enumerate() {
         let address = reader.address(name);
-        let first = NAMES[..index]
+        let first = names[..index]
             .iter()
             .find(|first| reader.address(first) == address && address.port() != 0);
         if let (Some(first), Some(member)) = (first, node.member(name)) {
--- a/crates/kws-tree/src/schema/host.rs
+++ b/crates/kws-tree/src/schema/host.rs
@@ -17,6 +17,13 @@
             Required,
             "Where operators, scrapers and the balancer read status, metrics and readiness.",
         ),
+        value(
+            "admin_optional",
+            ValueKind::Flag,
+            Flag(false),
+            "Whether the daemon also serves callers while the address of `admin` is in use, or is that \
+             of another listener. Status and metrics are then read once it is free.",
+        ),
         value(
             "backend_ca_file",
             ValueKind::FilePath,
@@ -151,13 +158,13 @@
     fields: &[
         value(
             "floor",
-            ValueKind::Weight,
+            ValueKind::Ratio,
             Number(0.5),
             "The share of a service's capacity that ejection must leave, as a part of 1.",
         ),
         value(
             "retry_ratio",
-            ValueKind::Weight,
+            ValueKind::Ratio,
             Number(0.1),
             "Retries allowed for each first try, over all hosts together, as a part of 1.",
         ),
--- a/crates/kws-tree/src/value.rs
+++ b/crates/kws-tree/src/value.rs
@@ -60,6 +60,8 @@
     Path,
     /// Requests a second, more than none.
     Rate,
+    /// A number of at least 0, which stands for none.
+    Ratio,
     /// Whether requests are idempotent.
     Repeatable,
     /// A part of a whole.
@@ -115,6 +117,7 @@
             Self::DurationOrNone => "a duration",
             Self::Flag => "`true` or `false`",
             Self::Factor => "a number of at least 1",
+            Self::Ratio => "a number of at least 0",
             Self::FilePath => "the path of a file or directory",
             Self::Headers => "a list of header names",
             Self::HostName => "the name of a host, without port",
@@ -149,6 +152,7 @@
             Self::Duration | Self::DurationOrNone | Self::OptionalDuration => "250ms",
             Self::Flag | Self::Repeatable => "true",
             Self::Factor | Self::Weight => "1.5",
+            Self::Ratio => "0.2",
             Self::FilePath => "/etc/knapweedseam/secret",
             Self::Headers => "[etag]",
             Self::HostName => "booking.example.org",
--- a/crates/kws-tree/src/value/read.rs
+++ b/crates/kws-tree/src/value/read.rs
@@ -36,6 +36,7 @@
             Self::Count => self.read_number(node, |number| number >= 1.0 && is_whole(number)),
             Self::Limit => self.read_number(node, |number| number >= 0.0 && is_whole(number)),
             Self::Factor => self.read_number(node, |number| number >= 1.0),
+            Self::Ratio => self.read_number(node, |number| number >= 0.0),
             Self::Weight => self.read_number(node, |number| number > 0.0),
             Self::Digests => self.read_digests(node),
             Self::Lease => self.read_duration(node, SHORTEST_LEASE..=LONGEST_LEASE),
--- a/crates/kws-tree/tests/host_settings.rs
+++ b/crates/kws-tree/tests/host_settings.rs
@@ -31,6 +31,7 @@
         center: "turaida".into(),
         listen: "0.0.0.0:443".parse().expect("address"),
         admin: "10.0.0.7:9100".parse().expect("address"),
+        admin_optional: false,
         peer: "10.0.0.7:9101".parse().expect("address"),
         peer_secret_file: Some(PathBuf::from("/run/secret")),
         platform: PlatformSource::Service {
@@ -54,6 +55,18 @@
     assert_eq!(settings.millicores, 200);
 }
 
+/// Guards against a host that doesn't start because the platform allows no retries, or no floor is set.
+#[test]
+fn zero_terms() {
+    let terms = "platform: {store: \"10.0.0.1:8500\", terms: {floor: 0, retry_ratio: 0}}";
+    let text = HOST.replace("platform: {http: \"10.0.0.1:8500\"}", terms);
+    let settings = parse_host(&text, "host.yaml").expect("sound settings");
+    let PlatformSource::Store { terms, .. } = settings.platform else {
+        panic!("{:?}", settings.platform);
+    };
+    assert_eq!((terms.floor, terms.retry_ratio), (0.0, 0.0));
+}
+
 #[rstest]
 #[case::bad_size("log: warn", "processors: none", "found the text `none`")]
 #[case::unknown("log: warn", "logs: warn", "no field is called `logs`")]
--- /dev/null
+++ b/tests/daemon_starts.rs
@@ -0,0 +1,148 @@
+//! Daemon processes that start where an address is in use or the address space is limited: they start,
+//! and go on running.
+
+#[path = "common/address.rs"]
+mod address;
+
+use address::free_address;
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::mpsc::{Receiver, channel},
+    thread,
+    time::Duration,
+};
+use tempfile::TempDir;
+
+/// How long a daemon may take to start beside other load.
+const START_LIMIT: Duration = Duration::from_secs(30);
+/// How long a daemon must go on running: its threads have started by then.
+const RUN_PERIOD: Duration = Duration::from_secs(2);
+
+struct Addresses {
+    listen: SocketAddr,
+    admin: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl Addresses {
+    fn new() -> Self {
+        Self {
+            listen: free_address(),
+            admin: free_address(),
+            peer: free_address(),
+        }
+    }
+}
+
+/// A daemon process, killed when dropped.
+struct StartedDaemon {
+    child: Child,
+    lines: Receiver<String>,
+    _folder: TempDir,
+}
+
+impl StartedDaemon {
+    /// Starts a daemon by `command`, whose last argument is its program, with a store that doesn't answer.
+    fn start(mut command: Command, addresses: &Addresses) -> Self {
+        let folder = TempDir::new().expect("a folder");
+        let settings: PathBuf = folder.path().join("host.yaml");
+        let (listen, admin, peer) = (addresses.listen, addresses.admin, addresses.peer);
+        let text = format!(
+            "region: vidzemes\ncenter: turaida\nlisten: \"{listen}\"\nadmin: \"{admin}\"\n\
+             admin_optional: true\npeer: \"{peer}\"\ntrust_peer_network: true\ncenters:\n  \
+             turaida: {{region: vidzemes}}\nplatform:\n  store: \"{}\"\n",
+            free_address()
+        );
+        fs::write(&settings, text).expect("settings");
+        let mut child = command
+            .env("KNAPWEEDSEAM_CONFIG", &settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon runs");
+        let output = child.stdout.take().expect("its output");
+        let (sender, lines) = channel();
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        Self {
+            child,
+            lines,
+            _folder: folder,
+        }
+    }
+
+    /// Requires that the daemon logs its start and then goes on running.
+    fn assert_running(&mut self) {
+        loop {
+            let line = self.lines.recv_timeout(START_LIMIT);
+            let line = line.unwrap_or_else(|_| panic!("no start, {:?}", self.child.try_wait()));
+            if line.contains("\"event\":\"started\"") {
+                break;
+            }
+        }
+        thread::sleep(RUN_PERIOD);
+        let ended = self.child.try_wait().expect("its state");
+        let lines: Vec<String> = self.lines.try_iter().collect();
+        assert_eq!(ended, None, "{lines:?}");
+    }
+}
+
+impl Drop for StartedDaemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn daemon() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_knapweedseamd"));
+    command.args(["--workers", "1"]);
+    command
+}
+
+/// Guards against hosts that don't start because others at the same IP address hold the admin port.
+#[test]
+fn shared_admin() {
+    let first = Addresses::new();
+    let others = [(); 2].map(|()| Addresses {
+        admin: first.admin,
+        ..Addresses::new()
+    });
+    let mut daemons: Vec<StartedDaemon> = [first]
+        .iter()
+        .chain(&others)
+        .map(|addresses| StartedDaemon::start(daemon(), addresses))
+        .collect();
+    for daemon in &mut daemons {
+        daemon.assert_running();
+    }
+}
+
+/// Guards against a host that doesn't start because it was given the admin port for its callers.
+#[test]
+fn admin_for_callers() {
+    let addresses = Addresses::new();
+    let shared = Addresses {
+        admin: addresses.listen,
+        ..addresses
+    };
+    StartedDaemon::start(daemon(), &shared).assert_running();
+}
+
+/// Guards against a host that ends because an address is in use for a moment.
+#[test]
+fn held_addresses() {
+    let addresses = Addresses::new();
+    let held = [addresses.listen, addresses.peer]
+        .map(|address| TcpListener::bind(address).expect("a free address"));
+    let mut daemon = StartedDaemon::start(daemon(), &addresses);
+    thread::sleep(Duration::from_secs(1));
+    drop(held);
+    daemon.assert_running();
+}
