Limit the arenas of the C library's allocator

What callers saw: processes ended by themselves. Under 300 MB of address space 34 of 36 aborted within 6 s of the start with 'memory allocation failed', under 160 MB 35.

Cause: each of 16 threads got an arena, for which glibc reserves 64 MiB of addresses: 1,101 MB for 14 MB in use, so that a limit on the address space was used up at the start. Ruled out: another allocator in Rust (dlmalloc: 1,101 MB as well, since the C library allocates in each thread that starts), and the variable MALLOC_ARENA_MAX, which the deploy file may not set.

kws-allocator calls mallopt before the first thread starts, with one arena for each thread that serves callers; it holds the workspace's only unsafe call.

Before: daemon_starts::address_space failed with 917,520 kB.

--- a/src/bin/knapweedseamd.rs
+++ b/src/bin/knapweedseamd.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 use eyre::{Result, WrapErr};
+use kws_allocator::limit_arenas;
 use kws_daemon::{RunningDaemon, load_options, start_daemon, start_logging};
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 use tokio::{
@@ -63,6 +64,7 @@
     if let Some(seconds) = args.drain_lag {
         options.drain_lag = Duration::from_secs(seconds);
     }
+    limit_arenas(options.workers);
     start_logging(&options.settings.log)?;
     let mut terminate =
         signal(SignalKind::terminate()).wrap_err("failed to install the SIGTERM handler")?;
--- a/tests/daemon_starts.rs
+++ b/tests/daemon_starts.rs
@@ -21,6 +21,8 @@
 const START_LIMIT: Duration = Duration::from_secs(30);
 /// How long a daemon must go on running: its threads have started by then.
 const RUN_PERIOD: Duration = Duration::from_secs(2);
+/// The least memory of a host of the users, in KiB.
+const LEAST_MEMORY: u64 = 160 * 1024;
 
 struct Addresses {
     listen: SocketAddr,
@@ -146,3 +148,26 @@
     drop(held);
     daemon.assert_running();
 }
+
+/// Guards against a host whose allocator reserves more addresses than the host has memory.
+#[test]
+fn address_space() {
+    let mut daemon = StartedDaemon::start(daemon(), &Addresses::new());
+    daemon.assert_running();
+    let status = format!("/proc/{}/status", daemon.child.id());
+    let status = fs::read_to_string(status).expect("its state");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmPeak:"));
+    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+    let peak: u64 = peak.expect("a size").parse().expect("a number");
+    assert!(peak <= LEAST_MEMORY, "{peak} kB of addresses");
+}
+
+/// Guards against a host that can't allocate memory under a limit on its address space.
+#[test]
+fn limited_addresses() {
+    let mut limited = Command::new("sh");
+    let script = format!("ulimit -v {LEAST_MEMORY} && exec \"$@\"");
+    limited.args(["-c", &script, "sh", env!("CARGO_BIN_EXE_knapweedseamd")]);
+    limited.args(["--workers", "1"]);
+    StartedDaemon::start(limited, &Addresses::new()).assert_running();
+}
