Refuse statuses for which HTTP defines no class

Cause: the guard took any three characters that parse as a number, and only numbers below 200 were refused later. It now takes three digits from 100 to 599 followed by a space or the end; anything else is no response, the caller gets 502 and the server's try counts as failed.

Before: odd_status failed for 600 and 999 with each of three framings; 000, 099, 102, +20 and 2000 held.

--- a/crates/kws-forward/src/response_guard.rs
+++ b/crates/kws-forward/src/response_guard.rs
@@ -6,9 +6,11 @@
 
 use crate::control::ExtraResponseKind;
 use ntex::util::BytesMut;
-use std::{collections::VecDeque, mem};
+use std::{collections::VecDeque, mem, ops::RangeInclusive};
 use thiserror::Error;
 
+/// The statuses for which HTTP defines a class.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
 /// Maximum length of a chunk size line, in bytes.
@@ -466,11 +468,13 @@
     String::from_utf8_lossy(id).into_owned()
 }
 
-/// The status of a status line of HTTP/1.
+/// The status of a status line of HTTP/1: three digits, which stand for one of the five classes.
 fn read_status(line: &[u8]) -> Option<u16> {
     let rest = line.strip_prefix(b"HTTP/1.")?;
     let code = rest.get(2..5).filter(|_| rest[1] == b' ')?;
-    str::from_utf8(code).ok()?.parse().ok()
+    let is_code = code.iter().all(u8::is_ascii_digit) && matches!(rest.get(5), None | Some(b' '));
+    let status = str::from_utf8(code).ok().filter(|_| is_code)?.parse().ok();
+    status.filter(|status| STATUSES.contains(status))
 }
 
 fn is_bodiless(status: u16) -> bool {
