Handle signals from the first step, and wait for complete settings

What callers saw: a host ended while it started.

Cause: the handlers of signals were installed after the settings had been read, and SIGHUP, by which the platform tells that these have changed, ends a process without a handler. Settings that the platform was still writing ended the start as well.

The handlers come before anything else, and settings that are missing or invalid are read again for 2 s.

Before: daemon_starts::early_hangup (ended by signal 1) and unfinished_settings (ended with exit code 1).

--- a/src/bin/knapweedseamd.rs
+++ b/src/bin/knapweedseamd.rs
@@ -3,11 +3,11 @@
 use clap::Parser;
 use eyre::{Result, WrapErr};
 use kws_allocator::limit_arenas;
-use kws_daemon::{RunningDaemon, load_options, start_daemon, start_logging};
+use kws_daemon::{DaemonOptions, RunningDaemon, load_options, start_daemon, start_logging};
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 use tokio::{
-    signal::unix::{SignalKind, signal},
-    time::interval,
+    signal::unix::{Signal, SignalKind, signal},
+    time::{interval, sleep},
 };
 
 /// The daemon of the proxy fleet.
@@ -46,9 +46,35 @@
 
 Exit codes: 0 stopped after a signal, 1 invalid settings or listener address, 2 wrong usage.";
 
+/// How often settings that are incomplete at the start are read again.
+const SETTINGS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Number of reads after the first: the platform may be writing the file while the daemon starts.
+const SETTINGS_RETRIES: usize = 20;
+
+/// The signals that the daemon handles.
+struct DaemonSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl DaemonSignals {
+    fn install() -> Result<Self> {
+        let install = |kind, name| {
+            signal(kind).wrap_err_with(|| format!("failed to install the {name} handler"))
+        };
+        Ok(Self {
+            terminate: install(SignalKind::terminate(), "SIGTERM")?,
+            interrupt: install(SignalKind::interrupt(), "SIGINT")?,
+            hangup: install(SignalKind::hangup(), "SIGHUP")?,
+        })
+    }
+}
+
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let Err(error) = run(DaemonArgs::parse()).await else {
+    let Err(error) = run().await else {
         return ExitCode::SUCCESS;
     };
     // Operators need the finding and its place in the settings, not a source location.
@@ -56,8 +82,16 @@
     ExitCode::FAILURE
 }
 
-async fn run(args: DaemonArgs) -> Result<()> {
-    let mut options = load_options(&args.settings, args.name.as_deref(), args.listen)?;
+async fn run() -> Result<()> {
+    // Before anything else: a signal that has no handler yet ends the process.
+    let mut signals = DaemonSignals::install()?;
+    let args = DaemonArgs::parse();
+    let loaded = tokio::select! {
+        _ = signals.terminate.recv() => return Ok(()),
+        _ = signals.interrupt.recv() => return Ok(()),
+        loaded = load_when_complete(&args) => loaded,
+    };
+    let mut options = loaded?;
     if let Some(workers) = args.workers {
         options.workers = workers.max(1);
     }
@@ -66,19 +100,13 @@
     }
     limit_arenas(options.workers);
     start_logging(&options.settings.log)?;
-    let mut terminate =
-        signal(SignalKind::terminate()).wrap_err("failed to install the SIGTERM handler")?;
-    let mut interrupt =
-        signal(SignalKind::interrupt()).wrap_err("failed to install the SIGINT handler")?;
-    let mut hangup =
-        signal(SignalKind::hangup()).wrap_err("failed to install the SIGHUP handler")?;
     let mut daemon = start_daemon(&options)?;
     let mut checks = interval(SETTINGS_CHECK_INTERVAL);
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&mut daemon, &args, "signal"),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload(&mut daemon, &args, "signal"),
             _ = checks.tick() => reload(&mut daemon, &args, "check"),
         }
     }
@@ -86,6 +114,18 @@
     Ok(())
 }
 
+/// Reads the settings, again for a while if they are missing or invalid.
+async fn load_when_complete(args: &DaemonArgs) -> Result<DaemonOptions> {
+    let load = || load_options(&args.settings, args.name.as_deref(), args.listen);
+    for _ in 0..SETTINGS_RETRIES {
+        if let Ok(options) = load() {
+            return Ok(options);
+        }
+        sleep(SETTINGS_RETRY_INTERVAL).await;
+    }
+    Ok(load()?)
+}
+
 /// Rereads the settings. When they are invalid, the active ones are kept.
 fn reload(daemon: &mut RunningDaemon, args: &DaemonArgs, cause: &str) {
     match load_options(&args.settings, args.name.as_deref(), args.listen) {
--- a/tests/daemon_starts.rs
+++ b/tests/daemon_starts.rs
@@ -9,7 +9,6 @@
     fs,
     io::{BufRead, BufReader},
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
     process::{Child, Command, Stdio},
     sync::mpsc::{Receiver, channel},
     thread,
@@ -24,6 +23,9 @@
 /// The least memory of a host of the users, in KiB.
 const LEAST_MEMORY: u64 = 160 * 1024;
 
+/// Name of the settings file.
+const SETTINGS: &str = "host.yaml";
+
 struct Addresses {
     listen: SocketAddr,
     admin: SocketAddr,
@@ -38,28 +40,37 @@
             peer: free_address(),
         }
     }
+
+    /// Settings of a host with these addresses and a store that doesn't answer.
+    fn settings(&self) -> String {
+        let (listen, admin, peer) = (self.listen, self.admin, self.peer);
+        format!(
+            "region: vidzemes\ncenter: turaida\nlisten: \"{listen}\"\nadmin: \"{admin}\"\n\
+             admin_optional: true\npeer: \"{peer}\"\ntrust_peer_network: true\ncenters:\n  \
+             turaida: {{region: vidzemes}}\nplatform:\n  store: \"{}\"\n",
+            free_address()
+        )
+    }
 }
 
 /// A daemon process, killed when dropped.
 struct StartedDaemon {
     child: Child,
     lines: Receiver<String>,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl StartedDaemon {
     /// Starts a daemon by `command`, whose last argument is its program, with a store that doesn't answer.
-    fn start(mut command: Command, addresses: &Addresses) -> Self {
+    fn start(command: Command, addresses: &Addresses) -> Self {
         let folder = TempDir::new().expect("a folder");
-        let settings: PathBuf = folder.path().join("host.yaml");
-        let (listen, admin, peer) = (addresses.listen, addresses.admin, addresses.peer);
-        let text = format!(
-            "region: vidzemes\ncenter: turaida\nlisten: \"{listen}\"\nadmin: \"{admin}\"\n\
-             admin_optional: true\npeer: \"{peer}\"\ntrust_peer_network: true\ncenters:\n  \
-             turaida: {{region: vidzemes}}\nplatform:\n  store: \"{}\"\n",
-            free_address()
-        );
-        fs::write(&settings, text).expect("settings");
+        fs::write(folder.path().join(SETTINGS), addresses.settings()).expect("settings");
+        Self::start_in(folder, command)
+    }
+
+    /// Starts a daemon whose settings lie in `folder`, or will.
+    fn start_in(folder: TempDir, mut command: Command) -> Self {
+        let settings = folder.path().join(SETTINGS);
         let mut child = command
             .env("KNAPWEEDSEAM_CONFIG", &settings)
             .stdout(Stdio::piped())
@@ -75,7 +86,7 @@
         Self {
             child,
             lines,
-            _folder: folder,
+            folder,
         }
     }
 
@@ -171,3 +182,39 @@
     limited.args(["--workers", "1"]);
     StartedDaemon::start(limited, &Addresses::new()).assert_running();
 }
+
+/// Guards against a host that is ended by the signal that its settings have changed while it starts.
+#[test]
+fn early_hangup() {
+    let folder = TempDir::new().expect("a folder");
+    let settings = folder.path().join(SETTINGS);
+    // The daemon waits in the midst of its start until the test writes its settings.
+    run("mkfifo", &[settings.to_str().expect("text")]);
+    let mut daemon = StartedDaemon::start_in(folder, daemon());
+    thread::sleep(Duration::from_millis(500));
+    run("kill", &["-HUP", &daemon.child.id().to_string()]);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(daemon.child.try_wait().expect("its state"), None);
+    fs::write(settings, Addresses::new().settings()).expect("settings");
+    daemon.assert_running();
+}
+
+/// Guards against a host that ends because the platform is writing its settings while it starts.
+#[test]
+fn unfinished_settings() {
+    let folder = TempDir::new().expect("a folder");
+    let text = Addresses::new().settings();
+    fs::write(folder.path().join(SETTINGS), &text[..text.len() / 2]).expect("settings");
+    let mut daemon = StartedDaemon::start_in(folder, daemon());
+    thread::sleep(Duration::from_millis(300));
+    fs::write(daemon.folder.path().join(SETTINGS), text).expect("settings");
+    daemon.assert_running();
+}
+
+fn run(program: &str, arguments: &[&str]) {
+    let status = Command::new(program).args(arguments).status();
+    assert!(
+        status.expect("it runs").success(),
+        "{program} {arguments:?}"
+    );
+}
