Log on machines whose clock is far off

What callers would have seen: a process ends with the first line that it logs after the clock of its machine was set to before 1970 or after 9999. Found while looking for causes of processes that end by themselves; not seen on a machine.

Cause: humantime panics on a time before the epoch and returns an error after 9999, which to_string turns into a panic; a panic of one of the daemon's threads ends it. Such a time is replaced by the nearest that the format can express.

--- a/crates/kws-daemon/src/log_line.rs
+++ b/crates/kws-daemon/src/log_line.rs
@@ -6,7 +6,10 @@
 };
 use log4rs::encode::{Encode, Write};
 use serde::ser::{SerializeMap, Serializer};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The end of the year 9999, since 1970.
+const LATEST_TIME: Duration = Duration::from_secs(253_402_300_799);
 
 /// Encodes a record as one line. Numbers and booleans keep their JSON type.
 #[derive(Debug)]
@@ -16,8 +19,7 @@
     fn encode(&self, output: &mut dyn Write, record: &Record<'_>) -> anyhow::Result<()> {
         let mut json = serde_json::Serializer::new(&mut *output);
         let mut map = json.serialize_map(None)?;
-        let time = humantime::format_rfc3339_micros(SystemTime::now()).to_string();
-        map.serialize_entry("time", &time)?;
+        map.serialize_entry("time", &format_time(SystemTime::now()))?;
         map.serialize_entry("level", record.level().as_str())?;
         map.serialize_entry("event", &record.args().to_string())?;
         record.key_values().visit(&mut FieldWriter(&mut map))?;
@@ -27,6 +29,13 @@
     }
 }
 
+/// The time of a line in UTC. The clock of a machine may be set to any time; one that the format can't
+/// express is replaced by the nearest that it can.
+pub(crate) fn format_time(time: SystemTime) -> String {
+    let time = time.clamp(UNIX_EPOCH, UNIX_EPOCH + LATEST_TIME);
+    humantime::format_rfc3339_micros(time).to_string()
+}
+
 /// Adds the key-value pairs of a record to the object.
 struct FieldWriter<'a, M>(&'a mut M);
 
