--- a/crates/kws-daemon/src/tokens.rs
+++ b/crates/kws-daemon/src/tokens.rs
@@ -1,6 +1,7 @@
 //! Token thread: obtains a token for each request of a team, as [`TokenCoordinator`] decides.
 
 mod coordinator;
+mod debts;
 
 use crate::{
     ledger::{AdmitReply, LedgerEvent},
--- a/crates/kws-daemon/src/tokens/coordinator.rs
+++ b/crates/kws-daemon/src/tokens/coordinator.rs
@@ -5,6 +5,7 @@
 //! that is asked without owning passes the request on, so that a lost message or a list that is a moment
 //! older doesn't make a second owner.
 
+use super::debts::TokenDebts;
 use kws_limits::{PARTITION_COUNT, TokenDecision, TokenOwner, TokenPartition};
 use kws_membership::{OwnerTable, SharedTask};
 use kws_protocol::{
@@ -33,10 +34,6 @@
 /// that are up answer within it, and before it this host could grant next to nothing.
 const MEETING_WAIT: Duration = Duration::from_millis(600);
 
-/// How long tokens that this host granted without owning them are still told to an owner. By then the
-/// users' window over which a rate is judged has passed.
-const DEBT_PERIOD: Duration = Duration::from_secs(5);
-
 /// Time for which no loan is requested for a team after another region had no token to lend.
 const LOAN_COOLDOWN: Duration = Duration::from_millis(200);
 
@@ -150,15 +147,6 @@
     is_repeated: bool,
 }
 
-/// Tokens of a team that this host granted without owning them, and that no owner has charged yet.
-#[derive(Clone, Copy, Debug)]
-struct TokenDebt {
-    count: u32,
-    latest: Instant,
-    /// The request that tells of them and has no reply yet.
-    told_by: Option<u64>,
-}
-
 /// A host, and how many others its region may have.
 #[derive(Clone, Debug)]
 pub(crate) struct TokenHost {
@@ -187,7 +175,7 @@
     /// Until when such requests wait; none once it has met one.
     meeting_end: Option<Instant>,
     next_id: u64,
-    debts: HashMap<TeamName, TokenDebt>,
+    debts: TokenDebts,
     /// By partition, when another host last asked this one as the owner.
     witnessed: [Option<Instant>; PARTITION_COUNT as usize],
     /// When a request may next be passed on to an owner that does not reply.
@@ -208,7 +196,7 @@
             waiting: Vec::new(),
             meeting_end: (host.most_hosts > 1).then_some(now + MEETING_WAIT),
             next_id: 0,
-            debts: HashMap::new(),
+            debts: TokenDebts::default(),
             witnessed: [None; PARTITION_COUNT as usize],
             next_probes: HashMap::new(),
             loan_cooldowns: HashMap::new(),
@@ -328,46 +316,13 @@
             return;
         }
         if !self.owned.owns(TokenPartition::of(team)) {
-            return self.add_debt(team, count, now);
+            return self.debts.add(team, count, now);
         }
         if let Some(snapshot) = &self.snapshot {
             self.owned.charge(&snapshot.settings, team, count, now);
         }
     }
 
-    fn add_debt(&mut self, team: &TeamName, count: u32, now: Instant) {
-        self.debts
-            .retain(|_, debt| now.saturating_duration_since(debt.latest) < DEBT_PERIOD);
-        let debt = self.debts.entry(team.clone()).or_insert(TokenDebt {
-            count: 0,
-            latest: now,
-            told_by: None,
-        });
-        debt.count = debt.count.saturating_add(count);
-        debt.latest = now;
-    }
-
-    /// Ends the telling of a debt by the request `id`; `count` tokens of it have been charged.
-    fn settle_debt(&mut self, team: &TeamName, id: u64, count: u32) {
-        let debt = self.debts.get_mut(team);
-        if let Some(debt) = debt.filter(|debt| debt.told_by == Some(id)) {
-            debt.told_by = None;
-            debt.count = debt.count.saturating_sub(count);
-        }
-    }
-
-    /// The debt that the request `id` tells of; 0 if another one tells of it already.
-    fn tell_debt(&mut self, team: &TeamName, id: u64, now: Instant) -> u32 {
-        let debt = self.debts.get_mut(team);
-        let debt = debt.filter(|debt| {
-            debt.told_by.is_none() && now.saturating_duration_since(debt.latest) < DEBT_PERIOD
-        });
-        debt.map_or(0, |debt| {
-            debt.told_by = Some(id);
-            debt.count
-        })
-    }
-
     fn handle_request(
         &mut self,
         team: TeamName,
@@ -407,7 +362,7 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
-        self.settle_debt(&pending.team, id, pending.owed);
+        self.debts.settle(&pending.team, id, pending.owed);
         let decision = match (retry_after, pending.stage) {
             (None, _) => TokenDecision::Granted,
             (Some(_), AskStage::Loan(refusal)) => {
@@ -441,7 +396,7 @@
         overdue.sort_unstable();
         for id in overdue {
             if let Some(pending) = self.pending.remove(&id) {
-                self.settle_debt(&pending.team, id, 0);
+                self.debts.settle(&pending.team, id, 0);
                 self.handle_timeout(pending, now);
             }
         }
@@ -534,7 +489,7 @@
         }
         let granted = !refused && decision != TokenDecision::UnknownTeam;
         if role != TokenRole::Owner && granted {
-            self.add_debt(team, 1, now);
+            self.debts.add(team, 1, now);
         }
         if role == TokenRole::Alone {
             return self.deliver(decision, team, waiter, role.as_str());
@@ -576,7 +531,7 @@
         self.next_id += 1;
         let owed = match stage {
             AskStage::Loan(_) => 0,
-            _ => self.tell_debt(&team, self.next_id, now),
+            _ => self.debts.tell(&team, self.next_id, now),
         };
         let pending = PendingToken {
             team,
--- a/crates/kws-daemon/tests/token_owners.rs
+++ b/crates/kws-daemon/tests/token_owners.rs
@@ -4,6 +4,8 @@
 #[allow(dead_code)]
 #[path = "../src/tokens/coordinator.rs"]
 mod coordinator;
+#[path = "../src/tokens/debts.rs"]
+mod debts;
 
 use coordinator::{TokenAction, TokenCoordinator, TokenHost};
 use kws_limits::{TokenDecision, TokenPartition};
