--- a/crates/kws-daemon/src/tokens/coordinator.rs
+++ b/crates/kws-daemon/src/tokens/coordinator.rs
@@ -337,7 +337,7 @@
             TokenRequestKind::Own | TokenRequestKind::Passed if owns => {
                 self.decide(TokenRole::Owner, &team, waiter, now);
             }
-            // The asker takes this host for the owner; passing it on again could go round in circles.
+            // The asker takes this host for the owner; passing the request on again could form a loop.
             TokenRequestKind::Passed => self.decide(TokenRole::Alone, &team, waiter, now),
             TokenRequestKind::Own => {
                 self.witnessed[partition.index()] = Some(now);
