Log where the values in force come from

The line `revision in force` names the platform or the host that the values were received from; it is empty when only the members changed.

--- a/crates/kws-daemon/src/fleet.rs
+++ b/crates/kws-daemon/src/fleet.rs
@@ -16,7 +16,7 @@
 };
 use kws_peer::InboundMessage;
 use kws_platform::{PlatformEvent, WatchTiming};
-use kws_protocol::{FleetSnapshot, MeshMember};
+use kws_protocol::{FleetSnapshot, HostName, MeshMember};
 use kws_tree::{HostSettings, PlatformSource};
 use std::{
     hash::{BuildHasher, RandomState},
@@ -27,6 +27,9 @@
     time::{Instant, sleep_until},
 };
 
+/// The source of values that this host has read from the platform itself, in log lines.
+const PLATFORM_SOURCE: &str = "platform";
+
 /// Channels that the fleet thread reads.
 pub(crate) struct FleetInputs {
     pub(crate) platform: Receiver<PlatformEvent>,
@@ -83,15 +86,19 @@
     thread.publish_watch_timing();
     let mut last_tick = Instant::now();
     loop {
+        let mut peer = None;
         let actions = tokio::select! {
             event = inputs.platform.recv() => match event {
                 Some(event) => thread.handle_platform_event(event),
                 None => return,
             },
             message = inputs.peers.recv() => match message {
-                Some(inbound) => thread
-                    .protocol
-                    .receive(&inbound.from, inbound.message, Instant::now()),
+                Some(inbound) => {
+                    let message = inbound.message;
+                    let actions = thread.protocol.receive(&inbound.from, message, Instant::now());
+                    peer = Some(inbound.from);
+                    actions
+                }
                 None => return,
             },
             () = sleep_until(last_tick + thread.protocol.tick_interval()) => {
@@ -99,7 +106,8 @@
                 thread.handle_tick(last_tick)
             }
         };
-        thread.run_actions(actions).await;
+        let source = peer.as_ref().map_or(PLATFORM_SOURCE, HostName::as_str);
+        thread.run_actions(actions, source).await;
     }
 }
 
@@ -183,11 +191,18 @@
         }
     }
 
-    async fn run_actions(&mut self, actions: Vec<FleetAction>) {
+    /// Carries out `actions`. `source` is where adopted values come from.
+    async fn run_actions(&mut self, actions: Vec<FleetAction>, source: &str) {
+        let has_adopted = self.protocol.counters().adopted > self.last_counters.adopted;
+        // The adopted values are the first to be published, a change of the members follows.
+        let mut source = Some(source).filter(|_| has_adopted);
         for action in actions {
             match action {
                 FleetAction::Send { to, message } => self.outputs.peers.send(&to, message),
-                FleetAction::Publish(snapshot) => self.publish(snapshot).await,
+                FleetAction::Publish(snapshot) => {
+                    self.publish(snapshot, source.take().unwrap_or_default())
+                        .await;
+                }
                 FleetAction::SetContacts(hosts) => self.shared.set_contacts(&hosts),
                 FleetAction::Reject { revision, findings } => {
                     log::error!(revision = revision.0, findings = findings.as_str(); "tree refused");
@@ -207,8 +222,10 @@
 
     /// Waits for room in the channels, so a revision is delivered even when they are full of
     /// requests. This can't deadlock: neither the ledger nor the dispatcher waits for this thread.
-    async fn publish(&self, snapshot: Arc<FleetSnapshot>) {
-        log::info!(revision = snapshot.revision.0; "revision in force");
+    ///
+    /// `source` is where the values come from; empty if only the members have changed.
+    async fn publish(&self, snapshot: Arc<FleetSnapshot>, source: &str) {
+        log::info!(revision = snapshot.revision.0, source = source; "revision in force");
         self.shared.set_snapshot(&snapshot);
         let ledger = LedgerEvent::ApplySettings(Arc::clone(&snapshot));
         let _ = self.outputs.ledger.send(ledger).await;
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -38,7 +38,7 @@
 const HIGH_RATE: u32 = 100_000;
 
 /// The sorted keys of each event.
-const EVENT_KEYS: [(&str, &str); 10] = [
+const EVENT_KEYS: [(&str, &str); 11] = [
     ("started", "admin event host level listen peer time"),
     (
         "request",
@@ -76,6 +76,7 @@
         "decider event level request_id retry_after_ms team time waited_us",
     ),
     ("server judged", "cause event level out server service time"),
+    ("revision in force", "event level revision source time"),
 ];
 
 /// The header under which the platform's servers echo the id of a request.
@@ -87,6 +88,7 @@
     child: Child,
     listen: SocketAddr,
     admin: SocketAddr,
+    peer: SocketAddr,
     lines: Arc<Mutex<Vec<LogLine>>>,
 }
 
@@ -216,6 +218,7 @@
         child,
         listen: unknown,
         admin: unknown,
+        peer,
         lines: Arc::default(),
     };
     host.lines = read_lines(host.child.stdout.take().expect("a pipe"));
@@ -363,6 +366,28 @@
     assert!(fleet.lines().iter().any(is_out), "{:#?}", fleet.lines());
 }
 
+/// A host that starts takes the values from the seed, which reads the platform. A change of the members alone has no
+/// source.
+#[tokio::test]
+async fn values_source() {
+    let fleet = LogFleet::start(2, HIGH_RATE, &[answering(200)]).await;
+    let words = [
+        ("revision in force", "source", "platform"),
+        ("revision in force", "source", ""),
+    ];
+    fleet.assert_logged(&words, async || ()).await;
+    let seed = fleet.hosts[0].peer.to_string();
+    let is_from_seed = |line: &LogLine| {
+        let source = line.get("source").and_then(Value::as_str);
+        line["event"] == "revision in force" && source.is_some_and(|text| text.starts_with(&seed))
+    };
+    assert!(
+        fleet.lines().iter().any(is_from_seed),
+        "{:#?}",
+        fleet.lines()
+    );
+}
+
 /// How a try ended, and whether the request of it ran.
 #[rstest]
 #[case::bad(answering(500), "bad", "")]
